--- /dev/null
+++ b/src/fakes/fakes.h
@@ -0,0 +1,283 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Small fakes at the ports, in virtual time, with switches for faults.
+
+#ifndef DOORWOOD_FAKES_FAKES_H_
+#define DOORWOOD_FAKES_FAKES_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "doorwood/directory.h"
+#include "doorwood/executor.h"
+#include "doorwood/instance.h"
+#include "doorwood/kv.h"
+#include "doorwood/peer.h"
+#include "doorwood/worker.h"
+#include "standin/kv_model.h"
+#include "standin/worker_model.h"
+
+namespace doorwood::fakes {
+
+/// Virtual time for everything in one test.
+class VirtualTime {
+ public:
+  Instant now() const { return now_; }
+  int64_t millis() const;
+  void At(Instant time, std::function<void()> function);
+  /// Runs all that is due until `duration` has passed.
+  void Run(Millis duration);
+  /// Runs the next function; false if there is none within `limit`.
+  bool Step(Instant limit);
+
+ private:
+  struct Item {
+    Instant time;
+    uint64_t order = 0;
+    std::function<void()> function;
+
+    bool operator<(const Item& other) const {
+      return std::tie(other.time, other.order) < std::tie(time, order);
+    }
+  };
+
+  Instant now_ = Instant(Millis(1'000'000));
+  uint64_t order_ = 0;
+  std::priority_queue<Item> queue_;
+};
+
+/// One process's control thread. It can be frozen and thawed, or die.
+class FakeExecutor : public Executor {
+ public:
+  FakeExecutor(VirtualTime& time, uint64_t seed) : time_(time), random_(seed) {}
+
+  Instant Now() const override { return time_.now(); }
+  void Post(std::function<void()> function) override;
+  TimerId Schedule(Millis delay, std::function<void()> function) override;
+  void Cancel(TimerId timer) override;
+  uint64_t Random() override { return random_(); }
+
+  /// Holds back everything until `Thaw`.
+  void Freeze() { frozen_ = true; }
+  void Thaw();
+  /// Nothing runs any more.
+  void Kill() { dead_ = true; }
+  bool dead() const { return dead_; }
+  bool frozen() const { return frozen_; }
+
+ private:
+  void Run(std::function<void()> function);
+
+  VirtualTime& time_;
+  std::mt19937_64 random_;
+  TimerId last_timer_ = 0;
+  std::set<TimerId> cancelled_;
+  std::vector<std::function<void()>> held_;
+  bool frozen_ = false;
+  bool dead_ = false;
+};
+
+/// What happens to calls through one fake.
+enum class Fault {
+  kNone,
+  /// Refused before anything happened.
+  kDown,
+  /// Takes effect; the answer is lost.
+  kAnswerLost,
+  /// Does not arrive; the caller cannot know.
+  kRequestLost,
+  /// Arrives long after the caller gave up.
+  kLate,
+};
+
+/// One instance's way to the key-value service.
+class FakeKv : public KvStore {
+ public:
+  FakeKv(VirtualTime& time, Executor& executor, standin::KvModel& model)
+      : time_(time), executor_(executor), model_(model) {}
+
+  void Read(const std::string& key, Callback<KvEntry> done) override;
+  void List(const std::string& prefix,
+            Callback<std::vector<KvEntry>> done) override;
+  void Write(const KvWrite& write, Callback<int64_t> done) override;
+  void Remove(const std::string& key,
+              int64_t expected_version,
+              Callback<int64_t> done) override;
+  void GrantLease(Millis lifetime, Callback<int64_t> done) override;
+  void RenewLease(int64_t lease, Callback<int64_t> done) override;
+  void Watch(const std::string& prefix,
+             int64_t after,
+             Callback<std::vector<KvEntry>> done) override;
+
+  void set_fault(Fault fault) { fault_ = fault; }
+  /// The fault goes after so many writes; -1: it stays.
+  void set_fault_writes(int count) { fault_writes_ = count; }
+  int64_t writes() const { return writes_; }
+
+ private:
+  template <typename T>
+  void Run(bool changes,
+           std::function<std::error_code(T*)> effect,
+           Callback<T> done);
+
+  VirtualTime& time_;
+  Executor& executor_;
+  standin::KvModel& model_;
+  Fault fault_ = Fault::kNone;
+  int fault_writes_ = -1;
+  int64_t writes_ = 0;
+};
+
+/// All workers of a test, by address.
+using FakeFleet = std::map<std::string, std::shared_ptr<standin::WorkerModel>>;
+
+/// One instance's way to the workers.
+class FakeWorkers : public WorkerControl {
+ public:
+  FakeWorkers(VirtualTime& time,
+              Executor& executor,
+              FakeFleet& fleet,
+              std::string holder,
+              const HolderOptions& options)
+      : time_(time),
+        executor_(executor),
+        fleet_(fleet),
+        holder_(std::move(holder)),
+        options_(options) {}
+
+  void Acquire(const InstanceInfo& worker,
+               Callback<WorkerInventory> done) override;
+  void Send(const InstanceInfo& worker,
+            uint64_t epoch,
+            std::vector<WorkerOrder> orders,
+            Callback<WorkerAnswer> done) override;
+  void Release(const InstanceInfo& worker,
+               uint64_t epoch,
+               Callback<bool> done) override;
+
+  /// Sets the fault of calls to one worker.
+  void set_fault(const std::string& address, Fault fault) {
+    faults_[address] = fault;
+  }
+
+ private:
+  template <typename T>
+  void Run(const InstanceInfo& worker,
+           std::function<std::error_code(standin::WorkerModel&, T*)> effect,
+           Callback<T> done);
+
+  VirtualTime& time_;
+  Executor& executor_;
+  FakeFleet& fleet_;
+  std::string holder_;
+  HolderOptions options_;
+  std::map<std::string, Fault> faults_;
+};
+
+/// The wires between entry instances.
+class FakeNetwork {
+ public:
+  struct Node {
+    PeerService* service = nullptr;
+    FakeExecutor* executor = nullptr;
+  };
+
+  void Attach(const std::string& address, Node node) { nodes_[address] = node; }
+  /// Cuts or mends the way between two addresses, both directions.
+  void SetCut(const std::string& a, const std::string& b, bool cut);
+  bool IsCut(const std::string& a, const std::string& b) const;
+  /// Loses so many of the next replies.
+  void LoseReplies(int count) { lose_replies_ = count; }
+  bool TakeLostReply();
+  Node* Find(const std::string& address);
+
+ private:
+  std::map<std::string, Node> nodes_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  int lose_replies_ = 0;
+};
+
+/// One instance's way to its peers.
+class FakePeers : public PeerNetwork {
+ public:
+  FakePeers(VirtualTime& time,
+            FakeExecutor& executor,
+            FakeNetwork& network,
+            std::string address)
+      : time_(time),
+        executor_(executor),
+        network_(network),
+        address_(std::move(address)) {}
+
+  void Call(const std::string& address,
+            PeerRequest request,
+            Millis timeout,
+            Callback done) override;
+
+ private:
+  VirtualTime& time_;
+  FakeExecutor& executor_;
+  FakeNetwork& network_;
+  std::string address_;
+};
+
+class FakeDirectory : public InstanceDirectory {
+ public:
+  FakeDirectory(Executor& executor, const std::vector<InstanceInfo>& list)
+      : executor_(executor), list_(list) {}
+
+  void Fetch(Callback done) override;
+  void set_down(bool down) { down_ = down; }
+
+ private:
+  Executor& executor_;
+  const std::vector<InstanceInfo>& list_;
+  bool down_ = false;
+};
+
+class FakeRoutes : public RouteSink {
+ public:
+  void OnBackends(std::vector<BackendTarget> backends) override {
+    backends_ = std::move(backends);
+  }
+  void OnPeers(std::vector<PeerTarget> peers) override {
+    peers_ = std::move(peers);
+  }
+  void OnConfiguration(std::shared_ptr<const Configuration>) override {}
+  std::vector<std::string> OpenServices() override { return {}; }
+  int SlotsInUse(const std::string&) override { return slots_in_use_; }
+  Json Burn() override { return Json::array(); }
+
+  const std::vector<BackendTarget>& backends() const { return backends_; }
+  void set_slots_in_use(int slots) { slots_in_use_ = slots; }
+
+ private:
+  std::vector<BackendTarget> backends_;
+  std::vector<PeerTarget> peers_;
+  int slots_in_use_ = 0;
+};
+
+/// Keeps the lines, for failure messages.
+class FakeLog : public EventLog {
+ public:
+  void Write(std::string_view level,
+             std::string_view component,
+             std::string_view message,
+             const Json& fields) override;
+
+  const std::vector<std::string>& lines() const { return lines_; }
+
+ private:
+  std::vector<std::string> lines_;
+};
+
+}  // namespace doorwood::fakes
+
+#endif  // DOORWOOD_FAKES_FAKES_H_
--- /dev/null
+++ b/src/fakes/world.h
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Some entry instances and workers joined by the fakes, and the rules that
+/// must hold whatever happens to them. Not a simulator: it adds nothing to
+/// the fakes but names.
+
+#ifndef DOORWOOD_FAKES_WORLD_H_
+#define DOORWOOD_FAKES_WORLD_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fakes/fakes.h"
+
+namespace doorwood::fakes {
+
+struct WorldOptions {
+  std::vector<std::string> data_centres = {"plaka"};
+  int entries = 2;
+  int workers = 3;
+  bool fences = true;
+  uint64_t seed = 1;
+  Resources capacity{4000, 8192, 1};
+};
+
+class World {
+ public:
+  /// One entry instance and its ways to the outside.
+  struct Entry {
+    std::string id;
+    std::unique_ptr<FakeExecutor> executor;
+    std::unique_ptr<FakeKv> kv;
+    std::unique_ptr<FakeWorkers> workers;
+    std::unique_ptr<FakePeers> peers;
+    std::unique_ptr<FakeDirectory> directory;
+    std::unique_ptr<PlacementPolicy> policy;
+    FakeRoutes routes;
+    FakeLog log;
+    std::unique_ptr<Instance> instance;
+  };
+
+  explicit World(const WorldOptions& options);
+
+  /// Starts an instance; again after `Kill` it is a new process.
+  void Start(const std::string& id);
+  void StartAll();
+  /// As SIGKILL.
+  void Kill(const std::string& id);
+  void Freeze(const std::string& id) { At(id).executor->Freeze(); }
+  void Thaw(const std::string& id) { At(id).executor->Thaw(); }
+  void SetKvFault(Fault fault);
+  /// Sets how every instance's calls to one worker fare.
+  void SetWorkerFault(const std::string& worker, Fault fault);
+  /// Changes the platform's list.
+  void Unlist(const std::string& id);
+  void SetLeaving(const std::string& id);
+
+  void Run(Millis duration) { time_.Run(duration); }
+  /// Runs until `condition` holds; false if it does not within `limit`.
+  bool RunUntil(Millis limit, const std::function<bool()>& condition);
+
+  /// Calls an operator's method through an instance and runs until it is
+  /// answered.
+  OperatorReply Operate(const std::string& id,
+                        const std::string& method,
+                        const Json& body);
+  /// Puts a configuration with member "museum" into force.
+  void Configure(const std::string& id);
+  /// Submits a manifest of `count` tasks; the job's id.
+  std::string Submit(const std::string& id,
+                     int count,
+                     const std::string& payload,
+                     const std::string& more = "");
+  Json Job(const std::string& id, const std::string& job);
+  std::string Phase(const std::string& id, const std::string& job);
+
+  bool Has(const std::string& id) const { return entries_.contains(id); }
+  Entry& At(const std::string& id) { return *entries_.at(id); }
+  FakeNetwork& network() { return network_; }
+  VirtualTime& time() { return time_; }
+  standin::KvModel& store() { return kv_; }
+  standin::WorkerModel& worker(const std::string& id) { return *fleet_.at(id); }
+
+  /// Rules that were broken so far; empty if all is well. Known from the
+  /// workers alone.
+  const std::vector<std::string>& violations();
+  const std::vector<standin::WorkerEvent>& events() const { return events_; }
+  /// Bodies of submissions that were refused.
+  const std::vector<std::string>& refusals() const { return refusals_; }
+  int Starts(const std::string& task_name) const;
+  int Successes(const std::string& task_name) const;
+  /// The instance that the worker granted its lease to last.
+  std::string HolderOf(const std::string& worker) const;
+
+ private:
+  void OnEvent(const standin::WorkerEvent& event);
+  InstanceOptions OptionsFor(const std::string& id);
+
+  WorldOptions options_;
+  VirtualTime time_;
+  standin::KvModel kv_;
+  FakeFleet fleet_;
+  FakeNetwork network_;
+  std::vector<InstanceInfo> list_;
+  std::map<std::string, std::unique_ptr<Entry>> entries_;
+  // Killed processes: their callbacks may still be queued.
+  std::vector<std::unique_ptr<Entry>> graveyard_;
+  uint64_t incarnation_ = 0;
+  std::vector<standin::WorkerEvent> events_;
+  std::map<TaskId, std::string> running_;
+  std::vector<std::string> violations_;
+  std::vector<std::string> refusals_;
+};
+
+}  // namespace doorwood::fakes
+
+#endif  // DOORWOOD_FAKES_WORLD_H_
--- a/src/include/doorwood/holder.h
+++ b/src/include/doorwood/holder.h
@@ -180,6 +180,7 @@
   WorkerControl& control_;
   PlacementPolicy& policy_;
   HolderListener& listener_;
+  Instant started_;
   HeldMap held_;
   std::set<std::string> drained_;
   std::map<ShardId, AttemptId> floors_;
--- a/src/include/doorwood/peer.h
+++ b/src/include/doorwood/peer.h
@@ -107,6 +107,9 @@
   /// Workers held now, inventory taken.
   std::vector<std::string> held;
   std::vector<WorkerAge> released;
+  /// How long the sender's process has been running. An earlier process under
+  /// its name may have renewed leases until then.
+  Millis uptime{0};
 };
 
 /// Holder to owner: attempts that ended. The owner answers once the end is
--- a/src/include/doorwood/shard_log.h
+++ b/src/include/doorwood/shard_log.h
@@ -56,7 +56,8 @@
   /// be written and will be tried again). Without, it waits.
   void Append(LogRecord record, bool refusable, Done done);
 
-  /// Gives the shard up once all that is queued is written.
+  /// Gives the shard up once all that is queued is written. On failure the
+  /// shard stays owned and open.
   void Close(Done done);
 
   /// Called once when another owner has sealed the log.
@@ -111,6 +112,8 @@
   void MaybeSnapshot();
   void TruncateBelow(int64_t position);
   void WriteClosedHead();
+  void ConfirmClosed();
+  void FinishClose(std::error_code error);
 
   ShardLogOptions options_;
   ShardId shard_;
--- a/src/include/doorwood/shard_owner.h
+++ b/src/include/doorwood/shard_owner.h
@@ -120,7 +120,7 @@
   /// Takes the shard over; see ShardLog::Open. On success the first census
   /// begins.
   void Open(Done done);
-  /// Hands the shard over in good order.
+  /// Hands the shard over in good order. On failure it goes on as before.
   void Close(Done done);
   /// Stops all activity at once, as when fenced.
   void Abandon();
@@ -198,6 +198,9 @@
     std::set<std::string> held;
     // The latest that a worker can have been renewed by who holds it no more.
     std::map<std::string, Instant> last_renewal;
+    // The latest start of an instance that answered: an earlier process in
+    // its place can have renewed until then.
+    Instant last_start{};
   };
 
   static std::string_view StageName(Stage stage);
--- a/src/libdoorwood/holder/holder.cpp
+++ b/src/libdoorwood/holder/holder.cpp
@@ -27,7 +27,8 @@
       executor_(executor),
       control_(control),
       policy_(policy),
-      listener_(listener) {}
+      listener_(listener),
+      started_(executor.Now()) {}
 
 WorkerHolder::~WorkerHolder() {
   *alive_ = false;
@@ -419,6 +420,7 @@
   Fence(request.shard, request.floor);
   CensusReply reply;
   const Instant now = executor_.Now();
+  reply.uptime = std::chrono::duration_cast<Millis>(now - started_);
   const auto age_of = [now](Instant sent) {
     return std::chrono::duration_cast<Millis>(now - sent);
   };
--- a/src/libdoorwood/instance/instance.cpp
+++ b/src/libdoorwood/instance/instance.cpp
@@ -384,16 +384,25 @@
 
 void Instance::CloseShard(const ShardId& shard) {
   Owning& owning = shards_[shard];
-  if (owning.closing || !owning.active) {
+  // Without the store a shard cannot change hands, and pausing it would only
+  // hold up its jobs.
+  const bool store_reachable =
+      executor_.Now() + options_.registration / 2 < registration_valid_until_;
+  if (owning.closing || !owning.active || !store_reachable) {
     return;
   }
   owning.closing = true;
-  owning.owner->Close([this, alive = alive_, shard](std::error_code) {
-    if (*alive) {
-      log_.Write("info", "owner", "shard given away",
-                 {{"shard", ToString(shard)}});
-      DropShard(shard);
+  owning.owner->Close([this, alive = alive_, shard](std::error_code error) {
+    if (!*alive || !shards_.contains(shard)) {
+      return;
+    }
+    if (error) {
+      shards_[shard].closing = false;
+      return;
     }
+    log_.Write("info", "owner", "shard given away",
+               {{"shard", ToString(shard)}});
+    DropShard(shard);
   });
 }
 
--- /dev/null
+++ b/src/libdoorwood/instance/instance_test.cpp
@@ -0,0 +1,502 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Whole control cores joined by fakes, in virtual time. Each case brings a
+// fault about; the rules are checked from the workers' side.
+
+#include "doorwood/instance.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fakes/world.h"
+
+namespace doorwood {
+namespace {
+
+using fakes::Fault;
+using fakes::World;
+using fakes::WorldOptions;
+
+constexpr Millis kStartup{4000};
+constexpr Millis kLong{60000};
+
+// A data centre that is up, configured, and ready for jobs.
+struct Running {
+  explicit Running(const WorldOptions& options = {}) : world(options) {
+    world.StartAll();
+    world.Run(kStartup);
+    world.Configure("plaka-1");
+  }
+
+  // Submits a job of `count` tasks that must be accepted.
+  std::string Submit(int count,
+                     const std::string& payload,
+                     const std::string& more = "") {
+    const std::string job = world.Submit("plaka-1", count, payload, more);
+    BOOST_REQUIRE_MESSAGE(!job.empty(), world.refusals().back());
+    return job;
+  }
+
+  // The job's shard owner and another instance.
+  std::string OwnerOf(const std::string& job) {
+    const uint32_t index = std::stoul(job.substr(job.find('.') + 1));
+    for (const char* id : {"plaka-1", "plaka-2"}) {
+      if (!world.Has(id)) {
+        continue;
+      }
+      for (const ShardId& shard : world.At(id).instance->owned_shards()) {
+        if (shard.index == index) {
+          return id;
+        }
+      }
+    }
+    return "";
+  }
+
+  static std::string Other(const std::string& id) {
+    return id == "plaka-1" ? "plaka-2" : "plaka-1";
+  }
+
+  bool Finishes(const std::string& via, const std::string& job) {
+    return world.RunUntil(
+        kLong, [&]() { return world.Phase(via, job) == "succeeded"; });
+  }
+
+  // Brings killed instances back, as the platform does.
+  void StartMissing() {
+    for (const char* id : {"plaka-1", "plaka-2"}) {
+      if (!world.Has(id)) {
+        world.Start(id);
+      }
+    }
+    world.Run(kStartup);
+  }
+
+  void CheckRules() {
+    for (const std::string& violation : world.violations()) {
+      BOOST_ERROR(violation);
+    }
+  }
+
+  World world;
+};
+
+BOOST_AUTO_TEST_SUITE(instance_cluster)
+
+BOOST_AUTO_TEST_CASE(job_without_faults_finishes_each_task_once) {
+  Running cluster;
+  const std::string job = cluster.Submit(5, "run-ms=1000");
+  BOOST_TEST(cluster.Finishes("plaka-2", job));
+  for (int n = 0; n < 5; ++n) {
+    const std::string task = "task-" + std::to_string(n);
+    BOOST_TEST(cluster.world.Starts(task) == 1);
+    BOOST_TEST(cluster.world.Successes(task) == 1);
+  }
+  cluster.CheckRules();
+}
+
+BOOST_AUTO_TEST_CASE(urgent_service_task_without_faults_starts_within_2400_ms) {
+  Running cluster;
+  const Instant submitted = cluster.world.time().now();
+  const std::string job =
+      cluster.Submit(1, "run-ms=100", "    class: service\n");
+  BOOST_TEST(cluster.world.RunUntil(
+      kLong, [&]() { return cluster.world.Starts("task") == 1; }));
+  BOOST_TEST((cluster.world.time().now() - submitted <= Millis(2400)));
+}
+
+// One row: a job of long tasks is running, a fault strikes, the job must end
+// with the rules kept.
+struct FaultRow {
+  const char* name;
+  std::function<void(Running&, const std::string& job)> strike;
+  // True if every task must have been started exactly once.
+  bool started_once = false;
+};
+
+void KillOwner(Running& cluster, const std::string& job) {
+  cluster.world.Kill(cluster.OwnerOf(job));
+}
+
+void KillOther(Running& cluster, const std::string& job) {
+  const std::string other = Running::Other(cluster.OwnerOf(job));
+  // An earlier fault may have killed it already.
+  if (cluster.world.Has(other)) {
+    cluster.world.Kill(other);
+  }
+}
+
+void RestartOwner(Running& cluster, const std::string& job) {
+  const std::string owner = cluster.OwnerOf(job);
+  cluster.world.Kill(owner);
+  cluster.world.Run(Millis(300));
+  cluster.world.Start(owner);
+}
+
+void FreezeOwnerPastLeases(Running& cluster, const std::string& job) {
+  const std::string owner = cluster.OwnerOf(job);
+  cluster.world.Freeze(owner);
+  cluster.world.Run(Millis(9000));
+  cluster.world.Thaw(owner);
+}
+
+void FreezeOtherPastLeases(Running& cluster, const std::string& job) {
+  const std::string other = Running::Other(cluster.OwnerOf(job));
+  if (!cluster.world.Has(other)) {
+    return;
+  }
+  cluster.world.Freeze(other);
+  cluster.world.Run(Millis(9000));
+  cluster.world.Thaw(other);
+}
+
+void StoreDownPastLeases(Running& cluster, const std::string&) {
+  cluster.world.SetKvFault(Fault::kDown);
+  cluster.world.Run(Millis(20000));
+  cluster.world.SetKvFault(Fault::kNone);
+}
+
+void StoreLosesAnswers(Running& cluster, const std::string&) {
+  cluster.world.SetKvFault(Fault::kAnswerLost);
+  cluster.world.Run(Millis(5000));
+  cluster.world.SetKvFault(Fault::kNone);
+}
+
+void StoreDelaysWrites(Running& cluster, const std::string&) {
+  cluster.world.SetKvFault(Fault::kLate);
+  cluster.world.Run(Millis(3000));
+  cluster.world.SetKvFault(Fault::kNone);
+}
+
+void PeersCutOff(Running& cluster, const std::string&) {
+  cluster.world.network().SetCut("peer:plaka-1", "peer:plaka-2", true);
+  cluster.world.Run(Millis(8000));
+  cluster.world.network().SetCut("peer:plaka-1", "peer:plaka-2", false);
+}
+
+void RepliesLost(Running& cluster, const std::string&) {
+  cluster.world.network().LoseReplies(6);
+}
+
+void WorkerUnreachablePastLeases(Running& cluster, const std::string&) {
+  cluster.world.SetWorkerFault("plaka-w1", Fault::kDown);
+  cluster.world.Run(Millis(14000));
+  cluster.world.SetWorkerFault("plaka-w1", Fault::kNone);
+}
+
+void WorkerAnswersLost(Running& cluster, const std::string&) {
+  cluster.world.SetWorkerFault("plaka-w1", Fault::kAnswerLost);
+  cluster.world.Run(Millis(2000));
+  cluster.world.SetWorkerFault("plaka-w1", Fault::kNone);
+}
+
+void WorkerOrdersLate(Running& cluster, const std::string&) {
+  cluster.world.SetWorkerFault("plaka-w1", Fault::kLate);
+  cluster.world.Run(Millis(2000));
+  cluster.world.SetWorkerFault("plaka-w1", Fault::kNone);
+}
+
+void WorkerRestarts(Running& cluster, const std::string&) {
+  cluster.world.worker("plaka-w1").Restart(cluster.world.time().millis());
+}
+
+void WorkerLeaves(Running& cluster, const std::string&) {
+  cluster.world.SetLeaving("plaka-w1");
+}
+
+void OwnerLeaves(Running& cluster, const std::string& job) {
+  World::Entry& entry = cluster.world.At(cluster.OwnerOf(job));
+  Instance* instance = entry.instance.get();
+  entry.executor->Post(
+      [instance]() { instance->Leave(Millis(5000), []() {}); });
+}
+
+const std::vector<FaultRow>& FaultRows() {
+  static const std::vector<FaultRow> rows = {
+      {"kill_owner", KillOwner, true},
+      {"kill_other", KillOther, true},
+      {"restart_owner", RestartOwner, true},
+      {"freeze_owner", FreezeOwnerPastLeases, true},
+      {"freeze_other", FreezeOtherPastLeases, true},
+      {"store_down", StoreDownPastLeases, true},
+      {"store_loses_answers", StoreLosesAnswers, true},
+      {"store_delays_writes", StoreDelaysWrites, true},
+      {"peers_cut", PeersCutOff},
+      {"replies_lost", RepliesLost},
+      {"worker_unreachable", WorkerUnreachablePastLeases},
+      {"worker_answers_lost", WorkerAnswersLost, true},
+      {"worker_orders_late", WorkerOrdersLate},
+      {"worker_restarts", WorkerRestarts},
+      {"worker_leaves", WorkerLeaves},
+      {"owner_leaves", OwnerLeaves, true},
+  };
+  return rows;
+}
+
+// Runs a job of five tasks through one fault or more; `before` is how long
+// the job runs before the first one strikes.
+void RunThrough(const std::vector<const FaultRow*>& faults, Millis before) {
+  Running cluster;
+  const std::string job = cluster.Submit(5, "run-ms=15000");
+  cluster.world.Run(before);
+  for (const FaultRow* fault : faults) {
+    // A fault that strikes the owner needs one.
+    cluster.world.RunUntil(kLong,
+                           [&]() { return !cluster.OwnerOf(job).empty(); });
+    fault->strike(cluster, job);
+  }
+  if (faults.size() > 1) {
+    cluster.StartMissing();
+  }
+  const std::string via = cluster.world.Has("plaka-1") ? "plaka-1" : "plaka-2";
+  BOOST_TEST(cluster.Finishes(via, job), "job does not finish");
+  for (int n = 0; n < 5; ++n) {
+    const std::string task = "task-" + std::to_string(n);
+    BOOST_TEST(cluster.world.Successes(task) == 1);
+    if (faults.size() == 1 && faults.front()->started_once) {
+      BOOST_TEST(cluster.world.Starts(task) == 1);
+    }
+  }
+  cluster.CheckRules();
+}
+
+BOOST_AUTO_TEST_CASE(running_job_under_one_fault_finishes_by_the_rules) {
+  for (const FaultRow& row : FaultRows()) {
+    for (const Millis before : {Millis(0), Millis(30), Millis(2000)}) {
+      BOOST_TEST_CONTEXT(row.name << " after " << before.count() << " ms") {
+        RunThrough({&row}, before);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(running_job_under_each_pair_of_faults_keeps_the_rules) {
+  for (const FaultRow& first : FaultRows()) {
+    for (const FaultRow& second : FaultRows()) {
+      BOOST_TEST_CONTEXT(first.name << " then " << second.name) {
+        RunThrough({&first, &second}, Millis(2000));
+      }
+    }
+  }
+}
+
+// --- Eviction, checkpoint, resume ------------------------------------------
+
+// One worker full of batch work; a service task needs room there.
+struct Evicting : Running {
+  Evicting() : Running({.workers = 1}) {
+    batch = Submit(4, "run-ms=6000");
+    world.Run(Millis(2000));
+    Submit(1, "run-ms=1000", "    class: service\n");
+  }
+
+  int Evictions() const {
+    int count = 0;
+    for (const auto& event : world.events()) {
+      const bool evicted = event.kind == standin::WorkerEventKind::kEnd &&
+                           event.end == AttemptEnd::kStopped;
+      count += evicted ? 1 : 0;
+    }
+    return count;
+  }
+
+  // Every start after an eviction goes on from that eviction's checkpoint.
+  void CheckResumes() {
+    std::map<TaskId, std::string> checkpoints;
+    for (const auto& event : world.events()) {
+      const bool evicted = event.kind == standin::WorkerEventKind::kEnd &&
+                           event.end == AttemptEnd::kStopped;
+      if (evicted) {
+        checkpoints[event.task] = event.checkpoint;
+      }
+      const bool resumed = event.kind == standin::WorkerEventKind::kStart &&
+                           checkpoints.contains(event.task);
+      if (resumed) {
+        BOOST_TEST("done-ms-" + std::to_string(event.resumed_ms) ==
+                   checkpoints[event.task]);
+      }
+    }
+  }
+
+  std::string batch;
+};
+
+BOOST_AUTO_TEST_CASE(full_worker_with_service_task_evicts_one_and_resumes_it) {
+  Evicting cluster;
+  BOOST_TEST(cluster.Finishes("plaka-1", cluster.batch));
+  BOOST_TEST(cluster.Evictions() == 1);
+  cluster.CheckResumes();
+  cluster.CheckRules();
+}
+
+// Strikes after each step of virtual time around the eviction.
+void StrikeAtEveryStep(const std::function<void(Evicting&)>& strike) {
+  constexpr int kSteps = 240;
+  for (int steps = 0; steps < kSteps; steps += 2) {
+    Evicting cluster;
+    for (int n = 0; n < steps; ++n) {
+      cluster.world.time().Step(cluster.world.time().now() + kLong);
+    }
+    strike(cluster);
+    cluster.StartMissing();
+    BOOST_TEST_CONTEXT("after " << steps << " steps") {
+      BOOST_TEST(cluster.Finishes("plaka-1", cluster.batch));
+      for (int n = 0; n < 4; ++n) {
+        const std::string task = "task-" + std::to_string(n);
+        BOOST_TEST(cluster.world.Successes(task) == 1);
+      }
+      cluster.CheckResumes();
+      cluster.CheckRules();
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(evicted_task_with_owner_killed_at_every_step_resumes) {
+  StrikeAtEveryStep([](Evicting& cluster) {
+    const std::string owner = cluster.OwnerOf(cluster.batch);
+    if (!owner.empty()) {
+      cluster.world.Kill(owner);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(evicted_task_with_holder_killed_at_every_step_resumes) {
+  StrikeAtEveryStep([](Evicting& cluster) {
+    cluster.world.Kill(cluster.world.HolderOf("plaka-w1"));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(evicted_task_with_both_killed_at_every_step_resumes) {
+  StrikeAtEveryStep([](Evicting& cluster) {
+    cluster.world.Kill("plaka-1");
+    cluster.world.Kill("plaka-2");
+  });
+}
+
+// --- What may not be repeated ------------------------------------------------
+
+constexpr const char* kOnce = "    repeatable: false\n";
+
+BOOST_AUTO_TEST_CASE(unrepeatable_task_under_one_fault_starts_at_most_once) {
+  for (const FaultRow& row : FaultRows()) {
+    for (const Millis before : {Millis(0), Millis(5), Millis(24), Millis(30),
+                                Millis(60), Millis(2000)}) {
+      BOOST_TEST_CONTEXT(row.name << " after " << before.count() << " ms") {
+        Running cluster;
+        const std::string job = cluster.Submit(5, "run-ms=15000", kOnce);
+        cluster.world.Run(before);
+        row.strike(cluster, job);
+        cluster.StartMissing();
+        const bool ended = cluster.world.RunUntil(kLong, [&]() {
+          const std::string phase = cluster.world.Phase("plaka-1", job);
+          return phase == "succeeded" || phase == "failed";
+        });
+        BOOST_TEST(ended, "no end is told");
+        for (int n = 0; n < 5; ++n) {
+          const std::string task = "task-" + std::to_string(n);
+          BOOST_TEST(cluster.world.Starts(task) <= 1);
+        }
+        cluster.CheckRules();
+      }
+    }
+  }
+}
+
+// --- Cancellation ------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(cancelled_job_with_queued_and_running_tasks_ends) {
+  Running cluster({.workers = 1});
+  const std::string job = cluster.Submit(10, "run-ms=60000");
+  cluster.world.Run(Millis(1000));
+  const auto reply =
+      cluster.world.Operate("plaka-2", "job.cancel", {{"id", job}});
+  BOOST_TEST(reply.status == 200);
+  BOOST_TEST(cluster.world.RunUntil(Millis(10000), [&]() {
+    return cluster.world.Phase("plaka-1", job) == "cancelled";
+  }));
+  // What ran was stopped, and nothing that was queued has started since.
+  BOOST_TEST(
+      cluster.world.At("plaka-1").instance->holder().free().cpu_millis +
+          cluster.world.At("plaka-2").instance->holder().free().cpu_millis ==
+      4000);
+}
+
+// --- Jobs that can never run -------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(job_larger_than_any_worker_is_told_and_blocks_nobody) {
+  Running cluster;
+  const std::string manifest =
+      "member: museum\ntasks:\n  - name: giant\n    size: {cpu_millis: "
+      "64000}\n";
+  const auto reply =
+      cluster.world.Operate("plaka-1", "submit", {{"manifest", manifest}});
+  const std::string giant = Json::parse(reply.body).at("id");
+  cluster.world.Run(Millis(2000));
+  const Json task = cluster.world.Job("plaka-1", giant).at("tasks").at(0);
+  BOOST_TEST(task.at("reason").get<std::string>().starts_with("never: "));
+  const std::string job = cluster.Submit(2, "run-ms=500");
+  BOOST_TEST(cluster.Finishes("plaka-1", job));
+}
+
+BOOST_AUTO_TEST_CASE(failing_job_with_capped_attempts_ends_as_failed) {
+  Running cluster;
+  const std::string job = cluster.Submit(1, "fail");
+  BOOST_TEST(cluster.world.RunUntil(kLong, [&]() {
+    return cluster.world.Phase("plaka-1", job) == "failed";
+  }));
+  BOOST_TEST(cluster.world.Starts("task") == 3);
+}
+
+// --- Workers that do not refuse older epochs --------------------------------
+
+BOOST_AUTO_TEST_CASE(worker_without_fencing_and_killed_holder_keeps_the_rules) {
+  Running cluster({.workers = 1, .fences = false});
+  const std::string job = cluster.Submit(3, "run-ms=9000");
+  cluster.world.Run(Millis(4000));
+  cluster.world.Kill(cluster.world.HolderOf("plaka-w1"));
+  cluster.StartMissing();
+  BOOST_TEST(cluster.Finishes("plaka-1", job));
+  cluster.CheckRules();
+}
+
+// --- Leaving -----------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(leaving_worker_seen_in_the_list_gets_nothing_new) {
+  Running cluster;
+  cluster.world.SetLeaving("plaka-w1");
+  cluster.world.Run(Millis(2000));
+  const size_t before = cluster.world.events().size();
+  const std::string job = cluster.Submit(8, "run-ms=500");
+  BOOST_TEST(cluster.Finishes("plaka-1", job));
+  for (size_t n = before; n < cluster.world.events().size(); ++n) {
+    const auto& event = cluster.world.events()[n];
+    const bool started = event.kind == standin::WorkerEventKind::kStart;
+    BOOST_TEST(!(started && event.worker == "plaka-w1"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(leaving_instance_with_work_hands_over_before_it_is_done) {
+  Running cluster;
+  const std::string job = cluster.Submit(5, "run-ms=8000");
+  cluster.world.Run(Millis(500));
+  Instance* instance = cluster.world.At("plaka-1").instance.get();
+  bool done = false;
+  cluster.world.At("plaka-1").executor->Post([instance, &done]() {
+    instance->Leave(Millis(10000), [&done]() { done = true; });
+  });
+  BOOST_TEST(cluster.world.RunUntil(Millis(5000), [&]() { return done; }));
+  BOOST_TEST(instance->holder().rows().empty());
+  BOOST_TEST(instance->owned_shards().empty());
+  cluster.world.Kill("plaka-1");
+  BOOST_TEST(cluster.Finishes("plaka-2", job));
+  BOOST_TEST(cluster.world.Starts("task-0") == 1);
+  cluster.CheckRules();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace doorwood
--- /dev/null
+++ b/src/libdoorwood/instance/random_walk_test.cpp
@@ -0,0 +1,228 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// A seeded random walk over the control cores: jobs and faults in any order,
+// the rules checked throughout, and at the end every accepted job has ended.
+// Usage: random_walk_test -- [first seed] [number of seeds]
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fakes/world.h"
+
+namespace doorwood {
+namespace {
+
+using fakes::Fault;
+using fakes::World;
+using fakes::WorldOptions;
+
+constexpr uint64_t kFirstSeed = 1;
+constexpr uint64_t kSeeds = 120;
+constexpr int kSteps = 30;
+// Seeds that failed once; each stays.
+constexpr uint64_t kKeptSeeds[] = {1};
+
+class Walk {
+ public:
+  explicit Walk(uint64_t seed)
+      : random_(seed), options_(Options(seed)), world_(options_) {}
+
+  void Run() {
+    world_.StartAll();
+    world_.Run(Millis(4000));
+    world_.Configure("plaka-1");
+    for (int step = 0; step < kSteps; ++step) {
+      Step();
+      world_.Run(Millis(Pick(1500)));
+    }
+    Heal();
+    CheckEnds();
+    CheckRules();
+  }
+
+ private:
+  static WorldOptions Options(uint64_t seed) {
+    std::mt19937_64 random(seed);
+    WorldOptions options;
+    options.seed = seed;
+    options.entries = 2 + static_cast<int>(random() % 2);
+    options.workers = 1 + static_cast<int>(random() % 4);
+    options.fences = random() % 5 != 0;
+    return options;
+  }
+
+  int Pick(int below) { return static_cast<int>(random_() % below); }
+
+  std::string AnyEntry() {
+    return "plaka-" + std::to_string(1 + Pick(options_.entries));
+  }
+
+  std::string AnyWorker() {
+    return "plaka-w" + std::to_string(1 + Pick(options_.workers));
+  }
+
+  Fault AnyFault() {
+    constexpr Fault kFaults[] = {Fault::kNone, Fault::kDown, Fault::kAnswerLost,
+                                 Fault::kRequestLost, Fault::kLate};
+    return kFaults[Pick(5)];
+  }
+
+  void Step() {
+    const std::string entry = AnyEntry();
+    const bool usable =
+        world_.Has(entry) && !world_.At(entry).executor->frozen();
+    switch (Pick(11)) {
+      case 0:
+      case 1:
+      case 2:
+        if (usable) {
+          Submit(entry);
+        }
+        break;
+      case 3:
+        if (world_.Has(entry)) {
+          world_.Kill(entry);
+        }
+        break;
+      case 4:
+        if (!world_.Has(entry)) {
+          world_.Start(entry);
+        }
+        break;
+      case 5:
+        if (world_.Has(entry)) {
+          world_.Freeze(entry);
+        }
+        break;
+      case 6:
+        if (world_.Has(entry)) {
+          world_.Thaw(entry);
+        }
+        break;
+      case 7:
+        world_.SetKvFault(AnyFault());
+        break;
+      case 8:
+        SetWorkerFault();
+        break;
+      case 9:
+        world_.network().SetCut("peer:plaka-1", "peer:" + entry, Pick(2) == 0);
+        break;
+      case 10:
+        world_.worker(AnyWorker()).Restart(world_.time().millis());
+        break;
+    }
+  }
+
+  void SetWorkerFault() {
+    const Fault fault = AnyFault();
+    // A worker without fencing is safe only if no order is held up for longer
+    // than the lease; see docs/design/worker-lease.md.
+    const bool unsafe = !options_.fences && fault == Fault::kLate;
+    world_.SetWorkerFault(AnyWorker(), unsafe ? Fault::kDown : fault);
+  }
+
+  void Submit(const std::string& entry) {
+    const bool once = Pick(3) == 0;
+    const bool service = Pick(4) == 0;
+    std::string more;
+    more += once ? "    repeatable: false\n" : "";
+    more += service ? "    class: service\n" : "";
+    const std::string payload = "run-ms=" + std::to_string(Pick(9000));
+    const std::string job = world_.Submit(entry, 1 + Pick(4), payload, more);
+    if (!job.empty()) {
+      jobs_.insert(job);
+      if (once) {
+        once_.insert(job);
+      }
+    }
+  }
+
+  void Heal() {
+    world_.SetKvFault(Fault::kNone);
+    for (int n = 1; n <= options_.workers; ++n) {
+      world_.SetWorkerFault("plaka-w" + std::to_string(n), Fault::kNone);
+    }
+    for (int n = 1; n <= options_.entries; ++n) {
+      const std::string entry = "plaka-" + std::to_string(n);
+      world_.network().SetCut("peer:plaka-1", "peer:" + entry, false);
+      if (!world_.Has(entry)) {
+        world_.Start(entry);
+      }
+      world_.Thaw(entry);
+    }
+    world_.Run(Millis(20000));
+  }
+
+  void CheckEnds() {
+    std::string open;
+    const bool all = world_.RunUntil(Millis(120000), [&]() {
+      open.clear();
+      for (const std::string& job : jobs_) {
+        const std::string phase = world_.Phase("plaka-1", job);
+        if (phase != "succeeded" && phase != "failed") {
+          open = job + " is " + phase;
+          return false;
+        }
+      }
+      return true;
+    });
+    BOOST_TEST(all, "an accepted job has no end: " << open);
+  }
+
+  void CheckRules() {
+    for (const std::string& violation : world_.violations()) {
+      BOOST_ERROR(violation);
+    }
+    std::map<TaskId, int> starts;
+    std::map<TaskId, int> successes;
+    for (const auto& event : world_.events()) {
+      const bool start = event.kind == standin::WorkerEventKind::kStart;
+      starts[event.task] += start ? 1 : 0;
+    }
+    for (const auto& [task, count] : starts) {
+      if (once_.contains(task.job) && count > 1) {
+        BOOST_ERROR("started " << count << " times: " << ToString(task));
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+  WorldOptions options_;
+  World world_;
+  std::set<std::string> jobs_;
+  std::set<std::string> once_;
+};
+
+void RunSeed(uint64_t seed) {
+  BOOST_TEST_CONTEXT("seed " << seed) {
+    Walk(seed).Run();
+  }
+}
+
+BOOST_AUTO_TEST_SUITE(random_walk)
+
+BOOST_AUTO_TEST_CASE(kept_seeds_with_any_faults_keep_the_rules) {
+  for (const uint64_t seed : kKeptSeeds) {
+    RunSeed(seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(fresh_seeds_with_any_faults_keep_the_rules) {
+  const auto& suite = boost::unit_test::framework::master_test_suite();
+  const uint64_t first =
+      suite.argc > 1 ? std::stoull(suite.argv[1]) : kFirstSeed;
+  const uint64_t count = suite.argc > 2 ? std::stoull(suite.argv[2]) : kSeeds;
+  for (uint64_t seed = first; seed < first + count; ++seed) {
+    RunSeed(seed);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace doorwood
--- a/src/libdoorwood/owner/shard_census.cpp
+++ b/src/libdoorwood/owner/shard_census.cpp
@@ -81,6 +81,7 @@
     }
     round->held.insert(census->held.begin(), census->held.end());
     const Instant now = executor_.Now();
+    round->last_start = std::max(round->last_start, now - census->uptime);
     for (const WorkerAge& age : census->released) {
       // The answer was under way for a while, so this errs to the late side.
       Instant& last = round->last_renewal[age.worker];
@@ -198,7 +199,7 @@
   // Nobody holds it. Its tasks have ended by the worker's own clock once the
   // task lease has run out after the latest renewal that anybody can have
   // sent.
-  Instant last = environment_.LastDeparture();
+  Instant last = std::max(environment_.LastDeparture(), round.last_start);
   const auto renewal = round.last_renewal.find(worker);
   if (renewal != round.last_renewal.end()) {
     last = std::max(last, renewal->second);
--- a/src/libdoorwood/owner/shard_log.cpp
+++ b/src/libdoorwood/owner/shard_log.cpp
@@ -514,7 +514,9 @@
     }
   }
   if (on_closed_) {
-    on_closed_(std::error_code());
+    const Done done = std::move(on_closed_);
+    on_closed_ = nullptr;
+    done(std::error_code());
   }
   if (on_fenced_) {
     on_fenced_();
@@ -592,11 +594,43 @@
                       .value = head.dump(),
                       .expected_version = head_version_,
                       .priority = KvPriority::kLease};
-  // A failure does no harm: the next owner waits for the lease to lapse.
-  kv_.Write(write,
-            [done = std::move(on_closed_)](std::error_code error, int64_t) {
-              done(error ? TurnError(error) : std::error_code());
-            });
+  kv_.Write(write, [self = shared_from_this()](std::error_code error, int64_t) {
+    const bool unclear =
+        Is(error, KvErrc::kUnknown) || Is(error, KvErrc::kConflict);
+    if (unclear) {
+      self->ConfirmClosed();
+      return;
+    }
+    self->FinishClose(error);
+  });
+}
+
+void ShardLog::ConfirmClosed() {
+  kv_.Read(HeadKey(), [self = shared_from_this()](std::error_code error,
+                                                  const KvEntry& head) {
+    if (error) {
+      self->FinishClose(error);
+      return;
+    }
+    if (EpochOf(head) != self->epoch_) {
+      self->BecomeFenced();
+      return;
+    }
+    self->head_version_ = head.version;
+    const auto json = ParseJson(head.value);
+    const bool closed = json && json->value("owner", "").empty();
+    self->FinishClose(closed ? std::error_code()
+                             : make_error_code(KvErrc::kUnavailable));
+  });
+}
+
+// A shard that could not be given up stays with this owner: as long as the
+// head names it, nobody else would take the shard.
+void ShardLog::FinishClose(std::error_code error) {
+  open_ = static_cast<bool>(error);
+  const Done done = std::move(on_closed_);
+  on_closed_ = nullptr;
+  done(error ? TurnError(error) : std::error_code());
 }
 
 }  // namespace doorwood
--- a/src/libdoorwood/owner/shard_owner.cpp
+++ b/src/libdoorwood/owner/shard_owner.cpp
@@ -52,7 +52,13 @@
 
 void ShardOwner::Close(Done done) {
   active_ = false;
-  log_->Close(std::move(done));
+  log_->Close([self = shared_from_this(), done](std::error_code error) {
+    if (error) {
+      self->active_ = true;
+      self->ScheduleCensus(Millis(0));
+    }
+    done(error);
+  });
 }
 
 void ShardOwner::Abandon() {
--- a/src/peer.adapter/peer.capnp
+++ b/src/peer.adapter/peer.capnp
@@ -114,6 +114,7 @@
   sightings @0 :List(Sighting);
   held @1 :List(Text);
   released @2 :List(WorkerAge);
+  uptimeMillis @3 :Int64;
 }
 
 struct EndReport {
--- a/src/peer.adapter/peer.capnp.h
+++ b/src/peer.adapter/peer.capnp.h
@@ -289,7 +289,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d171ac82f31260ca, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d171ac82f31260ca, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2116,6 +2116,8 @@
   inline bool hasReleased() const;
   inline  ::capnp::List< ::doorwood::wire::WorkerAge,  ::capnp::Kind::STRUCT>::Reader getReleased() const;
 
+  inline  ::int64_t getUptimeMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2166,6 +2168,9 @@
   inline void adoptReleased(::capnp::Orphan< ::capnp::List< ::doorwood::wire::WorkerAge,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::doorwood::wire::WorkerAge,  ::capnp::Kind::STRUCT>> disownReleased();
 
+  inline  ::int64_t getUptimeMillis();
+  inline void setUptimeMillis( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5192,6 +5197,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t CensusReply::Reader::getUptimeMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CensusReply::Builder::getUptimeMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CensusReply::Builder::setUptimeMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EndReport::Reader::hasShard() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peer.adapter/peer_codec.cpp
+++ b/src/peer.adapter/peer_codec.cpp
@@ -232,6 +232,7 @@
   PutList(value.sightings, out.initSightings(value.sightings.size()));
   PutTexts(value.held, out.initHeld(value.held.size()));
   PutList(value.released, out.initReleased(value.released.size()));
+  out.setUptimeMillis(value.uptime.count());
 }
 
 CensusReply Take(wire::CensusReply::Reader in) {
@@ -243,6 +244,7 @@
   for (const auto age : in.getReleased()) {
     value.released.push_back({age.getWorker(), Millis(age.getAgeMillis())});
   }
+  value.uptime = Millis(in.getUptimeMillis());
   return value;
 }
 
--- a/src/standin/kv.cpp
+++ b/src/standin/kv.cpp
@@ -6,8 +6,11 @@
 #include <chrono>
 #include <condition_variable>
 #include <map>
+#include <mutex>
 #include <thread>
 
+#include "doorwood/error.h"
+#include "standin/kv_model.h"
 #include "standin/standin.h"
 
 namespace doorwood::standin {
@@ -15,83 +18,80 @@
 
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
+constexpr int kTooLarge = 413;
 constexpr int kUnavailable = 503;
 constexpr size_t kLargestValue = 1024 * 1024;
 // Longer than any client waits.
 constexpr int kLostMillis = 2500;
 
+Json EntryJson(const KvEntry& entry) {
+  return {
+      {"key", entry.key}, {"value", entry.value}, {"version", entry.version}};
+}
+
+Json ListJson(const std::vector<KvEntry>& entries) {
+  Json list = Json::array();
+  for (const KvEntry& entry : entries) {
+    list.push_back(EntryJson(entry));
+  }
+  return {{"entries", std::move(list)}};
+}
+
+Reply ReplyOf(std::error_code error, Json body = Json::object()) {
+  if (!error) {
+    return {200, std::move(body)};
+  }
+  return {error == make_error_code(KvErrc::kNotFound) ? kNotFound : kConflict};
+}
+
+// The model behind a lock, with waiting watches.
 class Kv {
  public:
   Reply Read(const Json& call) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    Expire();
-    const auto entry = entries_.find(call.at("key").get<std::string>());
-    if (entry == entries_.end()) {
-      return {kNotFound};
-    }
-    return {200, EntryJson(*entry)};
+    KvEntry entry;
+    const auto error = model_.Read(call.at("key"), MonotonicMillis(), &entry);
+    return ReplyOf(error, EntryJson(entry));
   }
 
   Reply List(const Json& call) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    Expire();
-    return {200, ListJson(call.at("prefix").get<std::string>())};
+    return {200, ListJson(model_.List(call.at("prefix"), MonotonicMillis()))};
   }
 
   Reply Write(const Json& call) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    Expire();
-    const auto key = call.at("key").get<std::string>();
-    auto value = call.at("value").get<std::string>();
-    const int64_t lease = call.value("lease", int64_t{0});
-    if (value.size() > kLargestValue) {
-      return {413};
+    const KvWrite write{.key = call.at("key"),
+                        .value = call.at("value"),
+                        .expected_version = call.at("expected_version"),
+                        .lease = call.value("lease", int64_t{0})};
+    if (write.value.size() > kLargestValue) {
+      return {kTooLarge};
     }
-    if (lease != 0 && !leases_.contains(lease)) {
-      return {kNotFound};
-    }
-    if (VersionOf(key) != call.at("expected_version").get<int64_t>()) {
-      return {kConflict};
-    }
-    entries_[key] = {std::move(value), ++revision_, lease};
+    int64_t version = 0;
+    const auto error = model_.Write(write, MonotonicMillis(), &version);
     changed_.notify_all();
-    return {200, {{"version", revision_}}};
+    return ReplyOf(error, {{"version", version}});
   }
 
   Reply Remove(const Json& call) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    Expire();
-    const auto key = call.at("key").get<std::string>();
-    const auto expected = call.at("expected_version").get<int64_t>();
-    const bool matches = expected < 0 || VersionOf(key) == expected;
-    if (!matches) {
-      return {kConflict};
-    }
-    if (entries_.erase(key) == 0) {
-      return {kNotFound};
-    }
-    ++revision_;
+    const auto error = model_.Remove(
+        call.at("key"), call.at("expected_version"), MonotonicMillis());
     changed_.notify_all();
-    return {};
+    return ReplyOf(error);
   }
 
   Reply Grant(const Json& call) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    const auto lifetime = call.at("lifetime_ms").get<int64_t>();
-    const int64_t lease = ++last_lease_;
-    leases_[lease] = {lifetime, MonotonicMillis() + lifetime};
+    const int64_t lease =
+        model_.Grant(call.at("lifetime_ms"), MonotonicMillis());
     return {200, {{"lease", lease}}};
   }
 
   Reply Renew(const Json& call) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    Expire();
-    const auto lease = leases_.find(call.at("lease").get<int64_t>());
-    if (lease == leases_.end()) {
-      return {kNotFound};
-    }
-    lease->second.end = MonotonicMillis() + lease->second.lifetime;
-    return {};
+    return ReplyOf(model_.Renew(call.at("lease"), MonotonicMillis()));
   }
 
   Reply Watch(const Json& call) {
@@ -101,66 +101,14 @@
     const auto wait =
         std::chrono::milliseconds(call.at("wait_ms").get<int64_t>());
     changed_.wait_for(lock, wait,
-                      [&]() { return NewestUnder(prefix) > after; });
-    return {200, ListJson(prefix)};
+                      [&]() { return model_.NewestUnder(prefix) > after; });
+    return {200, ListJson(model_.List(prefix, MonotonicMillis()))};
   }
 
  private:
-  struct Entry {
-    std::string value;
-    int64_t version = 0;
-    int64_t lease = 0;
-  };
-
-  struct Lease {
-    int64_t lifetime = 0;
-    int64_t end = 0;
-  };
-
-  static Json EntryJson(const std::pair<const std::string, Entry>& item) {
-    return {{"key", item.first},
-            {"value", item.second.value},
-            {"version", item.second.version}};
-  }
-
-  Json ListJson(const std::string& prefix) const {
-    Json entries = Json::array();
-    for (auto it = entries_.lower_bound(prefix);
-         it != entries_.end() && it->first.starts_with(prefix); ++it) {
-      entries.push_back(EntryJson(*it));
-    }
-    return {{"entries", std::move(entries)}};
-  }
-
-  int64_t VersionOf(const std::string& key) const {
-    const auto entry = entries_.find(key);
-    return entry == entries_.end() ? 0 : entry->second.version;
-  }
-
-  int64_t NewestUnder(const std::string& prefix) const {
-    int64_t newest = 0;
-    for (auto it = entries_.lower_bound(prefix);
-         it != entries_.end() && it->first.starts_with(prefix); ++it) {
-      newest = std::max(newest, it->second.version);
-    }
-    return newest;
-  }
-
-  void Expire() {
-    const int64_t now = MonotonicMillis();
-    std::erase_if(leases_,
-                  [now](const auto& item) { return item.second.end < now; });
-    std::erase_if(entries_, [this](const auto& item) {
-      return item.second.lease != 0 && !leases_.contains(item.second.lease);
-    });
-  }
-
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::map<std::string, Entry> entries_;
-  std::map<int64_t, Lease> leases_;
-  int64_t revision_ = 0;
-  int64_t last_lease_ = 0;
+  KvModel model_;
 };
 
 // Switched from outside; applies to all calls.
