--- a/src/http.adapter/http_call.cpp
+++ b/src/http.adapter/http_call.cpp
@@ -89,9 +89,13 @@
   client->set_read_timeout(wait);
   client->set_write_timeout(read_timeout_);
   const std::string text = body.dump();
+  CallAnswer answer;
+  if (!Enter(client.get())) {
+    return answer;
+  }
   const httplib::Result result =
       client->Post(path.c_str(), text, "application/json");
-  CallAnswer answer;
+  Exit(client.get());
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     CallTraffic& traffic = traffic_[path];
@@ -110,6 +114,28 @@
   return answer;
 }
 
+bool HttpCaller::Enter(httplib::Client* client) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (stopped_) {
+    return false;
+  }
+  under_way_.insert(client);
+  return true;
+}
+
+void HttpCaller::Exit(httplib::Client* client) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  under_way_.erase(client);
+}
+
+void HttpCaller::Stop() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  stopped_ = true;
+  for (httplib::Client* client : under_way_) {
+    client->stop();
+  }
+}
+
 std::map<std::string, CallTraffic> HttpCaller::traffic() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return traffic_;
--- a/src/http.adapter/http_call.h
+++ b/src/http.adapter/http_call.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -89,13 +90,22 @@
                          const Json& body,
                          Millis wait);
 
+  /// Breaks off the calls under way, and all later ones.
+  void Stop();
+
   std::map<std::string, CallTraffic> traffic() const;
 
  private:
+  /// False after `Stop`.
+  bool Enter(httplib::Client* client);
+  void Exit(httplib::Client* client);
+
   Millis read_timeout_;
   ClientPool clients_;
   mutable std::mutex mutex_;
   std::map<std::string, CallTraffic> traffic_;
+  std::set<httplib::Client*> under_way_;
+  bool stopped_ = false;
 };
 
 /// True if the library's error means that nothing was sent.
--- a/src/include/doorwood/router.h
+++ b/src/include/doorwood/router.h
@@ -199,7 +199,7 @@
   std::map<std::string, double> tokens_;
 };
 
-/// Told about each finished request.
+/// Told about each finished request that a caller made here.
 class RequestObserver {
  public:
   virtual ~RequestObserver() = default;
--- a/src/kv.adapter/http_kv.cpp
+++ b/src/kv.adapter/http_kv.cpp
@@ -58,6 +58,8 @@
       calls_(options.threads) {}
 
 HttpKv::~HttpKv() {
+  // A watch may wait for long.
+  caller_.Stop();
   calls_.Stop();
   watches_.Stop();
 }
--- a/src/libdoorwood/routing/router.cpp
+++ b/src/libdoorwood/routing/router.cpp
@@ -134,7 +134,10 @@
 CallerResponse Router::Handle(const CallerRequest& request) {
   const Instant begin = std::chrono::steady_clock::now();
   const CallerResponse response = Run(request);
-  observer_.OnRequest(request, response, Since(begin));
+  // What a peer passed on is counted there, where the caller is.
+  if (!request.passed_on) {
+    observer_.OnRequest(request, response, Since(begin));
+  }
   return response;
 }
 
--- a/src/standin/kv.cpp
+++ b/src/standin/kv.cpp
@@ -94,14 +94,22 @@
     return ReplyOf(model_.Renew(call.at("lease"), MonotonicMillis()));
   }
 
+  // Ends the watches that wait.
+  void Stop() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+    changed_.notify_all();
+  }
+
   Reply Watch(const Json& call) {
     std::unique_lock<std::mutex> lock(mutex_);
     const auto prefix = call.at("prefix").get<std::string>();
     const auto after = call.at("after").get<int64_t>();
     const auto wait =
         std::chrono::milliseconds(call.at("wait_ms").get<int64_t>());
-    changed_.wait_for(lock, wait,
-                      [&]() { return model_.NewestUnder(prefix) > after; });
+    changed_.wait_for(lock, wait, [&]() {
+      return stopping_ || model_.NewestUnder(prefix) > after;
+    });
     return {200, ListJson(model_.List(prefix, MonotonicMillis()))};
   }
 
@@ -109,6 +117,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   KvModel model_;
+  bool stopping_ = false;
 };
 
 // Switched from outside; applies to all calls.
@@ -182,6 +191,7 @@
     const std::lock_guard<std::mutex> lock(faults.mutex);
     return Reply{200, Json(faults.calls)};
   });
+  server.set_on_stop([&kv]() { kv.Stop(); });
   return server.Run();
 }
 
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -61,6 +61,13 @@
   instances_app->add_option("--lag-ms", instances.lag_ms);
   instances_app->callback([&]() { code = RunInstances(instances); });
 
+  doorwood::standin::LinkRole link;
+  CLI::App* link_app = app.add_subcommand("link", "a way that can be cut");
+  AddServerOptions(link_app, &link.server);
+  link_app->add_option("--target", link.target)->required();
+  link_app->add_option("--control", link.control)->required();
+  link_app->callback([&]() { code = RunLink(link); });
+
   CLI11_PARSE(app, argc, argv);
   return code;
 }
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -36,6 +36,8 @@
     return new httplib::ThreadPool(threads);
   };
   http_.set_tcp_nodelay(true);
+  // An idle connection holds a thread, and a stop waits for it.
+  http_.set_keep_alive_timeout(1);
   http_.set_keep_alive_max_count(10'000'000);
 }
 
@@ -80,6 +82,9 @@
   std::thread thread([this]() { http_.listen_after_bind(); });
   std::cout << "listening on " << address.host << ":" << port << std::endl;
   context.run();
+  if (on_stop_) {
+    on_stop_();
+  }
   http_.stop();
   thread.join();
   return 0;
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -60,11 +60,16 @@
 
   httplib::Server& http() { return http_; }
   void AddCall(const std::string& path, Handler handler);
+  /// Called when the server is about to stop, to end calls that wait.
+  void set_on_stop(std::function<void()> on_stop) {
+    on_stop_ = std::move(on_stop);
+  }
   /// Serves until SIGTERM or the end of the lifetime. The exit code.
   int Run();
 
  private:
   ServerOptions options_;
+  std::function<void()> on_stop_;
   httplib::Server http_;
 };
 
@@ -90,6 +95,16 @@
   int lag_ms = 200;
 };
 
+/// A way between two addresses that can be cut.
+struct LinkRole {
+  ServerOptions server;
+  /// IP number and port that connections lead to.
+  std::string target;
+  /// Port of the calls that switch faults; `server.listen` is the way itself.
+  std::string control = "127.0.0.1:0";
+};
+
+int RunLink(const LinkRole& role);
 int RunKv(const KvRole& role);
 int RunWorker(const WorkerRole& role);
 int RunBackend(const BackendRole& role);
