--- a/src/include/doorwood/router.h
+++ b/src/include/doorwood/router.h
@@ -136,7 +136,9 @@
   void SetBackends(std::vector<BackendTarget> backends);
 
   /// Waits until a slot is free, `deadline`, or refusal, which comes at once
-  /// if the queue is full or the estimated wait is past the deadline.
+  /// if the queue is full, the estimated wait is past the deadline, or the
+  /// service has no backend server. Where all its backend servers are closed
+  /// just now, as between two holders, the wait is for one to open.
   /// `avoid` is used only if nothing else is open.
   SlotGrant Acquire(const std::string& service,
                     const std::string& member,
@@ -149,6 +151,8 @@
   /// `held` is how long the slot was in use.
   void Release(const BackendTarget& target, Millis held);
 
+  /// True if a backend server of the service is open, busy or not.
+  bool HasSlots(const std::string& service) const;
   /// Services with a free slot and nobody waiting.
   std::vector<std::string> OpenServices() const;
   /// Slots in use on one worker's backend servers.
@@ -178,6 +182,7 @@
 
   Backend* PickLocked(const std::string& service, const std::string& avoid);
   int SlotsLocked(const std::string& service) const;
+  bool IsListedLocked(const std::string& service) const;
   void GrantLocked(const std::string& service);
   std::list<Waiter*>::iterator NextWaiterLocked(Service* service);
 
@@ -249,7 +254,12 @@
     std::string avoid;
     bool may_have_run = false;
     bool claimed = false;
-    bool passed_on = false;
+    // A peer took it and gave no whole answer; no other one is asked.
+    bool peer_failed = false;
+    // Brought to an end by a peer.
+    bool settled = false;
+    // How long to wait at most for some instance to open a backend server.
+    Instant patience{};
 
     void Tell(CallerResponse refusal);
   };
@@ -258,6 +268,9 @@
   bool TryOnce(const ServiceConfig& service,
                const CallerRequest& request,
                Progress* progress);
+  SlotGrant WaitForSlot(const ServiceConfig& service,
+                        const CallerRequest& request,
+                        Progress* progress);
   bool ClaimFirst(const CallerRequest& request, Progress* progress);
   bool TryPeer(const CallerRequest& request, Progress* progress);
   std::optional<PeerTarget> PickPeer(const std::string& service);
--- a/src/include/doorwood/shard_log.h
+++ b/src/include/doorwood/shard_log.h
@@ -69,6 +69,10 @@
   /// Called once when another owner has sealed the log.
   void set_on_fenced(std::function<void()> on_fenced);
 
+  /// Called for each record that this owner wrote, once it is in the state.
+  /// Also for one whose caller was told early that its outcome is unknown.
+  void set_on_applied(std::function<void(const LogRecord&)> on_applied);
+
   /// Tells whether this instance's registration surely has not lapsed, by
   /// its own clock. An append that is answered while it may have lapsed is
   /// believed only after a look at who owns the shard: a newer owner may have
@@ -129,6 +133,7 @@
   KvStore& kv_;
   std::function<void()> on_fenced_;
   std::function<bool()> lease_valid_;
+  std::function<void(const LogRecord&)> on_applied_;
 
   ShardState state_;
   uint64_t epoch_ = 0;
--- a/src/include/doorwood/shard_owner.h
+++ b/src/include/doorwood/shard_owner.h
@@ -207,6 +207,7 @@
 
   static std::string_view StageName(Stage stage);
 
+  void OnApplied(const LogRecord& record);
   void TakeTasks();
   void AddTask(const JobState& job, const TaskState& task, Stage stage);
   Task* Find(const TaskId& id);
--- a/src/libdoorwood/instance/instance.cpp
+++ b/src/libdoorwood/instance/instance.cpp
@@ -689,14 +689,16 @@
     const bool here = info.role == InstanceRole::kBackend &&
                       info.data_centre == options_.self.data_centre;
     // Slots are counted by whoever holds the worker below the backend server.
-    if (here && holder_.Holds(info.worker)) {
-      backends.push_back(
-          {.id = info.id,
-           .service = info.service,
-           .worker = info.worker,
-           .address = info.address,
-           .slots = info.slots,
-           .open = !info.leaving && !closing_workers_.contains(info.worker)});
+    // Others are told too, closed, so that requests know what to wait for.
+    if (here) {
+      const bool open = holder_.Holds(info.worker) && !info.leaving &&
+                        !closing_workers_.contains(info.worker);
+      backends.push_back({.id = info.id,
+                          .service = info.service,
+                          .worker = info.worker,
+                          .address = info.address,
+                          .slots = info.slots,
+                          .open = open});
     }
   }
   routes_.OnBackends(std::move(backends));
--- a/src/libdoorwood/instance/instance_operator.cpp
+++ b/src/libdoorwood/instance/instance_operator.cpp
@@ -436,6 +436,9 @@
     OperatorCall passed = call;
     passed.hops = kMostHops;
     for (const auto& [id, peer] : membership_.peers()) {
+      if (peer.heartbeat.data_centre != options_.self.data_centre) {
+        continue;
+      }
       ++progress->missing;
       CallInstance(id, passed, options_.call_timeout,
                    [progress, finish, id = id](std::error_code error,
--- a/src/libdoorwood/instance/instance_test.cpp
+++ b/src/libdoorwood/instance/instance_test.cpp
@@ -405,6 +405,36 @@
   }
 }
 
+// --- Answers of the store that get lost --------------------------------------
+
+BOOST_AUTO_TEST_CASE(submission_with_unknown_outcome_runs_once_when_logged) {
+  for (const Fault fault :
+       {Fault::kAnswerLost, Fault::kRequestLost, Fault::kLate, Fault::kDown}) {
+    BOOST_TEST_CONTEXT("fault " << static_cast<int>(fault)) {
+      Running cluster;
+      const Json body{{"token", "same"},
+                      {"manifest",
+                       "member: museum\ntasks: [{name: task, size: "
+                       "{cpu_millis: 1000}, payload: run-ms=500}]"}};
+      cluster.world.SetKvFault(fault);
+      const auto first = cluster.world.Operate("plaka-1", "submit", body);
+      BOOST_TEST(first.status != 200);
+      const std::string outcome = Json::parse(first.body).at("outcome");
+      BOOST_TEST(outcome == (fault == Fault::kDown ? "not-done" : "unknown"));
+      cluster.world.SetKvFault(Fault::kNone);
+      cluster.world.Run(Millis(12000));
+      if (fault == Fault::kDown) {
+        BOOST_TEST(cluster.world.Starts("task") == 0);
+      }
+      const auto again = cluster.world.Operate("plaka-2", "submit", body);
+      BOOST_REQUIRE(again.status == 200);
+      const std::string job = Json::parse(again.body).at("id");
+      BOOST_TEST(cluster.Finishes("plaka-1", job));
+      BOOST_TEST(cluster.world.Starts("task") == 1);
+    }
+  }
+}
+
 // --- Cancellation ------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(cancelled_job_with_queued_and_running_tasks_ends) {
--- a/src/libdoorwood/owner/shard_log.cpp
+++ b/src/libdoorwood/owner/shard_log.cpp
@@ -66,6 +66,11 @@
   lease_valid_ = std::move(lease_valid);
 }
 
+void ShardLog::set_on_applied(
+    std::function<void(const LogRecord&)> on_applied) {
+  on_applied_ = std::move(on_applied);
+}
+
 std::string ShardLog::HeadKey() const {
   return "shard/" + ToString(shard_) + "/head";
 }
@@ -436,6 +441,9 @@
   batch_.clear();
   for (const Pending& pending : batch) {
     state_.Apply(pending.record);
+    if (on_applied_) {
+      on_applied_(pending.record);
+    }
   }
   for (const Pending& pending : batch) {
     if (pending.done) {
--- a/src/libdoorwood/owner/shard_owner.cpp
+++ b/src/libdoorwood/owner/shard_owner.cpp
@@ -44,6 +44,12 @@
     }
     self->active_ = true;
     self->opened_ = self->executor_.Now();
+    self->log_->set_on_applied(
+        [weak = self->weak_from_this()](const LogRecord& record) {
+          if (const auto owner = weak.lock()) {
+            owner->OnApplied(record);
+          }
+        });
     self->TakeTasks();
     self->ScheduleCensus(Millis(0));
     done(error);
@@ -119,23 +125,25 @@
     done(std::error_code());
     return;
   }
-  log_->Append(AcceptRecord{job}, /*refusable=*/true,
-               [self = shared_from_this(), job, done](std::error_code error) {
-                 if (error) {
-                   done(error);
-                   return;
-                 }
-                 ++self->counters_.accepted;
-                 const JobState* state = self->log_->state().FindJob(job.id);
-                 for (const auto& [name, task] : state->tasks) {
-                   const bool known = self->tasks_.contains({job.id, name});
-                   if (!known && task.phase == TaskPhase::kOpen) {
-                     self->AddTask(*state, task, Stage::kQueued);
-                   }
-                 }
-                 self->SchedulePump(Millis(0));
-                 done(error);
-               });
+  log_->Append(AcceptRecord{job}, /*refusable=*/true, std::move(done));
+}
+
+// What a record means for the work at hand. Not done by the callers of
+// `Append`: they may have been told early that the outcome is unknown.
+void ShardOwner::OnApplied(const LogRecord& record) {
+  if (const auto* accept = std::get_if<AcceptRecord>(&record)) {
+    ++counters_.accepted;
+    const JobState* job = log_->state().FindJob(accept->job.id);
+    for (const auto& [name, task] : job->tasks) {
+      const bool known = tasks_.contains({job->job.id, name});
+      if (!known && task.phase == TaskPhase::kOpen) {
+        AddTask(*job, task, Stage::kQueued);
+      }
+    }
+    SchedulePump(Millis(0));
+  } else if (std::holds_alternative<CancelRecord>(record)) {
+    StopCancelled();
+  }
 }
 
 void ShardOwner::Cancel(const std::string& job, Done done) {
@@ -148,13 +156,7 @@
     done(std::error_code());
     return;
   }
-  log_->Append(CancelRecord{job}, /*refusable=*/true,
-               [self = shared_from_this(), done](std::error_code error) {
-                 if (!error) {
-                   self->StopCancelled();
-                 }
-                 done(error);
-               });
+  log_->Append(CancelRecord{job}, /*refusable=*/true, std::move(done));
 }
 
 void ShardOwner::Claim(const std::string& key,
--- a/src/libdoorwood/routing/router.cpp
+++ b/src/libdoorwood/routing/router.cpp
@@ -11,6 +11,10 @@
 // Unspent retries that a service may save up.
 constexpr double kMostSavedRetries = 10;
 constexpr int kRetryAfterSeconds = 1;
+// How long a request waits at most while all backend servers are closed, and
+// how often it looks for a peer meanwhile.
+constexpr Millis kHandoverPatience{4000};
+constexpr Millis kHandoverLook{50};
 
 constexpr int kStatusNoSuchService = 404;
 constexpr int kStatusClaimed = 409;
@@ -148,6 +152,9 @@
   }
   budget_.Earn(request.service, service.retry_share);
   Progress progress;
+  const auto now = std::chrono::steady_clock::now();
+  progress.patience =
+      std::min(now + (request.deadline - now) / 2, now + kHandoverPatience);
   progress.last = NotRun(kStatusUnavailable, "no backend server is open now",
                          kRetryAfterSeconds);
   for (int attempt = 0; attempt < kMostAttempts; ++attempt) {
@@ -174,13 +181,11 @@
                      const CallerRequest& request,
                      Progress* progress) {
   auto target = slots_.TryAcquire(request.service, progress->avoid);
-  if (!target && TryPeer(request, progress)) {
-    return false;
-  }
   if (!target) {
-    const SlotGrant grant =
-        slots_.Acquire(request.service, request.member, progress->avoid,
-                       service.queue_limit, request.deadline);
+    const SlotGrant grant = WaitForSlot(service, request, progress);
+    if (progress->settled) {
+      return false;
+    }
     if (grant.refusal != SlotRefusal::kNone) {
       progress->Tell(RefusedSlot(grant));
       return false;
@@ -209,6 +214,35 @@
   }
 }
 
+// Waits for a slot here, and between looks for a peer that has one. While a
+// worker changes hands nobody has a slot for a moment.
+SlotGrant Router::WaitForSlot(const ServiceConfig& service,
+                              const CallerRequest& request,
+                              Progress* progress) {
+  while (true) {
+    if (TryPeer(request, progress)) {
+      progress->settled = true;
+      return {};
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const bool open_here = slots_.HasSlots(request.service);
+    if (!open_here && now >= progress->patience) {
+      return {.refusal = SlotRefusal::kNoBackend};
+    }
+    const Instant until = open_here
+                              ? request.deadline
+                              : std::min(request.deadline, now + kHandoverLook);
+    const SlotGrant grant =
+        slots_.Acquire(request.service, request.member, progress->avoid,
+                       service.queue_limit, until);
+    const bool look_again =
+        grant.refusal == SlotRefusal::kTooLate && !open_here;
+    if (!look_again) {
+      return grant;
+    }
+  }
+}
+
 // False if the request may not run. The key is recorded last, with the slot
 // in hand, so that a refusal for want of a slot uses up no key.
 bool Router::ClaimFirst(const CallerRequest& request, Progress* progress) {
@@ -244,14 +278,13 @@
 // True if a peer brought the request to an end. One hop at most: what was
 // passed on is not passed on again.
 bool Router::TryPeer(const CallerRequest& request, Progress* progress) {
-  if (request.passed_on || progress->passed_on) {
+  if (request.passed_on || progress->peer_failed) {
     return false;
   }
   const auto target = PickPeer(request.service);
   if (!target) {
     return false;
   }
-  progress->passed_on = true;
   const AttemptResult result =
       sender_.PassOn(*target, request, Until(request.deadline));
   if (result.fate == AttemptFate::kAnswered) {
@@ -262,6 +295,7 @@
     return false;
   }
   progress->may_have_run = true;
+  progress->peer_failed = true;
   progress->last = Unknown("the peer that took it gave no whole answer");
   return !request.repeatable;
 }
--- a/src/libdoorwood/routing/slot_table.cpp
+++ b/src/libdoorwood/routing/slot_table.cpp
@@ -60,7 +60,7 @@
   Service& state = services_[service];
   const int slots = SlotsLocked(service);
   SlotGrant grant;
-  if (slots == 0) {
+  if (slots == 0 && !IsListedLocked(service)) {
     grant.refusal = SlotRefusal::kNoBackend;
     return grant;
   }
@@ -72,8 +72,8 @@
     }
   }
   const auto ahead = static_cast<double>(state.waiters.size() + 1);
-  grant.wait =
-      Millis(static_cast<int64_t>(ahead * state.mean_held_ms / slots) + 1);
+  grant.wait = Millis(1 + static_cast<int64_t>(ahead * state.mean_held_ms /
+                                               std::max(slots, 1)));
   if (state.waiters.size() >= static_cast<size_t>(queue_limit)) {
     grant.refusal = SlotRefusal::kQueueFull;
     return grant;
@@ -114,6 +114,11 @@
   GrantLocked(target.service);
 }
 
+bool SlotTable::HasSlots(const std::string& service) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return SlotsLocked(service) > 0;
+}
+
 std::vector<std::string> SlotTable::OpenServices() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::map<std::string, bool> open;
@@ -169,6 +174,12 @@
   return best != nullptr ? best : avoided;
 }
 
+bool SlotTable::IsListedLocked(const std::string& service) const {
+  return std::any_of(backends_.begin(), backends_.end(), [&](const auto& item) {
+    return item.second.listed && item.second.target.service == service;
+  });
+}
+
 int SlotTable::SlotsLocked(const std::string& service) const {
   int slots = 0;
   for (const auto& [id, backend] : backends_) {
--- a/src/standin/link.cpp
+++ b/src/standin/link.cpp
@@ -86,36 +86,50 @@
   Link(asio::io_context& context,
        const tcp::endpoint& listen,
        const tcp::endpoint& target)
-      : context_(context), acceptor_(context, listen), target_(target) {
+      : context_(context),
+        listen_(listen),
+        acceptor_(context, listen),
+        target_(target) {
     Accept();
   }
 
   void SetCut(bool cut) {
     asio::post(context_, [this, cut]() {
-      cut_ = cut;
-      if (!cut) {
+      if (cut_ == cut) {
         return;
       }
-      for (const auto& weak : sessions_) {
-        if (const auto session = weak.lock()) {
-          session->Close();
-        }
+      cut_ = cut;
+      if (cut) {
+        Break();
+      } else {
+        acceptor_ = tcp::acceptor(context_, listen_);
+        Accept();
       }
-      sessions_.clear();
     });
   }
 
  private:
   using WeakSession = std::weak_ptr<Session>;
 
+  void Break() {
+    acceptor_.close();
+    for (const auto& weak : sessions_) {
+      if (const auto session = weak.lock()) {
+        session->Close();
+      }
+    }
+    sessions_.clear();
+  }
+
   void Accept() {
     acceptor_.async_accept(
         [this](const asio::error_code& error, tcp::socket socket) {
-          if (!error && !cut_) {
-            auto session = std::make_shared<Session>(std::move(socket), cut_);
-            sessions_.insert(session);
-            session->Start(target_);
+          if (error) {
+            return;
           }
+          auto session = std::make_shared<Session>(std::move(socket), cut_);
+          sessions_.insert(session);
+          session->Start(target_);
           std::erase_if(sessions_,
                         [](const WeakSession& weak) { return weak.expired(); });
           Accept();
@@ -123,6 +137,7 @@
   }
 
   asio::io_context& context_;
+  tcp::endpoint listen_;
   tcp::acceptor acceptor_;
   tcp::endpoint target_;
   std::atomic<bool> cut_ = false;
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -213,3 +213,102 @@
 starts() {
   jq -s --arg task "$1" '[.[] | select(.event == "start" and .task == $task)] | length' "$WORK/workers.record"
 }
+
+# --- Requests -------------------------------------------------------------------
+
+# start_load NAME TARGETS ARG...: load in the background; its figures are in
+# $WORK/NAME.json and its requests in $WORK/NAME.requests.
+start_load() {
+  local name=$1 targets=$2
+  shift 2
+  "$BIN/doorwood-bench" load --targets "$targets" --record "$WORK/$name.requests" "$@" \
+    >"$WORK/$name.json" 2>"$WORK/$name.err" &
+  PID[$name]=$!
+  STARTED+=("$name")
+}
+
+# Requests of a load that were told "not run" and did run; 0 if all is well.
+false_not_run() {
+  jq -r 'select(.outcome == "not_run") | .request' "$WORK/$1.requests" | sort >"$WORK/told"
+  jq -r 'select(.event == "run") | .request' "$WORK/backends.record" | sort >"$WORK/ran"
+  comm -12 "$WORK/told" "$WORK/ran" | wc -l
+}
+
+# Requests of a load that ran more than once.
+duplicates_of() {
+  jq -r .request "$WORK/$1.requests" | sort -u >"$WORK/asked"
+  jq -r 'select(.event == "run") | .request' "$WORK/backends.record" | sort | uniq -d >"$WORK/twice"
+  comm -12 "$WORK/asked" "$WORK/twice" | wc -l
+}
+
+# Highest number of requests that ran on one backend server at a time.
+most_at_once() {
+  jq -s 'group_by(.backend) | map(reduce .[] as $e ({now: 0, most: 0};
+      if $e.event == "run" then .now += 1 | .most = ([.most, .now] | max)
+      elif $e.event == "ran" then .now -= 1 else . end) | .most) | max // 0' "$WORK/backends.record"
+}
+
+outcome() {
+  jq ".$2" "$WORK/$1.json"
+}
+
+# figure NAME VALUE ...: one line for docs/PROOFS.md when FIGURES names a file.
+figure() {
+  [ -n "${FIGURES:-}" ] && echo "$*" >>"$FIGURES"
+  return 0
+}
+
+# Seconds since the epoch with a fraction, for recovery times.
+now() {
+  date +%s.%N
+}
+
+seconds_since() {
+  awk -v a="$1" -v b="$(now)" 'BEGIN {printf "%.1f", b - a}'
+}
+
+# A running data centre: apply_config NAME puts services and members in force.
+apply_config() {
+  cat >"$WORK/config.yaml" <<'EOF'
+services:
+  - name: listening-stream
+    latency_target_ms: 200
+members:
+  - name: museum
+    quota: {cpu_millis: 100000, memory_mib: 200000}
+EOF
+  cli "$1" apply -f "$WORK/config.yaml" --author test --wait --for 30 >/dev/null
+}
+
+# job_file NAME COUNT PAYLOAD [MORE]: writes a manifest.
+job_file() {
+  cat >"$WORK/$1.yaml" <<EOF
+member: museum
+tasks:
+  - name: task
+    count: $2
+    size: {cpu_millis: 1000, memory_mib: 1024}
+    payload: "$3"
+${4:-}
+EOF
+}
+
+# submit ENTRY NAME: submits $WORK/NAME.yaml, asking again with the same id as
+# long as the answer is "not done" or "unknown".
+submit() {
+  local token="$2-$RANDOM" end=$((SECONDS + 40)) id
+  while [ "$SECONDS" -lt "$end" ]; do
+    id=$(cli "$1" submit -f "$WORK/$2.yaml" --id-token "$token" 2>/dev/null) && {
+      echo "$id"
+      return
+    }
+    sleep 0.2
+  done
+  return 1
+}
+
+# Tasks of a job that were started more than once.
+started_twice() {
+  jq -r --arg job "$1/" 'select(.event == "start" and (.task | startswith($job))) | .task' \
+    "$WORK/workers.record" | sort | uniq -d | wc -l
+}
