--- a/src/include/doorwood/router.h
+++ b/src/include/doorwood/router.h
@@ -155,6 +155,8 @@
   bool HasSlots(const std::string& service) const;
   /// Services with a free slot and nobody waiting.
   std::vector<std::string> OpenServices() const;
+  /// Requests that wait for a slot of the service.
+  size_t Waiting(const std::string& service) const;
   /// Slots in use on one worker's backend servers.
   int InUse(const std::string& worker) const;
 
--- a/src/libdoorwood/routing/slot_table.cpp
+++ b/src/libdoorwood/routing/slot_table.cpp
@@ -139,6 +139,12 @@
   return names;
 }
 
+size_t SlotTable::Waiting(const std::string& service) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto item = services_.find(service);
+  return item == services_.end() ? 0 : item->second.waiters.size();
+}
+
 int SlotTable::InUse(const std::string& worker) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   int in_use = 0;
