--- a/testsuite/path/run.sh
+++ b/testsuite/path/run.sh
@@ -51,6 +51,17 @@
   echo
 done
 curl -s -m 5 -o /dev/null -w '%{http_code}\n' "http://127.0.0.1:${PORT[plaka-1]}/svc/nothing/next"
+# An answer that breaks off is never handed on: what may be repeated is asked
+# again, what may not is told as unknown.
+fault b1 '{"cut": 1}'
+curl -s -m 5 -X POST -H 'X-Request-Id: cut-1' -D - -d x "http://127.0.0.1:${PORT[plaka-1]}/svc/listening-stream/next" | tr -d '\r' | grep -E '^(HTTP|X-Doorwood-Outcome)'
+fault b1 '{"cut": 1}'
+curl -s -m 5 -H 'X-Request-Id: cut-2' "http://127.0.0.1:${PORT[plaka-1]}/svc/listening-stream/next"
+echo
+# A key runs once, also through the other instance.
+for entry in plaka-1 plaka-2; do
+  curl -s -m 5 -o /dev/null -w '%{http_code}\n' -X POST -H 'Idempotency-Key: tour-7' -d build "http://127.0.0.1:${PORT[$entry]}/svc/listening-stream/build"
+done
 cli plaka-1 report burn | awk 'NR == 1 || $2 == 5 {print $1, $2, $3, $4}'
 curl -fs -m 5 "http://127.0.0.1:${PORT[plaka-1]}/metrics" | grep -c '^doorwood_' | awk '{print ($1 > 20) ? "metrics are shown" : "metrics are missing"}'
 
