fix(router): a peer's word that a request is unknown is handed on

Cause: a key used before was told as 502 when the request came through an instance that passed it on, since any outcome but 'answered' of a peer counted as a broken answer. Ruled out: the claim (it was refused rightly). Now the peer's status and outcome reach the caller: 409 on both instances.

--- a/src/doorwoodd/metrics.cpp
+++ b/src/doorwoodd/metrics.cpp
@@ -89,6 +89,10 @@
   }
   latency->Add(static_cast<double>(took.count()));
   ++outcomes_[{request.service, std::string(ToString(response.fate))}];
+  if (response.status == kStatusKeyUsed) {
+    // The caller's doing, no failure of the service.
+    return;
+  }
   const bool good = response.fate == RequestFate::kAnswered &&
                     response.status < 500 && took <= service->latency_target;
   burn_.Count(request.service, good, CurrentMinute());
--- a/src/http.adapter/http_sender.cpp
+++ b/src/http.adapter/http_sender.cpp
@@ -128,10 +128,15 @@
   if (outcome == ToString(RequestFate::kNotRun)) {
     return {.fate = AttemptFate::kRefused};
   }
-  if (outcome != ToString(RequestFate::kAnswered)) {
+  const bool told_unknown = outcome == ToString(RequestFate::kUnknown);
+  if (!told_unknown && outcome != ToString(RequestFate::kAnswered)) {
     return {.fate = AttemptFate::kUnknown};
   }
   AttemptResult answered{AttemptFate::kAnswered, ResponseOf(*result)};
+  if (told_unknown) {
+    // The peer's own word about the request is an answer, too.
+    answered.response.fate = RequestFate::kUnknown;
+  }
   std::erase_if(answered.response.headers, [](const HttpHeader& header) {
     return header.name == kOutcomeHeader || header.name == kRequestIdHeader;
   });
--- a/src/include/doorwood/router.h
+++ b/src/include/doorwood/router.h
@@ -79,6 +79,9 @@
 
 std::string_view ToString(RequestFate fate);
 
+/// Status of a request whose idempotency key was used before.
+inline constexpr int kStatusKeyUsed = 409;
+
 /// What the caller gets.
 struct CallerResponse {
   RequestFate fate = RequestFate::kNotRun;
--- a/src/libdoorwood/config/parse_test.cpp
+++ b/src/libdoorwood/config/parse_test.cpp
@@ -187,12 +187,15 @@
 // Documents changed at random, byte by byte: the parsers must come back with
 // a value or with a problem, whatever they read.
 BOOST_AUTO_TEST_CASE(documents_with_random_bytes_give_a_value_or_a_problem) {
-  const std::vector<std::string> corpus = {
-      "services:\n  - name: a\n    objective: 0.99\nmembers:\n  - name: m\n    "
-      "quota: {cpu_millis: 5}\nrules:\n  - match: a=b,!c\n    yields: 3\n",
+  const std::string configuration =
+      "services:\n  - name: a\n    objective: 0.99\nmembers:\n  - name: m\n "
+      "   quota: {cpu_millis: 5}\nrules:\n  - match: a=b,!c\n    yields: 3\n";
+  const std::string manifest_text =
       "member: m\nhome: d\ntasks:\n  - name: a\n    count: 3\n    size: "
-      "{cpu_millis: 10, memory_mib: 3}\n    labels: {a: b}\n    beside: x!=y\n",
-      kSettings, "&a [*a, {? b : c}]", "a: !!binary |\n  aGk=\n"};
+      "{cpu_millis: 10, memory_mib: 3}\n    labels: {a: b}\n    beside: x!=y\n";
+  const std::vector<std::string> corpus = {configuration, manifest_text,
+                                           kSettings, "&a [*a, {? b : c}]",
+                                           "a: !!binary |\n  aGk=\n"};
   constexpr int kRounds = 6000;
   constexpr std::string_view kSpecial = ":{}[],&*!|>'\"%@`#-?\n\t \\0~";
   std::mt19937_64 random(4);
--- a/src/libdoorwood/routing/router.cpp
+++ b/src/libdoorwood/routing/router.cpp
@@ -17,7 +17,6 @@
 constexpr Millis kHandoverLook{50};
 
 constexpr int kStatusNoSuchService = 404;
-constexpr int kStatusClaimed = 409;
 constexpr int kStatusTooMany = 429;
 constexpr int kStatusUnknown = 502;
 constexpr int kStatusUnavailable = 503;
@@ -258,7 +257,7 @@
       return true;
     case ClaimOutcome::kTaken:
       progress->last = Unknown("another request has used this key");
-      progress->last.status = kStatusClaimed;
+      progress->last.status = kStatusKeyUsed;
       return false;
     case ClaimOutcome::kNotRecorded:
       progress->Tell(NotRun(kStatusUnavailable,
