test(owner): two proofs that did not fail now do; capacity script and pages

Cause: of the deliberate breaks, two made no test fail: holders that ignore the floor of a census, and a candidate that seals over a newer epoch. The fakes could not hold up a placement, and no case paused a candidate inside a takeover.

Change: placements can be held up past their time-out (one case, and a step of the random walk); a candidate is paused at each of 24 steps of a takeover while another takes the shard.

--- a/src/build-scripts/capacity.sh
+++ b/src/build-scripts/capacity.sh
@@ -11,17 +11,13 @@
 out=docs/capacity
 mkdir -p "$out"
 points=$out/points.tsv
-printf 'series\tx\tcpu_percent\trss_mb\tworker_bytes\tpeer_bytes\tdirectory_bytes\tkv_bytes\tkv_reads\tkv_writes\twire_bytes\n' >"$points"
+printf 'series\tx\tcpu_percent\trss_mb\tworker_bytes\tpeer_bytes\tdirectory_bytes\tkv_bytes\tkv_reads\tkv_writes\n' >"$points"
 
 # cpu_ticks PID: processor time so far, in hundredths of a second.
 cpu_ticks() {
   awk '{print $14 + $15}' "/proc/$1/stat"
 }
 
-wire_bytes() {
-  awk '/^ *lo:/ {print $2}' /proc/net/dev
-}
-
 # metric NAME TARGET: sum of a metric of one kind of call.
 metric() {
   awk -v name="$1" -v to="to=\"$2\"" 'index($1, name "{") == 1 && index($0, to) {sum += $NF} END {printf "%.0f", sum}' "$WORK/metrics"
@@ -34,7 +30,7 @@
 snapshot() {
   curl -fs -m 5 "http://127.0.0.1:${PORT[$1]}/metrics" >"$WORK/metrics"
   kv_calls
-  echo "$(cpu_ticks "${PID[$1]}") $(metric doorwood_call_bytes worker) $(metric doorwood_call_bytes peer) $(metric doorwood_call_bytes directory) $(metric doorwood_call_bytes kv) $(jq '[.read, .list, .watch] | map(. // 0) | add' "$WORK/stats") $(jq '[.write, .renew, .grant, .remove] | map(. // 0) | add' "$WORK/stats") $(wire_bytes)"
+  echo "$(cpu_ticks "${PID[$1]}") $(metric doorwood_call_bytes worker) $(metric doorwood_call_bytes peer) $(metric doorwood_call_bytes directory) $(metric doorwood_call_bytes kv) $(jq '[.read, .list, .watch] | map(. // 0) | add' "$WORK/stats") $(jq '[.write, .renew, .grant, .remove] | map(. // 0) | add' "$WORK/stats")"
 }
 
 # point SERIES X ENTRY: one row, measured over the window.
@@ -45,8 +41,8 @@
   after=$(snapshot "$3")
   rss=$(awk '/VmRSS/ {print $2 / 1024}' "/proc/${PID[$3]}/status")
   echo "$1 $2 $rss $before $after" | awk -v w="$window" '{
-    printf "%s\t%s\t%.3f\t%.1f", $1, $2, ($12 - $4) / w, $3
-    for (i = 5; i <= 11; i++) printf "\t%.2f", ($(i + 8) - $i) / w
+    printf "%s\t%s\t%.3f\t%.1f", $1, $2, ($11 - $4) / w, $3
+    for (i = 5; i <= 10; i++) printf "\t%.2f", ($(i + 7) - $i) / w
     printf "\n"}' >>"$points"
   tail -1 "$points"
 }
@@ -145,11 +141,46 @@
   done
 }
 
+# Small changes of the configuration, as many a minute as asked.
+series_changes() {
+  cluster 4 2
+  local rate
+  for rate in 0 15 30 60; do
+    (
+      trap - EXIT
+      end=$((SECONDS + window))
+      while [ "$rate" -gt 0 ] && [ "$SECONDS" -lt "$end" ]; do
+        { cat "$WORK/config.yaml"; echo "# $SECONDS $RANDOM"; } | cli plaka-1 apply -f - >/dev/null 2>&1
+        sleep "$(awk -v r="$rate" 'BEGIN {print 60 / r}')"
+      done
+    ) &
+    local feeder=$!
+    point changes "$rate" plaka-2
+    wait "$feeder"
+  done
+}
+
+# Members with quotas in the configuration.
+series_members() {
+  cluster 4 1
+  local count n
+  for count in 10 100 320; do
+    {
+      cat "$WORK/config.yaml"
+      for n in $(seq "$count"); do echo "  - {name: team-$n, quota: {cpu_millis: 64000, memory_mib: 262144}}"; done
+    } | cli plaka-1 apply -f - >/dev/null || fail "apply"
+    sleep 1
+    point members "$count" plaka-1
+  done
+}
+
 for n in 8 32 64 128; do (series_workers "$n") || exit 1; done
 for n in 1 2 3 5; do (series_instances "$n") || exit 1; done
 (series_tasks) || exit 1
 (series_starts) || exit 1
 (series_config) || exit 1
+(series_changes) || exit 1
+(series_members) || exit 1
 
 # slope SERIES COLUMN: least squares; prints slope, intercept and the largest
 # residual.
@@ -163,14 +194,14 @@
     }' "$points"
 }
 
-columns=(cpu_percent rss_mb worker_bytes peer_bytes directory_bytes kv_bytes kv_reads kv_writes wire_bytes)
-units=("% of a core" MB "bytes/s" "bytes/s" "bytes/s" "bytes/s" "calls/s" "calls/s" "bytes/s")
+columns=(cpu_percent rss_mb worker_bytes peer_bytes directory_bytes kv_bytes kv_reads kv_writes)
+units=("% of a core" MB "bytes/s" "bytes/s" "bytes/s" "bytes/s" "calls/s" "calls/s")
 {
   echo "Measured on $(date -u +%Y-%m-%d) at commit $(git rev-parse --short HEAD 2>/dev/null), $window s a point, by \`make capacity\`."
   echo
   echo "| against | what | unit | slope | at 0 | largest residual |"
   echo "| --- | --- | --- | --- | --- | --- |"
-  for series in workers instances tasks starts config; do
+  for series in workers instances tasks starts config changes members; do
     for i in "${!columns[@]}"; do
       echo "| $series | ${columns[$i]} | ${units[$i]} | $(slope "$series" $((i + 3))) |"
     done
@@ -178,7 +209,7 @@
   echo
   echo "Points:"
   echo
-  awk -F'\t' 'NR == 1 {gsub(/\t/, " | "); print "| " $0 " |"; for (i = 1; i <= 11; i++) printf "| --- "; print "|"; next}
+  awk -F'\t' 'NR == 1 {gsub(/\t/, " | "); print "| " $0 " |"; for (i = 1; i <= 10; i++) printf "| --- "; print "|"; next}
     {gsub(/\t/, " | "); print "| " $0 " |"}' "$points"
 } >"$out/tables.md"
 
@@ -190,9 +221,9 @@
 set grid
 set output "$out/bytes.svg"
 set ylabel "bytes/s"
-plot "< grep '^workers' $points" using 2:5 with linespoints title "bodies, worker calls", \
-     "< grep '^workers' $points" using 2:7 with linespoints title "bodies, list of instances", \
-     "< grep '^workers' $points" using 2:11 with linespoints title "on the wire, all"
+plot "< grep '^workers' $points" using 2:5 with linespoints title "to workers", \
+     "< grep '^workers' $points" using 2:7 with linespoints title "list of instances", \
+     "< grep '^workers' $points" using 2:8 with linespoints title "to the key-value service"
 set output "$out/cpu.svg"
 set ylabel "% of a core"
 plot "< grep '^workers' $points" using 2:3 with linespoints title "doorwoodd", 1.9 title "limit of letter 1"
--- a/src/build-scripts/run-tests.sh
+++ b/src/build-scripts/run-tests.sh
@@ -41,7 +41,7 @@
 # Sessions are independent: each has its own ports and files. A few at a time.
 run_session() {
   local name=$1
-  BIN="$PWD/$build/src" timeout 300 bash "testsuite/$name/run.sh" \
+  PORT_BASE=$2 PORT_COUNT=1000 BIN="$PWD/$build/src" timeout 300 bash "testsuite/$name/run.sh" \
     >"$log/$name.out" 2>"$log/$name.err"
   echo $? >"$log/$name.code"
 }
@@ -49,8 +49,10 @@
 for folder in testsuite/*/; do
   sessions+=("$(basename "$folder")")
 done
+port_base=20000
 for name in "${sessions[@]}"; do
-  run_session "$name" &
+  run_session "$name" "$port_base" &
+  port_base=$((port_base + 1000))
   while [ "$(jobs -rp | wc -l)" -ge 3 ]; do
     sleep 0.2
   done
--- a/src/doorwoodd/daemon.cpp
+++ b/src/doorwoodd/daemon.cpp
@@ -50,7 +50,7 @@
       peers_({.listen = settings.peer_listen, .token = settings.peer_token},
              executor_),
       sender_(settings.peer_token),
-      router_(sender_, metrics_, *this),
+      router_(sender_, *this, *this),
       policy_(MakeDefaultPolicy()) {
   instance_ = std::make_unique<Instance>(
       MakeInstanceOptions(settings, NewIncarnation()),
@@ -237,6 +237,22 @@
   return future.get();
 }
 
+// --- RequestObserver --------------------------------------------------------
+
+void Daemon::OnRequest(const CallerRequest& request,
+                       const CallerResponse& response,
+                       Millis took) {
+  metrics_.OnRequest(request, response, took);
+  // What went well is of interest only when somebody looks for it.
+  const bool answered = response.fate == RequestFate::kAnswered;
+  log_.Write(answered ? "debug" : "info", "request", ToString(response.fate),
+             {{"request", request.id},
+              {"service", request.service},
+              {"member", request.member},
+              {"status", response.status},
+              {"took_ms", took.count()}});
+}
+
 void Daemon::Release(const std::string& key, const std::string& request) {
   executor_.Post([this, key, request]() { instance_->Unclaim(key, request); });
 }
--- a/src/doorwoodd/daemon.h
+++ b/src/doorwoodd/daemon.h
@@ -25,7 +25,10 @@
 
 namespace doorwood {
 
-class Daemon : private FrontBackend, private RouteSink, private RequestClaims {
+class Daemon : private FrontBackend,
+               private RouteSink,
+               private RequestClaims,
+               private RequestObserver {
  public:
   /// Opens the addresses; throws std::runtime_error if one cannot be used.
   explicit Daemon(const Settings& settings);
@@ -56,6 +59,11 @@
                      Instant deadline) override;
   void Release(const std::string& key, const std::string& request) override;
 
+  // RequestObserver:
+  void OnRequest(const CallerRequest& request,
+                 const CallerResponse& response,
+                 Millis took) override;
+
   void OnSignal();
   void FinishLeaving();
   std::vector<MetricSample> ControlSamples() const;
--- a/src/doorwoodd/metrics.h
+++ b/src/doorwoodd/metrics.h
@@ -30,15 +30,15 @@
 
 /// Counts finished requests, their latency by quantile, and burn. May be used
 /// from any thread.
-class RequestMetrics : public RequestObserver {
+class RequestMetrics {
  public:
   RequestMetrics();
-  ~RequestMetrics() override;
+  ~RequestMetrics();
 
   void SetConfiguration(std::shared_ptr<const Configuration> configuration);
   void OnRequest(const CallerRequest& request,
                  const CallerResponse& response,
-                 Millis took) override;
+                 Millis took);
 
   void AddSamples(std::vector<MetricSample>* samples) const;
   std::vector<BurnRow> Burn() const;
--- a/src/fakes/fakes.cpp
+++ b/src/fakes/fakes.cpp
@@ -321,6 +321,13 @@
   return true;
 }
 
+bool FakeNetwork::TakeDelayedPlacement(const PeerRequest& request) {
+  const bool take =
+      delay_placements_ > 0 && std::holds_alternative<PlaceRequest>(request);
+  delay_placements_ -= take ? 1 : 0;
+  return take;
+}
+
 FakeNetwork::Node* FakeNetwork::Find(const std::string& address) {
   const auto node = nodes_.find(address);
   return node == nodes_.end() ? nullptr : &node->second;
@@ -355,8 +362,9 @@
            [answer]() { answer(PeerErrc::kNoAnswer, PeerReply()); });
   const bool lose =
       !std::holds_alternative<Heartbeat>(request) && network_.TakeLostReply();
-  time_.At(time_.now() + kLatency, [this, node, answer, lose, address,
-                                    request = std::move(request)]() {
+  const Millis way = network_.TakeDelayedPlacement(request) ? kLate : kLatency;
+  time_.At(time_.now() + way, [this, node, answer, lose, address,
+                               request = std::move(request)]() {
     node.executor->Post([this, node, answer, lose, address, request]() {
       node.service->Handle(
           request, [this, answer, lose, address](PeerReply reply) {
--- a/src/fakes/fakes.h
+++ b/src/fakes/fakes.h
@@ -196,12 +196,16 @@
   /// Loses so many of the next replies.
   void LoseReplies(int count) { lose_replies_ = count; }
   bool TakeLostReply();
+  /// Holds up so many of the next placements, long past their time-out.
+  void DelayPlacements(int count) { delay_placements_ = count; }
+  bool TakeDelayedPlacement(const PeerRequest& request);
   Node* Find(const std::string& address);
 
  private:
   std::map<std::string, Node> nodes_;
   std::set<std::pair<std::string, std::string>> cuts_;
   int lose_replies_ = 0;
+  int delay_placements_ = 0;
 };
 
 /// One instance's way to its peers.
--- a/src/http.adapter/http_call.cpp
+++ b/src/http.adapter/http_call.cpp
@@ -12,6 +12,28 @@
 constexpr Millis kLongestIdle{3000};
 constexpr int kHighestPort = 65535;
 
+// What the library adds to path, address and length: method, version, and the
+// headers Accept, Connection, Content-Length, Content-Type, Host, User-Agent.
+constexpr uint64_t kFixedRequestBytes = 155;
+constexpr uint64_t kStatusLineBytes = 19;
+// ": " and the line's end.
+constexpr uint64_t kHeaderExtraBytes = 4;
+
+uint64_t RequestBytes(const std::string& address,
+                      const std::string& path,
+                      const std::string& body) {
+  return kFixedRequestBytes + address.size() + path.size() +
+         std::to_string(body.size()).size() + body.size();
+}
+
+uint64_t ResponseBytes(const httplib::Response& response) {
+  uint64_t bytes = kStatusLineBytes + response.body.size();
+  for (const auto& [name, value] : response.headers) {
+    bytes += name.size() + value.size() + kHeaderExtraBytes;
+  }
+  return bytes;
+}
+
 }  // namespace
 
 HostPort ParseHostPort(std::string_view address) {
@@ -100,7 +122,10 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     CallTraffic& traffic = traffic_[path];
     ++traffic.calls;
-    traffic.bytes += text.size() + (result ? result->body.size() : 0);
+    traffic.bytes += RequestBytes(address, path, text);
+    if (result) {
+      traffic.bytes += ResponseBytes(*result);
+    }
   }
   if (!result) {
     answer.fate =
--- a/src/http.adapter/http_call.h
+++ b/src/http.adapter/http_call.h
@@ -45,7 +45,8 @@
   Json body;
 };
 
-/// Calls and bytes of bodies, by path.
+/// Calls and bytes, of headers and bodies, by path. What TCP and IP add is
+/// not in it.
 struct CallTraffic {
   uint64_t calls = 0;
   uint64_t bytes = 0;
--- a/src/libdoorwood/instance/instance_test.cpp
+++ b/src/libdoorwood/instance/instance_test.cpp
@@ -435,6 +435,22 @@
   }
 }
 
+// --- Placements that arrive late
+// ----------------------------------------------
+
+BOOST_AUTO_TEST_CASE(placement_that_arrives_after_a_census_is_refused) {
+  for (const char* more : {"", kOnce}) {
+    Running cluster;
+    cluster.world.network().DelayPlacements(5);
+    const std::string job = cluster.Submit(5, "run-ms=20000", more);
+    BOOST_TEST(cluster.world.RunUntil(kLong, [&]() {
+      const std::string phase = cluster.world.Phase("plaka-1", job);
+      return phase == "succeeded" || phase == "failed";
+    }));
+    cluster.CheckRules();
+  }
+}
+
 // --- Cancellation ------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(cancelled_job_with_queued_and_running_tasks_ends) {
--- a/src/libdoorwood/instance/random_walk_test.cpp
+++ b/src/libdoorwood/instance/random_walk_test.cpp
@@ -75,11 +75,12 @@
     const std::string entry = AnyEntry();
     const bool usable =
         world_.Has(entry) && !world_.At(entry).executor->frozen();
-    const int kind = Pick(11);
+    const int kind = Pick(12);
     constexpr const char* kKinds[] = {
-        "submit",     "submit",       "submit",         "kill",
-        "start",      "freeze",       "thaw",           "store",
-        "worker way", "way to peers", "worker restarts"};
+        "submit",       "submit",          "submit",
+        "kill",         "start",           "freeze",
+        "thaw",         "store",           "worker way",
+        "way to peers", "worker restarts", "late placements"};
     world_.trace().push_back(std::to_string(world_.time().millis()) + " STEP " +
                              kKinds[kind] + " " + entry);
     switch (kind) {
@@ -122,6 +123,9 @@
       case 10:
         world_.worker(AnyWorker()).Restart(world_.time().millis());
         break;
+      case 11:
+        world_.network().DelayPlacements(Pick(4));
+        break;
     }
   }
 
--- a/src/libdoorwood/owner/shard_log_test.cpp
+++ b/src/libdoorwood/owner/shard_log_test.cpp
@@ -205,6 +205,29 @@
   }
 }
 
+// A candidate is paused at each step of its takeover; meanwhile another one
+// takes the shard. The first must not seal over it.
+BOOST_AUTO_TEST_CASE(candidate_held_up_in_a_takeover_gives_way_to_a_newer) {
+  for (int steps = 0; steps < 24; ++steps) {
+    BOOST_TEST_CONTEXT("after " << steps << " steps") {
+      TwoOwners pair;
+      pair.first.log->Open([](std::error_code) {});
+      for (int n = 0; n < steps; ++n) {
+        pair.time.Step(pair.time.now() + kAWhile);
+      }
+      pair.first.executor.Freeze();
+      BOOST_TEST(!pair.Open(pair.second));
+      int64_t version = 0;
+      pair.model.Write({.key = AliveKey("plaka", "second"), .value = "1"},
+                       pair.time.millis(), &version);
+      pair.first.executor.Thaw();
+      pair.time.Run(kAWhile);
+      BOOST_TEST(pair.Append(pair.second, "a", true) == std::error_code());
+      BOOST_TEST(!pair.second.fenced);
+    }
+  }
+}
+
 // A paused owner wakes up when the log it knew has been truncated: the
 // position that it writes next exists no more, so the write succeeds.
 BOOST_AUTO_TEST_CASE(append_into_a_truncated_log_is_not_believed) {
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -51,10 +51,11 @@
 }
 
 # A port that nothing listens on, below the range that the system hands out.
+# Sessions that run side by side have ranges of their own (PORT_BASE).
 free_port() {
   local port
   while :; do
-    port=$((20000 + RANDOM % 12000))
+    port=$((${PORT_BASE:-20000} + RANDOM % ${PORT_COUNT:-12000}))
     [[ " ${PORT[*]} " == *" $port "* ]] && continue
     if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
       echo "$port"
@@ -63,9 +64,10 @@
   done
 }
 
-# start_standin NAME ROLE [ARG ...]: starts one, on a port of its own.
+# start_standin NAME ROLE [ARG ...]: starts one, on a port of its own, and
+# waits until it listens.
 start_standin() {
-  local name=$1 role=$2
+  local name=$1 role=$2 tries
   shift 2
   if [ -z "${PORT[$name]:-}" ]; then
     PORT[$name]=$(free_port)
@@ -74,6 +76,11 @@
     >"$WORK/$name.out" 2>&1 &
   PID[$name]=$!
   STARTED+=("$name")
+  for tries in $(seq 200); do
+    grep -q '^listening' "$WORK/$name.out" && return
+    sleep 0.02
+  done
+  fail "stand-in $name does not listen: $(cat "$WORK/$name.out")"
 }
 
 # add_worker NAME DATA_CENTRE RACK [ARG ...]
