--- a/src/fakes/fakes.cpp
+++ b/src/fakes/fakes.cpp
@@ -99,6 +99,8 @@
     } else if (fault_writes_ > 0) {
       --fault_writes_;
     }
+  } else if (fault_writes_ >= 0) {
+    fault = Fault::kNone;
   }
   const auto answer = [this, done](std::error_code error, T value,
                                    Millis after) {
--- a/src/fakes/fakes.h
+++ b/src/fakes/fakes.h
@@ -117,7 +117,8 @@
              Callback<std::vector<KvEntry>> done) override;
 
   void set_fault(Fault fault) { fault_ = fault; }
-  /// The fault goes after so many writes; -1: it stays.
+  /// The fault strikes the next so many writes and no reads; -1: it strikes
+  /// everything and stays.
   void set_fault_writes(int count) { fault_writes_ = count; }
   int64_t writes() const { return writes_; }
 
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -76,7 +76,7 @@
     >"$WORK/$name.out" 2>&1 &
   PID[$name]=$!
   STARTED+=("$name")
-  for tries in $(seq 200); do
+  for ((tries = 0; tries < 200; tries++)); do
     grep -q '^listening' "$WORK/$name.out" && return
     sleep 0.02
   done
