--- a/src/include/doorwood/error.h
+++ b/src/include/doorwood/error.h
@@ -59,6 +59,10 @@
   kInvalid,
 };
 
+/// What the core tells its callers about a failed call to the store. A call
+/// that surely had no effect becomes kStoreUnavailable.
+std::error_code ToCoreError(std::error_code kv_error);
+
 std::error_code make_error_code(KvErrc errc);
 std::error_code make_error_code(WorkerErrc errc);
 std::error_code make_error_code(PeerErrc errc);
--- a/src/libdoorwood/base/error.cpp
+++ b/src/libdoorwood/base/error.cpp
@@ -57,6 +57,16 @@
 
 }  // namespace
 
+std::error_code ToCoreError(std::error_code kv_error) {
+  if (kv_error == make_error_code(KvErrc::kConflict)) {
+    return CoreErrc::kConflict;
+  }
+  if (kv_error == make_error_code(KvErrc::kUnknown)) {
+    return CoreErrc::kOutcomeUnknown;
+  }
+  return CoreErrc::kStoreUnavailable;
+}
+
 std::error_code make_error_code(KvErrc errc) {
   static const TableCategory category("doorwood.kv", kKvMessages);
   return {static_cast<int>(errc), category};
--- a/src/libdoorwood/config/config_keeper.cpp
+++ b/src/libdoorwood/config/config_keeper.cpp
@@ -21,16 +21,6 @@
   return error == make_error_code(errc);
 }
 
-std::error_code TurnError(std::error_code error) {
-  if (Is(error, KvErrc::kConflict)) {
-    return CoreErrc::kConflict;
-  }
-  if (Is(error, KvErrc::kUnknown)) {
-    return CoreErrc::kOutcomeUnknown;
-  }
-  return CoreErrc::kStoreUnavailable;
-}
-
 uint64_t RevisionOf(const Json& stored) {
   return stored.value("revision", uint64_t{0});
 }
@@ -243,7 +233,7 @@
       self->TryApply(change, tries - 1, done);
       return;
     }
-    done({TurnError(error), self->revision_, {}});
+    done({ToCoreError(error), self->revision_, {}});
   });
 }
 
@@ -290,7 +280,7 @@
       if (!write_error) {
         self->TakeDrained(value, version);
       }
-      done(write_error ? TurnError(write_error) : std::error_code());
+      done(write_error ? ToCoreError(write_error) : std::error_code());
     });
   });
 }
--- /dev/null
+++ b/src/libdoorwood/holder/holder_attempts.cpp
@@ -0,0 +1,204 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Attempts on held workers: placing, stopping, ends, and the census.
+
+#include <algorithm>
+
+#include "doorwood/holder.h"
+
+namespace doorwood {
+namespace {
+
+// How long room is kept for a service after batch work was told to go.
+constexpr Millis kRoomKept{2000};
+
+}  // namespace
+
+PlaceReply WorkerHolder::Place(const PlaceRequest& request) {
+  const AttemptKey key{request.shard, request.attempt};
+  if (const auto held = FindAttempt(key)) {
+    return {.placed = true, .worker = held->info.id};
+  }
+  const auto floor = floors_.find(request.shard);
+  if (floor != floors_.end() && request.attempt < floor->second) {
+    return {.placed = false, .reason = "fenced by a newer owner or census"};
+  }
+  std::vector<WorkerView> views;
+  std::vector<std::shared_ptr<Held>> candidates;
+  views.reserve(held_.size());
+  candidates.reserve(held_.size());
+  for (const auto& [name, held] : held_) {
+    if (!held->acquired_once) {
+      continue;
+    }
+    views.push_back({.info = &held->info,
+                     .capacity = held->ledger.capacity(),
+                     .free = held->ledger.free(),
+                     .open = IsOpen(*held, request.spec),
+                     .residents = held->residents});
+    candidates.push_back(held);
+  }
+  const Decision decision = policy_.Decide(request.spec, views);
+  if (decision.worker >= 0) {
+    return StartOn(candidates[decision.worker], request);
+  }
+  if (decision.make_room_on >= 0) {
+    return MakeRoom(candidates[decision.make_room_on], decision);
+  }
+  const std::string prefix = decision.never ? "never: " : "";
+  return {.placed = false, .reason = prefix + decision.reason};
+}
+
+PlaceReply WorkerHolder::StartOn(const std::shared_ptr<Held>& held,
+                                 const PlaceRequest& request) {
+  const AttemptKey key{request.shard, request.attempt};
+  if (!held->ledger.Reserve(key, request.spec.size)) {
+    return {.placed = false, .reason = "no room now"};
+  }
+  held->attempts.emplace(key, Attempt{.shard = request.shard,
+                                      .id = request.attempt,
+                                      .task = request.task,
+                                      .spec = request.spec,
+                                      .checkpoint = request.checkpoint});
+  worker_of_[key] = held->info.id;
+  held->outbox.push_back({.kind = OrderKind::kStart,
+                          .shard = request.shard,
+                          .attempt = request.attempt,
+                          .task = request.task,
+                          .spec = request.spec,
+                          .checkpoint = request.checkpoint});
+  RebuildResidents(*held);
+  Renew(held);
+  return {.placed = true, .worker = held->info.id};
+}
+
+PlaceReply WorkerHolder::MakeRoom(const std::shared_ptr<Held>& held,
+                                  const Decision& decision) {
+  for (const AttemptKey& key : decision.victims) {
+    const auto attempt = held->attempts.find(key);
+    if (attempt != held->attempts.end()) {
+      OrderStop(*held, attempt->second, /*take_checkpoint=*/true);
+    }
+  }
+  held->kept_until = executor_.Now() + kRoomKept;
+  Renew(held);
+  return {.placed = false, .reason = decision.reason};
+}
+
+StopReply WorkerHolder::Stop(const StopRequest& request) {
+  const AttemptKey key{request.shard, request.attempt};
+  const auto held = FindAttempt(key);
+  if (!held) {
+    return {.known = false};
+  }
+  OrderStop(*held, held->attempts.at(key), request.take_checkpoint);
+  if (held->state == HoldState::kHeld) {
+    Renew(held);
+  }
+  return {.known = true};
+}
+
+CensusReply WorkerHolder::Census(const CensusRequest& request) {
+  Fence(request.shard, request.floor);
+  CensusReply reply;
+  const Instant now = executor_.Now();
+  reply.uptime = std::chrono::duration_cast<Millis>(now - started_);
+  const auto age_of = [now](Instant sent) {
+    return std::chrono::duration_cast<Millis>(now - sent);
+  };
+  for (const auto& [name, held] : held_) {
+    if (!Holds(name)) {
+      // What this instance remembers of it may be out of date.
+      if (held->acquired_once) {
+        reply.released.push_back({name, age_of(held->last_sent)});
+      }
+      continue;
+    }
+    reply.held.push_back(name);
+    for (const auto& [key, attempt] : held->attempts) {
+      if (key.shard == request.shard) {
+        reply.sightings.push_back(MakeSighting(*held, attempt));
+      }
+    }
+  }
+  for (const auto& [name, sent] : released_) {
+    reply.released.push_back({name, age_of(sent)});
+  }
+  return reply;
+}
+
+void WorkerHolder::Logged(const ShardId& shard,
+                          std::span<const AttemptId> attempts) {
+  for (const AttemptId& attempt : attempts) {
+    const AttemptKey key{shard, attempt};
+    const auto held = FindAttempt(key);
+    if (!held || held->attempts.at(key).state != RunState::kEnded) {
+      continue;
+    }
+    held->attempts.erase(key);
+    worker_of_.erase(key);
+    // Goes with the next renewal; forgetting is not urgent.
+    held->outbox.push_back(
+        {.kind = OrderKind::kForget, .shard = shard, .attempt = attempt});
+  }
+}
+
+void WorkerHolder::Fence(const ShardId& shard, const AttemptId& floor) {
+  AttemptId& known = floors_[shard];
+  known = std::max(known, floor);
+}
+
+void WorkerHolder::OrderStop(Held& held,
+                             Attempt& attempt,
+                             bool take_checkpoint) {
+  if (attempt.stopping || attempt.state != RunState::kRunning) {
+    return;
+  }
+  attempt.stopping = true;
+  held.outbox.push_back({.kind = OrderKind::kStop,
+                         .shard = attempt.shard,
+                         .attempt = attempt.id,
+                         .take_checkpoint = take_checkpoint});
+  RebuildResidents(held);
+}
+
+void WorkerHolder::MarkEnded(Held& held,
+                             Attempt& attempt,
+                             AttemptEnd end,
+                             const std::string& checkpoint) {
+  attempt.state = RunState::kEnded;
+  attempt.end = end;
+  if (!checkpoint.empty()) {
+    attempt.checkpoint = checkpoint;
+  }
+  held.ledger.Release({attempt.shard, attempt.id});
+}
+
+void WorkerHolder::Announce(const Held& held, const Attempt& attempt) {
+  listener_.OnAttemptEnded(attempt.shard, MakeSighting(held, attempt));
+}
+
+void WorkerHolder::AnnounceEnded(const Held& held) {
+  // Copied first: the listener may call `Logged` at once.
+  std::vector<std::pair<ShardId, Sighting>> ended;
+  for (const auto& [key, attempt] : held.attempts) {
+    if (attempt.state == RunState::kEnded) {
+      ended.emplace_back(key.shard, MakeSighting(held, attempt));
+    }
+  }
+  for (const auto& [shard, sighting] : ended) {
+    listener_.OnAttemptEnded(shard, sighting);
+  }
+}
+
+void WorkerHolder::RebuildResidents(Held& held) {
+  held.residents.clear();
+  for (const auto& [key, attempt] : held.attempts) {
+    if (attempt.state == RunState::kRunning) {
+      held.residents.push_back(
+          {.key = key, .spec = &attempt.spec, .stopping = attempt.stopping});
+    }
+  }
+}
+
+}  // namespace doorwood
--- /dev/null
+++ b/src/libdoorwood/instance/instance_shards.cpp
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Job shards of an instance: opening, closing, doubting and finding owners.
+
+#include <algorithm>
+
+#include "doorwood/instance.h"
+
+namespace doorwood {
+namespace {
+
+constexpr Millis kOpenRetry{1000};
+
+}  // namespace
+
+void Instance::OpenShard(const ShardId& shard) {
+  const Instant now = executor_.Now();
+  const bool pause = now < next_open_[shard];
+  // While its owner is heard, the shard is taken only when it is handed over.
+  if (pause || !registered_ || !OwnerOf(shard).empty()) {
+    return;
+  }
+  next_open_[shard] = now + kOpenRetry;
+  auto owner = std::make_shared<ShardOwner>(
+      options_.owner, shard, options_.self.id, options_.incarnation, executor_,
+      kv_, static_cast<OwnerEnvironment&>(*this));
+  shards_[shard].owner = owner;
+  owner->set_lease_valid([this, alive = alive_]() {
+    return *alive && executor_.Now() < registration_valid_until_;
+  });
+  owner->set_on_fenced([this, alive = alive_, shard]() {
+    if (*alive) {
+      log_.Write("warn", "owner", "fenced", {{"shard", ToString(shard)}});
+      DropShard(shard);
+    }
+  });
+  owner->Open([this, alive = alive_, shard, owner](std::error_code error) {
+    const bool stale =
+        !*alive || !shards_.contains(shard) || shards_[shard].owner != owner;
+    if (stale) {
+      return;
+    }
+    if (error) {
+      log_.Write("debug", "owner", "shard not taken",
+                 {{"shard", ToString(shard)}, {"error", error.message()}});
+      DropShard(shard);
+      return;
+    }
+    shards_[shard].active = true;
+    holder_.Fence(shard, {owner->epoch(), 0});
+    log_.Write("info", "owner", "shard taken",
+               {{"shard", ToString(shard)},
+                {"epoch", owner->epoch()},
+                {"open_tasks", owner->open_tasks()}});
+    SendHeartbeats();
+  });
+}
+
+// True if the last renewal of the registration was answered lately.
+bool Instance::StoreReachable() const {
+  return executor_.Now() + options_.registration / 2 <
+         registration_valid_until_;
+}
+
+void Instance::CloseShard(const ShardId& shard) {
+  Owning& owning = shards_[shard];
+  // Without the store a shard cannot change hands, and pausing it would only
+  // hold up its jobs.
+  if (owning.closing || !owning.active || !StoreReachable()) {
+    return;
+  }
+  owning.closing = true;
+  owning.owner->Close([this, alive = alive_, shard](std::error_code error) {
+    if (!*alive || !shards_.contains(shard)) {
+      return;
+    }
+    if (error) {
+      shards_[shard].closing = false;
+      return;
+    }
+    log_.Write("info", "owner", "shard given away",
+               {{"shard", ToString(shard)}});
+    DropShard(shard);
+  });
+}
+
+void Instance::DropShard(const ShardId& shard) {
+  const auto owning = shards_.find(shard);
+  if (owning == shards_.end()) {
+    return;
+  }
+  const std::shared_ptr<ShardOwner> owner = owning->second.owner;
+  owner->Abandon();
+  shards_.erase(owning);
+}
+
+// After this instance's registration may have lapsed, others may have taken
+// its shards.
+void Instance::DoubtAllShards() {
+  for (auto& [shard, owning] : shards_) {
+    owning.in_doubt = true;
+  }
+}
+
+void Instance::VerifyShard(const ShardId& shard) {
+  Owning& owning = shards_[shard];
+  if (!owning.active || !owning.in_doubt || owning.verifying) {
+    return;
+  }
+  owning.verifying = true;
+  const std::shared_ptr<ShardOwner> owner = owning.owner;
+  owner->Verify([this, alive = alive_, shard, owner](std::error_code error) {
+    const bool stale =
+        !*alive || !shards_.contains(shard) || shards_[shard].owner != owner;
+    if (stale) {
+      return;
+    }
+    shards_[shard].verifying = false;
+    shards_[shard].in_doubt = static_cast<bool>(error);
+  });
+}
+
+ShardOwner* Instance::ActiveOwner(const ShardId& shard) {
+  const auto owning = shards_.find(shard);
+  const bool active = owning != shards_.end() && owning->second.active &&
+                      !owning->second.closing;
+  return active ? owning->second.owner.get() : nullptr;
+}
+
+// The heard instance that owns a shard at the highest epoch; empty: none.
+std::string Instance::OwnerOf(const ShardId& shard) const {
+  std::string best;
+  uint64_t best_epoch = 0;
+  for (const auto& [id, peer] : membership_.peers()) {
+    for (const OwnedShard& owned : peer.heartbeat.shards) {
+      if (owned.shard == shard && owned.epoch > best_epoch) {
+        best = id;
+        best_epoch = owned.epoch;
+      }
+    }
+  }
+  return best;
+}
+
+std::vector<ShardId> Instance::owned_shards() const {
+  std::vector<ShardId> owned;
+  for (const auto& [shard, owning] : shards_) {
+    if (owning.active) {
+      owned.push_back(shard);
+    }
+  }
+  return owned;
+}
+
+std::vector<const ShardOwner*> Instance::owners() const {
+  std::vector<const ShardOwner*> owners;
+  for (const auto& [shard, owning] : shards_) {
+    if (owning.active) {
+      owners.push_back(owning.owner.get());
+    }
+  }
+  return owners;
+}
+
+}  // namespace doorwood
--- /dev/null
+++ b/src/libdoorwood/owner/shard_placing.cpp
@@ -0,0 +1,260 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Placing of a shard owner: which task is next, whom to ask, what the answer
+// means.
+
+#include <algorithm>
+#include <tuple>
+
+#include "doorwood/error.h"
+#include "doorwood/shard_owner.h"
+
+namespace doorwood {
+
+void ShardOwner::SchedulePump(Millis delay) {
+  if (pump_scheduled_ && delay > Millis(0)) {
+    return;
+  }
+  pump_scheduled_ = true;
+  executor_.Schedule(delay, [self = shared_from_this()]() {
+    self->pump_scheduled_ = false;
+    if (self->active_) {
+      self->Pump();
+    }
+  });
+}
+
+void ShardOwner::Pump() {
+  const Instant now = executor_.Now();
+  std::vector<Task*> ready;
+  bool waiting = false;
+  for (auto& [id, task] : tasks_) {
+    if (task.stage != Stage::kQueued) {
+      continue;
+    }
+    if (task.not_before <= now) {
+      ready.push_back(&task);
+    } else {
+      waiting = true;
+    }
+  }
+  std::sort(ready.begin(), ready.end(), [this](const Task* a, const Task* b) {
+    const auto rank = [this](const Task* task) {
+      const TaskSpec& spec = SpecOf(*task);
+      const bool batch = spec.work_class == WorkClass::kBatch;
+      return std::make_tuple(batch, spec.yields, task->order);
+    };
+    return rank(a) < rank(b);
+  });
+  for (Task* task : ready) {
+    if (placing_ >= options_.most_placing) {
+      break;
+    }
+    // A task that cannot be placed now blocks nobody behind it.
+    TryPlace(*task);
+  }
+  if (waiting || !ready.empty()) {
+    SchedulePump(options_.retry_first);
+  }
+}
+
+bool ShardOwner::TryPlace(Task& task) {
+  if (IsCancelled(task)) {
+    LogEnd(task, NextAttempt(), AttemptEnd::kNotStarted, "", nullptr);
+    return false;
+  }
+  if (!WithinQuota(task)) {
+    Requeue(task, options_.retry_longest, "the member's quota is used up");
+    return false;
+  }
+  task.holder = ChooseHolder(task, &task.holder_incarnation);
+  if (task.holder.empty()) {
+    Requeue(task, task.retry, "no instance holds workers now");
+    return false;
+  }
+  task.attempt = NextAttempt();
+  ++placing_;
+  if (SpecOf(task).repeatable) {
+    AskHolder(task);
+  } else {
+    Intend(task);
+  }
+  return true;
+}
+
+bool ShardOwner::WithinQuota(const Task& task) const {
+  const JobState* job = log_->state().FindJob(task.id.job);
+  const MemberConfig* member =
+      FindMember(environment_.configuration(), job->job.member);
+  if (member == nullptr) {
+    return true;
+  }
+  // A member's jobs of one data centre are all in one shard, so this sum is
+  // complete.
+  Resources used = SpecOf(task).size;
+  for (const auto& [id, other] : tasks_) {
+    if (other.stage == Stage::kQueued) {
+      continue;
+    }
+    const JobState* other_job = log_->state().FindJob(id.job);
+    if (other_job->job.member == job->job.member) {
+      used = used + SpecOf(other).size;
+    }
+  }
+  return Fits(used, member->quota);
+}
+
+std::string ShardOwner::ChooseHolder(const Task& task,
+                                     uint64_t* incarnation) const {
+  const TaskSpec& spec = SpecOf(task);
+  std::vector<HolderView> fitting;
+  std::vector<HolderView> others;
+  for (const HolderView& holder : environment_.Holders()) {
+    if (holder.workers == 0 || task.never_at.contains(holder.instance)) {
+      continue;
+    }
+    const bool fits = Fits(spec.size, holder.largest_room);
+    (fits ? fitting : others).push_back(holder);
+  }
+  const std::vector<HolderView>& pool = fitting.empty() ? others : fitting;
+  if (pool.empty()) {
+    return "";
+  }
+  // The better of two random choices: near the best spread, and instances
+  // with the same view do not all pick the same holder.
+  const HolderView& a = pool[executor_.Random() % pool.size()];
+  const HolderView& b = pool[executor_.Random() % pool.size()];
+  const HolderView& chosen = a.free.cpu_millis >= b.free.cpu_millis ? a : b;
+  *incarnation = chosen.incarnation;
+  return chosen.instance;
+}
+
+// Logs the start before it is ordered: what may not be repeated is started
+// only under a logged intent.
+void ShardOwner::Intend(Task& task) {
+  task.stage = Stage::kIntending;
+  const TaskId id = task.id;
+  const AttemptId attempt = task.attempt;
+  log_->Append(IntentRecord{id, attempt}, /*refusable=*/true,
+               [self = shared_from_this(), id, attempt](std::error_code error) {
+                 Task* found = self->Find(id);
+                 const bool current = self->active_ && found != nullptr &&
+                                      found->attempt == attempt &&
+                                      found->stage == Stage::kIntending;
+                 if (current && !error) {
+                   self->AskHolder(*found);
+                   return;
+                 }
+                 --self->placing_;
+                 if (!current) {
+                   return;
+                 }
+                 // An intent that may be logged belongs to an attempt that is
+                 // never ordered; the next attempt has a new id.
+                 self->Requeue(*found, self->options_.retry_longest,
+                               "the intent could not be logged");
+               });
+}
+
+void ShardOwner::AskHolder(Task& task) {
+  task.stage = Stage::kPlacing;
+  const TaskState& state = *log_->state().FindTask(task.id);
+  PlaceRequest request{.shard = shard_,
+                       .attempt = task.attempt,
+                       .task = task.id,
+                       .spec = state.spec,
+                       .checkpoint = state.checkpoint};
+  ApplyRules(environment_.configuration(), &request.spec);
+  environment_.CallInstance(
+      task.holder, std::move(request), options_.call_timeout,
+      [self = shared_from_this(), id = task.id, attempt = task.attempt](
+          std::error_code error, const PeerReply& reply) {
+        self->OnPlaceReply(id, attempt, error, reply);
+      });
+}
+
+void ShardOwner::OnPlaceReply(const TaskId& id,
+                              const AttemptId& attempt,
+                              std::error_code error,
+                              const PeerReply& reply) {
+  --placing_;
+  Task* task = Find(id);
+  const bool current = active_ && task != nullptr && task->attempt == attempt &&
+                       task->stage == Stage::kPlacing;
+  if (!current) {
+    return;
+  }
+  if (error == make_error_code(PeerErrc::kNotSent)) {
+    OnRefused(*task, "the holder could not be reached");
+    return;
+  }
+  const auto* answer = std::get_if<PlaceReply>(&reply);
+  if (error || answer == nullptr) {
+    task->stage = Stage::kUnresolved;
+    Record(id, "unresolved", "no answer from holder " + task->holder);
+    ScheduleCensus(Millis(0));
+    return;
+  }
+  if (!answer->placed) {
+    OnRefused(*task, answer->reason);
+    return;
+  }
+  task->stage = Stage::kRunning;
+  task->worker = answer->worker;
+  task->retry = options_.retry_first;
+  task->reason.clear();
+  task->never_at.clear();
+  ++counters_.placed;
+  Record(id, "placed",
+         "attempt " + ToString(attempt) + " on worker " + answer->worker +
+             " by holder " + task->holder);
+  if (IsCancelled(*task)) {
+    StopTask(*task);
+  }
+}
+
+void ShardOwner::OnRefused(Task& task, const std::string& reason) {
+  ++counters_.refused;
+  Millis pause = task.retry;
+  task.retry = std::min(task.retry * 2, options_.retry_longest);
+  if (reason.starts_with("never: ")) {
+    task.never_at.insert(task.holder);
+    bool all = true;
+    for (const HolderView& holder : environment_.Holders()) {
+      all = all &&
+            (holder.workers == 0 || task.never_at.contains(holder.instance));
+    }
+    if (all) {
+      task.never_at.clear();
+      pause = options_.unplaceable_retry;
+      Record(task.id, "unplaceable", reason);
+    }
+  }
+  const bool intent_logged = !SpecOf(task).repeatable;
+  if (!intent_logged) {
+    Requeue(task, pause, reason);
+    return;
+  }
+  // The refusal proves that the logged intent never became a start.
+  const TaskId id = task.id;
+  LogEnd(task, task.attempt, AttemptEnd::kNotStarted, "",
+         [self = shared_from_this(), id, pause, reason](bool logged) {
+           Task* found = self->Find(id);
+           if (logged && found != nullptr) {
+             self->Requeue(*found, pause, reason);
+           }
+         });
+}
+
+void ShardOwner::Requeue(Task& task, Millis delay, std::string reason) {
+  task.stage = Stage::kQueued;
+  task.not_before = executor_.Now() + delay;
+  task.worker.clear();
+  if (task.reason != reason) {
+    Record(task.id, "waiting", reason);
+  }
+  task.reason = std::move(reason);
+  SchedulePump(std::max(delay, Millis(1)));
+}
+
+}  // namespace doorwood
--- /dev/null
+++ b/src/libdoorwood/owner/shard_takeover.cpp
@@ -0,0 +1,232 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Takeover of a shard's log: head, seal, replay.
+
+#include <algorithm>
+
+#include "doorwood/error.h"
+#include "doorwood/shard_log.h"
+#include "shard_log_entries.h"
+
+namespace doorwood {
+
+using pvt::EpochOf;
+using pvt::Is;
+using pvt::PositionOf;
+
+namespace {
+
+constexpr int kReplayTries = 5;
+
+}  // namespace
+
+void ShardLog::Open(Done done) {
+  kv_.Read(HeadKey(), [self = shared_from_this(), done](std::error_code error,
+                                                        KvEntry head) {
+    if (error && !Is(error, KvErrc::kNotFound)) {
+      done(ToCoreError(error));
+      return;
+    }
+    self->CheckOwner(head, done);
+  });
+}
+
+void ShardLog::CheckOwner(const KvEntry& head, Done done) {
+  const auto json = ParseJson(head.value);
+  const std::string owner = json ? json->value("owner", "") : "";
+  const uint64_t epoch = json ? json->value("epoch", uint64_t{0}) : 0;
+  const uint64_t incarnation =
+      json ? json->value("incarnation", uint64_t{0}) : 0;
+  const bool free = owner.empty() || owner == instance_;
+  if (free) {
+    TakeHead(head.version, epoch + 1, done);
+    return;
+  }
+  // The owner's registration goes when its lease lapses.
+  kv_.Read(AliveKey(shard_.data_centre, owner),
+           [self = shared_from_this(), version = head.version, epoch,
+            incarnation, done](std::error_code error, const KvEntry& alive) {
+             if (Is(error, KvErrc::kNotFound)) {
+               self->TakeHead(version, epoch + 1, done);
+               return;
+             }
+             if (error) {
+               done(ToCoreError(error));
+               return;
+             }
+             const bool restarted = alive.value != std::to_string(incarnation);
+             if (restarted) {
+               self->TakeHead(version, epoch + 1, done);
+               return;
+             }
+             done(CoreErrc::kConflict);
+           });
+}
+
+void ShardLog::TakeHead(int64_t version, uint64_t epoch, Done done) {
+  const Json head{
+      {"owner", instance_}, {"incarnation", incarnation_}, {"epoch", epoch}};
+  const KvWrite write{.key = HeadKey(),
+                      .value = head.dump(),
+                      .expected_version = version,
+                      .priority = KvPriority::kLease};
+  kv_.Write(write, [self = shared_from_this(), epoch, done](
+                       std::error_code error, int64_t new_version) {
+    if (Is(error, KvErrc::kUnknown)) {
+      self->ConfirmHead(epoch, done);
+      return;
+    }
+    if (error) {
+      done(ToCoreError(error));
+      return;
+    }
+    self->epoch_ = epoch;
+    self->head_version_ = new_version;
+    self->Seal(done);
+  });
+}
+
+void ShardLog::ConfirmHead(uint64_t epoch, Done done) {
+  kv_.Read(HeadKey(), [self = shared_from_this(), epoch, done](
+                          std::error_code error, const KvEntry& head) {
+    const auto json = error ? std::nullopt : ParseJson(head.value);
+    const bool mine =
+        json && json->value("owner", "") == self->instance_ &&
+        json->value("incarnation", uint64_t{0}) == self->incarnation_ &&
+        json->value("epoch", uint64_t{0}) == epoch;
+    if (!mine) {
+      done(error ? ToCoreError(error) : make_error_code(CoreErrc::kConflict));
+      return;
+    }
+    self->epoch_ = epoch;
+    self->head_version_ = head.version;
+    self->Seal(done);
+  });
+}
+
+void ShardLog::Seal(Done done) {
+  kv_.Read(SnapshotKey(), [self = shared_from_this(), done](
+                              std::error_code error, const KvEntry& snapshot) {
+    if (error && !Is(error, KvErrc::kNotFound)) {
+      done(ToCoreError(error));
+      return;
+    }
+    const auto json = ParseJson(snapshot.value);
+    const int64_t after = json ? json->value("position", int64_t{0}) : 0;
+    self->kv_.List(
+        self->LogPrefix(), [self, after, done](std::error_code list_error,
+                                               std::vector<KvEntry> entries) {
+          if (list_error) {
+            done(ToCoreError(list_error));
+            return;
+          }
+          if (!entries.empty() && EpochOf(entries.back()) > self->epoch_) {
+            // A newer owner sealed the log while this one was held up.
+            done(CoreErrc::kConflict);
+            return;
+          }
+          const int64_t last = entries.empty() ? 0 : PositionOf(entries.back());
+          self->WriteSeal(std::max(last, after) + 1, done);
+        });
+  });
+}
+
+void ShardLog::WriteSeal(int64_t position, Done done) {
+  const Json seal{{"epoch", epoch_},
+                  {"owner", instance_},
+                  {"incarnation", incarnation_},
+                  {"records", Json::array()}};
+  const KvWrite write{.key = LogKey(position),
+                      .value = seal.dump(),
+                      .expected_version = 0,
+                      .priority = KvPriority::kLease};
+  kv_.Write(write, [self = shared_from_this(), position, done](
+                       std::error_code error, int64_t) {
+    const bool look_again =
+        Is(error, KvErrc::kConflict) || Is(error, KvErrc::kUnknown);
+    if (look_again) {
+      // Either the old owner appended first, or the answer was lost. A second
+      // seal of the same epoch does no harm.
+      if (++self->replay_tries_ > kReplayTries) {
+        done(CoreErrc::kOutcomeUnknown);
+        return;
+      }
+      self->Seal(done);
+      return;
+    }
+    if (error) {
+      done(ToCoreError(error));
+      return;
+    }
+    self->position_ = position;
+    self->replay_tries_ = 0;
+    self->Replay(done);
+  });
+}
+
+void ShardLog::Replay(Done done) {
+  kv_.Read(SnapshotKey(), [self = shared_from_this(), done](
+                              std::error_code error, const KvEntry& snapshot) {
+    if (error && !Is(error, KvErrc::kNotFound)) {
+      done(ToCoreError(error));
+      return;
+    }
+    self->kv_.List(self->LogPrefix(),
+                   [self, snapshot, done](std::error_code list_error,
+                                          std::vector<KvEntry> entries) {
+                     if (list_error) {
+                       done(ToCoreError(list_error));
+                       return;
+                     }
+                     self->ReplayEntries(snapshot, entries, done);
+                   });
+  });
+}
+
+void ShardLog::ReplayEntries(const KvEntry& snapshot,
+                             const std::vector<KvEntry>& entries,
+                             Done done) {
+  state_ = ShardState();
+  snapshot_position_ = 0;
+  snapshot_version_ = snapshot.version;
+  const auto json = ParseJson(snapshot.value);
+  if (json) {
+    snapshot_position_ = json->at("position").get<int64_t>();
+    state_ = ShardState::FromSnapshot(json->at("state"));
+  }
+  if (ApplyEntries(entries)) {
+    open_ = true;
+    done(std::error_code());
+    return;
+  }
+  // The old owner truncated the log between the two reads.
+  if (++replay_tries_ > kReplayTries) {
+    done(CoreErrc::kStoreUnavailable);
+    return;
+  }
+  Replay(done);
+}
+
+// True if the entries continue the snapshot without a gap up to the seal.
+bool ShardLog::ApplyEntries(const std::vector<KvEntry>& entries) {
+  int64_t next = snapshot_position_ + 1;
+  for (const KvEntry& entry : entries) {
+    const int64_t position = PositionOf(entry);
+    if (position < next) {
+      continue;
+    }
+    if (position != next) {
+      return false;
+    }
+    const auto json = ParseJson(entry.value);
+    if (json) {
+      for (const Json& record : json->at("records")) {
+        state_.Apply(ParseLogRecord(record));
+      }
+    }
+    ++next;
+  }
+  return next == position_ + 1;
+}
+
+}  // namespace doorwood
