--- a/src/build-scripts/demo.sh
+++ b/src/build-scripts/demo.sh
@@ -14,14 +14,8 @@
 for n in 1 2 3; do add_worker "w$n" plaka "r$n" --cpu-millis 4000 --memory-mib 8192; done
 add_backend b1 plaka w1 listening-stream 8
 add_backend b2 plaka w2 listening-stream 8
-add_entry plaka-1 plaka
-add_entry plaka-2 plaka
-start_list
 say "starting two entry instances: plaka-1 and plaka-2"
-start_entry plaka-1
-start_entry plaka-2
-within 20 workers_held plaka-1 3 || fail "the workers were not acquired"
-within 20 shards_owned plaka-1 8 || fail "the job shards were not taken"
+start_plaka 3
 cli plaka-1 worker list
 
 say "an operator applies a configuration"
--- a/src/doorwoodd/daemon.cpp
+++ b/src/doorwoodd/daemon.cpp
@@ -237,6 +237,10 @@
   return future.get();
 }
 
+void Daemon::Release(const std::string& key, const std::string& request) {
+  executor_.Post([this, key, request]() { instance_->Unclaim(key, request); });
+}
+
 // --- RequestObserver --------------------------------------------------------
 
 void Daemon::OnRequest(const CallerRequest& request,
@@ -245,7 +249,11 @@
   metrics_.OnRequest(request, response, took);
   // What went well is of interest only when somebody looks for it.
   const bool answered = response.fate == RequestFate::kAnswered;
-  log_.Write(answered ? "debug" : "info", "request", ToString(response.fate),
+  const char* level = answered ? "debug" : "info";
+  if (!log_.IsEnabled(level)) {
+    return;
+  }
+  log_.Write(level, "request", ToString(response.fate),
              {{"request", request.id},
               {"service", request.service},
               {"member", request.member},
@@ -253,8 +261,4 @@
               {"took_ms", took.count()}});
 }
 
-void Daemon::Release(const std::string& key, const std::string& request) {
-  executor_.Post([this, key, request]() { instance_->Unclaim(key, request); });
-}
-
 }  // namespace doorwood
--- a/src/fakes/fakes.h
+++ b/src/fakes/fakes.h
@@ -278,6 +278,7 @@
   FakeLog(VirtualTime& time, std::string name, Trace& trace)
       : time_(time), name_(std::move(name)), trace_(trace) {}
 
+  bool IsEnabled(std::string_view) const override { return true; }
   void Write(std::string_view level,
              std::string_view component,
              std::string_view message,
--- a/src/include/doorwood/holder.h
+++ b/src/include/doorwood/holder.h
@@ -159,7 +159,6 @@
                  Attempt& attempt,
                  AttemptEnd end,
                  const std::string& checkpoint);
-  void Announce(const Held& held, const Attempt& attempt);
   void AnnounceEnded(const Held& held);
   void RebuildResidents(Held& held);
   PlaceReply StartOn(const std::shared_ptr<Held>& held,
--- a/src/include/doorwood/instance.h
+++ b/src/include/doorwood/instance.h
@@ -51,6 +51,9 @@
  public:
   virtual ~EventLog() = default;
 
+  /// False: lines of this level are dropped, and their fields need not be
+  /// put together.
+  virtual bool IsEnabled(std::string_view level) const = 0;
   /// `fields` is a JSON object.
   virtual void Write(std::string_view level,
                      std::string_view component,
--- a/src/libdoorwood/config/config_keeper.cpp
+++ b/src/libdoorwood/config/config_keeper.cpp
@@ -17,10 +17,6 @@
 constexpr size_t kLargestText = 64 * 1024;
 constexpr int kTries = 5;
 
-bool Is(std::error_code error, KvErrc errc) {
-  return error == make_error_code(errc);
-}
-
 uint64_t RevisionOf(const Json& stored) {
   return stored.value("revision", uint64_t{0});
 }
@@ -185,7 +181,7 @@
                             std::function<void(ConfigOutcome)> done) {
   kv_.Read(kCurrentKey, [self = shared_from_this(), change, tries, done](
                             std::error_code error, const KvEntry& entry) {
-    if (error && !Is(error, KvErrc::kNotFound)) {
+    if (error && error != KvErrc::kNotFound) {
       // Reading changes nothing, whatever became of the answer.
       done({CoreErrc::kStoreUnavailable, self->revision_, {}});
       return;
@@ -225,11 +221,11 @@
       done({std::error_code(), revision, {}});
       return;
     }
-    if (Is(error, KvErrc::kUnknown)) {
+    if (error == KvErrc::kUnknown) {
       self->ConfirmChange(change, done);
       return;
     }
-    if (Is(error, KvErrc::kConflict) && tries > 1) {
+    if (error == KvErrc::kConflict && tries > 1) {
       self->TryApply(change, tries - 1, done);
       return;
     }
@@ -260,7 +256,7 @@
                               std::function<void(std::error_code)> done) {
   kv_.Read(kDrainedKey, [self = shared_from_this(), worker, drained, done](
                             std::error_code error, const KvEntry& entry) {
-    if (error && !Is(error, KvErrc::kNotFound)) {
+    if (error && error != KvErrc::kNotFound) {
       done(CoreErrc::kStoreUnavailable);
       return;
     }
--- a/src/libdoorwood/holder/holder_attempts.cpp
+++ b/src/libdoorwood/holder/holder_attempts.cpp
@@ -174,10 +174,6 @@
   held.ledger.Release({attempt.shard, attempt.id});
 }
 
-void WorkerHolder::Announce(const Held& held, const Attempt& attempt) {
-  listener_.OnAttemptEnded(attempt.shard, MakeSighting(held, attempt));
-}
-
 void WorkerHolder::AnnounceEnded(const Held& held) {
   // Copied first: the listener may call `Logged` at once.
   std::vector<std::pair<ShardId, Sighting>> ended;
--- a/src/libdoorwood/holder/placement.cpp
+++ b/src/libdoorwood/holder/placement.cpp
@@ -63,9 +63,16 @@
                        });
   }
 
+  bool HasRoom(const TaskSpec& spec, const WorkerView& worker) const {
+    return worker.open && Fits(spec.size, worker.free);
+  }
+
+  bool LabelsAllow(const TaskSpec& spec, const WorkerView& worker) {
+    return MayUse(spec, worker) && AcceptsResidents(spec, worker);
+  }
+
   bool CanStart(const TaskSpec& spec, const WorkerView& worker) {
-    return worker.open && Fits(spec.size, worker.free) &&
-           MayUse(spec, worker) && AcceptsResidents(spec, worker);
+    return HasRoom(spec, worker) && LabelsAllow(spec, worker);
   }
 
  private:
@@ -125,14 +132,14 @@
     int64_t best_score = std::numeric_limits<int64_t>::min();
     for (size_t i = 0; i < workers.size(); ++i) {
       const WorkerView& worker = workers[i];
-      if (!worker.open || !Fits(spec.size, worker.free)) {
+      if (!rules_.HasRoom(spec, worker)) {
         continue;
       }
       // Labels are looked at last, and only where the score would win: that
       // is what takes time at 1,500 workers.
       const int64_t room = Room(worker);
       const int64_t score = service ? room : -room;
-      if (score > best_score && rules_.CanStart(spec, worker)) {
+      if (score > best_score && rules_.LabelsAllow(spec, worker)) {
         best_score = score;
         best.worker = static_cast<int>(i);
       }
--- a/src/libdoorwood/owner/shard_log.cpp
+++ b/src/libdoorwood/owner/shard_log.cpp
@@ -12,7 +12,6 @@
 namespace doorwood {
 
 using pvt::EpochOf;
-using pvt::Is;
 
 std::string AliveKey(const std::string& data_centre,
                      const std::string& instance) {
@@ -137,12 +136,12 @@
     BelieveOrConfirm();
     return;
   }
-  if (Is(error, KvErrc::kConflict)) {
+  if (error == KvErrc::kConflict) {
     OnPositionTaken();
     return;
   }
   failing_ = true;
-  if (Is(error, KvErrc::kUnknown)) {
+  if (error == KvErrc::kUnknown) {
     batch_may_exist_ = true;
   }
   RefuseRefusable(batch_may_exist_
@@ -297,7 +296,7 @@
 void ShardLog::Verify(Done done) {
   kv_.Read(HeadKey(), [self = shared_from_this(), done](std::error_code error,
                                                         const KvEntry& head) {
-    if (error && !Is(error, KvErrc::kNotFound)) {
+    if (error && error != KvErrc::kNotFound) {
       done(ToCoreError(error));
       return;
     }
@@ -334,7 +333,7 @@
       return;
     }
     const bool read_back =
-        Is(error, KvErrc::kUnknown) || Is(error, KvErrc::kConflict);
+        error == KvErrc::kUnknown || error == KvErrc::kConflict;
     if (!read_back) {
       return;
     }
@@ -382,7 +381,7 @@
                       .priority = KvPriority::kLease};
   kv_.Write(write, [self = shared_from_this()](std::error_code error, int64_t) {
     const bool unclear =
-        Is(error, KvErrc::kUnknown) || Is(error, KvErrc::kConflict);
+        error == KvErrc::kUnknown || error == KvErrc::kConflict;
     if (unclear) {
       self->ConfirmClosed();
       return;
--- a/src/libdoorwood/owner/shard_log_entries.h
+++ b/src/libdoorwood/owner/shard_log_entries.h
@@ -6,19 +6,14 @@
 #ifndef DOORWOOD_OWNER_SHARD_LOG_ENTRIES_H_
 #define DOORWOOD_OWNER_SHARD_LOG_ENTRIES_H_
 
+#include <cstdint>
 #include <string>
-#include <system_error>
 
-#include "doorwood/error.h"
 #include "doorwood/json_codec.h"
 #include "doorwood/kv.h"
 
 namespace doorwood::pvt {
 
-inline bool Is(std::error_code error, KvErrc errc) {
-  return error == make_error_code(errc);
-}
-
 // Position at the end of a log key.
 inline int64_t PositionOf(const KvEntry& entry) {
   return std::stoll(entry.key.substr(entry.key.rfind('/') + 1));
--- a/src/libdoorwood/owner/shard_takeover.cpp
+++ b/src/libdoorwood/owner/shard_takeover.cpp
@@ -11,7 +11,6 @@
 namespace doorwood {
 
 using pvt::EpochOf;
-using pvt::Is;
 using pvt::PositionOf;
 
 namespace {
@@ -23,7 +22,7 @@
 void ShardLog::Open(Done done) {
   kv_.Read(HeadKey(), [self = shared_from_this(), done](std::error_code error,
                                                         KvEntry head) {
-    if (error && !Is(error, KvErrc::kNotFound)) {
+    if (error && error != KvErrc::kNotFound) {
       done(ToCoreError(error));
       return;
     }
@@ -46,7 +45,7 @@
   kv_.Read(AliveKey(shard_.data_centre, owner),
            [self = shared_from_this(), version = head.version, epoch,
             incarnation, done](std::error_code error, const KvEntry& alive) {
-             if (Is(error, KvErrc::kNotFound)) {
+             if (error == KvErrc::kNotFound) {
                self->TakeHead(version, epoch + 1, done);
                return;
              }
@@ -72,7 +71,7 @@
                       .priority = KvPriority::kLease};
   kv_.Write(write, [self = shared_from_this(), epoch, done](
                        std::error_code error, int64_t new_version) {
-    if (Is(error, KvErrc::kUnknown)) {
+    if (error == KvErrc::kUnknown) {
       self->ConfirmHead(epoch, done);
       return;
     }
@@ -107,7 +106,7 @@
 void ShardLog::Seal(Done done) {
   kv_.Read(SnapshotKey(), [self = shared_from_this(), done](
                               std::error_code error, const KvEntry& snapshot) {
-    if (error && !Is(error, KvErrc::kNotFound)) {
+    if (error && error != KvErrc::kNotFound) {
       done(ToCoreError(error));
       return;
     }
@@ -143,7 +142,7 @@
   kv_.Write(write, [self = shared_from_this(), position, done](
                        std::error_code error, int64_t) {
     const bool look_again =
-        Is(error, KvErrc::kConflict) || Is(error, KvErrc::kUnknown);
+        error == KvErrc::kConflict || error == KvErrc::kUnknown;
     if (look_again) {
       // Either the old owner appended first, or the answer was lost. A second
       // seal of the same epoch does no harm.
@@ -167,7 +166,7 @@
 void ShardLog::Replay(Done done) {
   kv_.Read(SnapshotKey(), [self = shared_from_this(), done](
                               std::error_code error, const KvEntry& snapshot) {
-    if (error && !Is(error, KvErrc::kNotFound)) {
+    if (error && error != KvErrc::kNotFound) {
       done(ToCoreError(error));
       return;
     }
--- a/src/log.adapter/json_log.cpp
+++ b/src/log.adapter/json_log.cpp
@@ -63,12 +63,15 @@
     : instance_(std::move(instance)),
       logger_(log4cplus::Logger::getInstance("doorwood")) {}
 
+bool JsonLog::IsEnabled(std::string_view level) const {
+  return logger_.isEnabledFor(LevelOf(level));
+}
+
 void JsonLog::Write(std::string_view level,
                     std::string_view component,
                     std::string_view message,
                     const Json& fields) {
-  const log4cplus::LogLevel log_level = LevelOf(level);
-  if (!logger_.isEnabledFor(log_level)) {
+  if (!IsEnabled(level)) {
     return;
   }
   Json line{{"time", Timestamp()},
@@ -79,7 +82,7 @@
   line.update(fields);
   const std::string text =
       line.dump(-1, ' ', false, Json::error_handler_t::replace);
-  logger_.log(log_level, text);
+  logger_.log(LevelOf(level), text);
 }
 
 }  // namespace doorwood
--- a/src/log.adapter/json_log.h
+++ b/src/log.adapter/json_log.h
@@ -22,6 +22,7 @@
   /// `instance` stands in each line.
   explicit JsonLog(std::string instance);
 
+  bool IsEnabled(std::string_view level) const override;
   void Write(std::string_view level,
              std::string_view component,
              std::string_view message,
--- a/testsuite/cut/run.sh
+++ b/testsuite/cut/run.sh
@@ -10,10 +10,8 @@
 # start_link NAME TARGET: a way that can be cut, between NAME and TARGET.
 start_link() {
   PORT[$1]=$(free_port)
-  PORT[$1.way]=$(free_port)
-  "$BIN/doorwood-standin" link --listen "127.0.0.1:${PORT[$1.way]}" --control "127.0.0.1:${PORT[$1]}" --target "127.0.0.1:$2" >"$WORK/$1.out" 2>&1 &
-  PID[$1]=$!
-  STARTED+=("$1")
+  start_standin "$1.way" link --control "127.0.0.1:${PORT[$1]}" --target "127.0.0.1:$2"
+  PID[$1]=${PID[$1.way]}
 }
 
 begin
--- a/testsuite/freeze/run.sh
+++ b/testsuite/freeze/run.sh
@@ -7,13 +7,7 @@
 begin
 for n in 1 2; do add_worker "w$n" plaka "r$n" --cpu-millis 8000 --memory-mib 16384; done
 add_backend b1 plaka w1 listening-stream 4
-add_entry plaka-1 plaka
-add_entry plaka-2 plaka
-start_list
-start_entry plaka-1
-start_entry plaka-2
-within 30 workers_held plaka-1 2 || fail "workers not held"
-within 30 shards_owned plaka-1 8 || fail "shards not owned"
+start_plaka 2
 apply_config plaka-1 || fail "configuration"
 
 job_file long 5 run-ms=26000
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -138,6 +138,18 @@
   STARTED+=("$name")
 }
 
+# start_plaka WORKERS: starts the list and the entry instances plaka-1 and
+# plaka-2, and waits until all workers are held and all shards owned.
+start_plaka() {
+  add_entry plaka-1 plaka
+  add_entry plaka-2 plaka
+  start_list
+  start_entry plaka-1
+  start_entry plaka-2
+  within 30 workers_held plaka-1 "$1" || fail "workers not held"
+  within 30 shards_owned plaka-1 8 || fail "shards not owned"
+}
+
 # within SECONDS COMMAND...: repeats until it succeeds.
 within() {
   local end=$((SECONDS + $1))
--- a/testsuite/path/run.sh
+++ b/testsuite/path/run.sh
@@ -8,13 +8,7 @@
 add_worker w1 plaka r1 --cpu-millis 4000 --memory-mib 8192
 add_worker w2 plaka r2 --cpu-millis 4000 --memory-mib 8192
 add_backend b1 plaka w1 listening-stream 2
-add_entry plaka-1 plaka
-add_entry plaka-2 plaka
-start_list
-start_entry plaka-1
-start_entry plaka-2
-within 30 workers_held plaka-1 2 || fail "workers not held"
-within 30 shards_owned plaka-1 8 || fail "shards not owned"
+start_plaka 2
 
 cat >"$WORK/config.yaml" <<'EOF'
 services:
--- a/testsuite/restarts/run.sh
+++ b/testsuite/restarts/run.sh
@@ -8,13 +8,7 @@
 for n in 1 2 3; do add_worker "w$n" plaka "r$n" --cpu-millis 8000 --memory-mib 16384; done
 add_backend b1 plaka w1 listening-stream 4
 add_backend b2 plaka w2 listening-stream 4
-add_entry plaka-1 plaka
-add_entry plaka-2 plaka
-start_list
-start_entry plaka-1
-start_entry plaka-2
-within 30 workers_held plaka-1 3 || fail "workers not held"
-within 30 shards_owned plaka-1 8 || fail "shards not owned"
+start_plaka 3
 apply_config plaka-1 || fail "configuration"
 targets="127.0.0.1:${PORT[plaka-1]},127.0.0.1:${PORT[plaka-2]}"
 
