--- a/src/libdoorwood/config/config_follower.cpp
+++ b/src/libdoorwood/config/config_follower.cpp
@@ -37,7 +37,7 @@
     if (!reachable_) {
       reachable_ = true;
       log_.Write("info", "config", "the configuration can be read again",
-                 Json{});
+                 Json::object());
     }
     read_at_ = executor_.Now();
     Take(snapshot);
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -256,7 +256,7 @@
   // The store may take keys away without a word about the lease.
   if (lease_ && registered_ && !instances_.contains(self_.name)) {
     registered_ = false;
-    log_.Write("warn", "live", "own key is gone; registering again", Json{});
+    log_.Write("warn", "live", "own key is gone; registering again", Json::object());
     Register();
   }
 }
--- a/src/log.adapter/json_log.cpp
+++ b/src/log.adapter/json_log.cpp
@@ -79,7 +79,9 @@
             {"instance", instance_},
             {"component", component},
             {"message", message}};
-  line.update(fields);
+  if (fields.is_object()) {
+    line.update(fields);
+  }
   const std::string text =
       line.dump(-1, ' ', false, Json::error_handler_t::replace);
   logger_.log(LogLevelOf(level), text);
