--- a/src/celld/entry_daemon.h
+++ b/src/celld/entry_daemon.h
@@ -60,10 +60,10 @@
   platform::Workers workers_;
   platform::Directory directory_;
   platform::Config config_source_;
+  HttpPeers peers_;
   LiveDirectory live_;
   ConfigFollower config_;
   CellLeader cell_;
-  HttpPeers peers_;
   Ingress ingress_;
   platform::Front front_;
   PeerService peer_service_;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -46,9 +46,10 @@
   Millis keep_finished{150'000};
   /// Pause before a candidate tries again, a step of its rank.
   Millis campaign_step{120};
-  /// How long a leader goes on without word from the store that it leads. Its
-  /// successor, once there is one, fences it off at each worker.
-  Millis unsure_patience{15'000};
+  /// How long a leader goes on after its lease may have run out, where others
+  /// may hear the store and take the lead. A successor waits this long, and a
+  /// run's lease, before it starts what an unheard worker may still run.
+  Millis unsure_patience{3000};
 };
 
 enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
--- a/src/include/doorwood/entry_settings.h
+++ b/src/include/doorwood/entry_settings.h
@@ -17,6 +17,15 @@
 
 namespace doorwood {
 
+/// Which workers one cell has.
+enum class CellSpan {
+  /// Those of all data centres: one leader packs all work. Up to some hundred
+  /// workers.
+  kEverywhere,
+  /// Those of one data centre.
+  kDataCentre,
+};
+
 struct EntrySettings {
   std::string instance;
   std::string data_centre;
@@ -31,6 +40,7 @@
   /// The adviser of queues that need one; empty: none.
   std::string adviser;
   std::string log_level = "info";
+  CellSpan cell_span = CellSpan::kEverywhere;
   /// Share of a processor that the machine has.
   double cpu_share = 1.0;
   /// Time between the order to stop and the end by force.
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -46,6 +46,16 @@
   uint64_t nonce = 0;
 };
 
+/// Port to other instances: how long ago they last heard the store.
+class StoreHearing {
+ public:
+  using Callback = std::function<void(std::error_code, Millis age)>;
+
+  virtual ~StoreHearing() = default;
+
+  virtual void Ask(const LiveInstance& instance, Callback done) = 0;
+};
+
 struct LiveOptions {
   /// After so long without renewal the store drops this process's keys. A
   /// successor needs this time to see a death.
@@ -55,6 +65,12 @@
   /// Full reads, against watches that hear nothing.
   Millis list_interval{2500};
   Millis retry_pause{150};
+  /// After this silence of the store the others are asked whether they hear
+  /// it, this often.
+  Millis silence_to_ask{800};
+  Millis ask_interval{400};
+  /// How long an answer counts.
+  Millis answer_counts{1500};
 };
 
 class LiveDirectory {
@@ -63,6 +79,7 @@
 
   LiveDirectory(Executor& executor,
                 RecordStore& store,
+                StoreHearing& hearing,
                 EventLog& log,
                 const LiveOptions& options,
                 LiveInstance self);
@@ -78,6 +95,11 @@
   std::optional<int64_t> lease() const { return lease_; }
   /// The store has confirmed the lease so lately that it can't have run out.
   bool IsLeaseSure() const;
+  /// When the lease was last sure.
+  Instant lease_sure_until() const { return lease_sure_until_; }
+  /// Instances of every known data centre have said lately that they do not
+  /// hear the store either: nobody can take a lead.
+  bool IsStoreDownForAll() const;
   /// When the store last answered anything here.
   Instant store_heard_at() const { return store_heard_at_; }
 
@@ -104,9 +126,11 @@
   void Apply(const StoreItem& item);
   void Replace(const StoreItems& items);
   void ReturnIfGone();
+  void AskOthers();
 
   Executor& executor_;
   RecordStore& store_;
+  StoreHearing& hearing_;
   EventLog& log_;
   const LiveOptions options_;
   LiveInstance self_;
@@ -122,6 +146,9 @@
   int64_t at_ = 0;
   std::map<std::string, LiveInstance> instances_;
   std::map<std::string, CellLead> leads_;
+  /// By data centre: when an instance there last said that it does not hear
+  /// the store.
+  std::map<std::string, Instant> deaf_at_;
 };
 
 }  // namespace doorwood
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -137,6 +137,8 @@
   void Stop(const std::string& task);
   void SetPace(const std::string& task, int percent);
 
+  /// False: the leader is not sure to lead and prolongs nothing.
+  void SetMayExtend(bool may_extend) { may_extend_ = may_extend; }
   /// Lists what has ended up to here; only these may be forgotten.
   void MarkRecorded(uint64_t end_number);
   /// Newer word from the directory; `life.id` stays.
@@ -200,6 +202,7 @@
   WorkerLife life_;
   const uint64_t token_;
 
+  bool may_extend_ = true;
   bool closed_ = false;
   bool dead_ = false;
   bool fenced_ = false;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -18,7 +18,7 @@
 // Slack on the time after which an unheard worker's runs are over: clocks 2%
 // slow, and the last orders of the earlier leader.
 constexpr double kSlowestClock = 0.98;
-constexpr Millis kLastOrders{2000};
+constexpr Millis kLastOrders{500};
 
 }  // namespace
 
@@ -456,8 +456,9 @@
   if (!leading() || unsure_after_pause_) {
     return false;
   }
-  return live_.IsLeaseSure() || executor_.Now() - live_.store_heard_at() <
-                                    options_.unsure_patience;
+  return executor_.Now() <
+             live_.lease_sure_until() + options_.unsure_patience ||
+         live_.IsStoreDownForAll();
 }
 
 void CellLeader::Tick() {
@@ -487,6 +488,7 @@
     if (!leading()) {
       return;
     }
+    session->SetMayExtend(MayOrder());
     session->Tick();
   }
   if (!leading()) {
@@ -509,7 +511,9 @@
   const auto lease = Millis(static_cast<int64_t>(
       static_cast<double>(options_.sessions.run_lease.count()) /
       kSlowestClock));
-  const bool lapsed = executor_.Now() > led_since_ + lease + kLastOrders;
+  const bool lapsed = executor_.Now() > led_since_ + lease +
+                                            options_.unsure_patience +
+                                            kLastOrders;
   const bool all_heard =
       std::all_of(members_.begin(), members_.end(), [](const auto& entry) {
         return !entry.second.from_takeover || entry.second.session->fenced() ||
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -144,7 +144,7 @@
   HoldOrder order;
   order.token = token_;
   order.last_seen = recorded_end_;
-  order.until = runs_.empty() ? 0 : LeaseUntil();
+  order.until = runs_.empty() || !may_extend_ ? 0 : LeaseUntil();
   order.wait = wait;
   workers_.Hold(life_, order,
                 [self = shared_from_this(), sequence, sent](
--- a/src/libdoorwood/config/entry_settings.cpp
+++ b/src/libdoorwood/config/entry_settings.cpp
@@ -40,6 +40,10 @@
   }
   reader.Read("adviser", &settings.adviser);
   reader.Read("log_level", &settings.log_level);
+  size_t span = 0;
+  reader.ReadWord("cell_span", {"everywhere", "data_centre"}, &span);
+  settings.cell_span = span == 0 ? CellSpan::kEverywhere
+                                 : CellSpan::kDataCentre;
   reader.Read("cpu_share", kSmallestShare, kLargestShare, &settings.cpu_share);
   reader.Read("grace_ms", kGraceMillis, &settings.grace);
   reader.Read("longest_run_lease_ms", kLeaseMillis,
@@ -54,8 +58,12 @@
 
 CellOptions MakeCellOptions(const EntrySettings& settings) {
   CellOptions options;
-  options.cell = settings.data_centre;
-  options.data_centre = settings.data_centre;
+  if (settings.cell_span == CellSpan::kDataCentre) {
+    options.cell = settings.data_centre;
+    options.data_centre = settings.data_centre;
+  } else {
+    options.cell = "all";
+  }
   options.sessions.run_lease = std::min(kRunLease, settings.longest_run_lease);
   options.keep_finished = settings.keep_finished + kKeepSlack;
   return options;
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -32,11 +32,13 @@
 
 LiveDirectory::LiveDirectory(Executor& executor,
                              RecordStore& store,
+                             StoreHearing& hearing,
                              EventLog& log,
                              const LiveOptions& options,
                              LiveInstance self)
     : executor_(executor),
       store_(store),
+      hearing_(hearing),
       log_(log),
       options_(options),
       self_(std::move(self)) {}
@@ -46,6 +48,7 @@
   Grant();
   List();
   Watch();
+  AskOthers();
 }
 
 void LiveDirectory::AnnounceLeaving() {
@@ -67,6 +70,49 @@
   return lease_.has_value() && executor_.Now() < lease_sure_until_;
 }
 
+bool LiveDirectory::IsStoreDownForAll() const {
+  const Instant now = executor_.Now();
+  bool others = false;
+  for (const auto& [name, instance] : instances_) {
+    if (instance.data_centre == self_.data_centre) {
+      continue;
+    }
+    others = true;
+    const auto told = deaf_at_.find(instance.data_centre);
+    if (told == deaf_at_.end() ||
+        now - told->second > options_.answer_counts) {
+      return false;
+    }
+  }
+  return others && now - store_heard_at_ > options_.silence_to_ask;
+}
+
+void LiveDirectory::AskOthers() {
+  if (stopped_) {
+    return;
+  }
+  executor_.Schedule(options_.ask_interval, [this] { AskOthers(); });
+  if (executor_.Now() - store_heard_at_ < options_.silence_to_ask) {
+    return;
+  }
+  for (const auto& [name, instance] : instances_) {
+    if (instance.data_centre == self_.data_centre) {
+      continue;
+    }
+    hearing_.Ask(instance, [this, centre = instance.data_centre](
+                               std::error_code error, Millis age) {
+      if (error) {
+        return;
+      }
+      if (age >= options_.silence_to_ask) {
+        deaf_at_[centre] = executor_.Now();
+      } else {
+        deaf_at_.erase(centre);
+      }
+    });
+  }
+}
+
 // --- The own lease -----------------------------------------------------------
 
 void LiveDirectory::Grant() {
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -3,6 +3,7 @@
 #include "loop.adapter/http_peers.h"
 
 #include <array>
+#include <charconv>
 #include <utility>
 
 namespace doorwood {
@@ -19,6 +20,7 @@
      {CoreErrc::kOutcomeUnknown, 504},
      {CoreErrc::kNotFound, 404}}};
 constexpr int kOk = 200;
+constexpr char kHearingPath[] = "/store-heard";
 constexpr int kBadRequest = 400;
 
 constexpr std::array<JobState, 5> kStates = {
@@ -148,6 +150,24 @@
                });
 }
 
+void HttpPeers::Ask(const LiveInstance& instance, Callback done) {
+  HttpCall call;
+  call.address = instance.address;
+  call.target = kHearingPath;
+  call.timeout = kSummaryPatience;
+  client_.Send(std::move(call), [done = std::move(done)](
+                                    std::error_code error,
+                                    const HttpReply& reply) {
+    int64_t age = 0;
+    const auto read = std::from_chars(
+        reply.body.data(), reply.body.data() + reply.body.size(), age);
+    if (!error && (reply.status != kOk || read.ec != std::errc())) {
+      error = CoreErrc::kInvalid;
+    }
+    done(error, Millis(age));
+  });
+}
+
 CellLeader* PeerService::Find(const std::string& cell) const {
   for (CellLeader* leader : cells_) {
     if (leader->cell() == cell && leader->leading()) {
@@ -167,6 +187,12 @@
     response.body = std::move(body);
     respond(std::move(response));
   };
+  if (request.path == kHearingPath) {
+    const auto age = std::chrono::duration_cast<Millis>(
+        executor_.Now() - live_.store_heard_at());
+    answer({}, std::to_string(age.count()));
+    return;
+  }
   if (!request.path.starts_with(kPrefix)) {
     answer(CoreErrc::kInvalid, "");
     return;
--- a/src/loop.adapter/http_peers.h
+++ b/src/loop.adapter/http_peers.h
@@ -16,7 +16,7 @@
 
 namespace doorwood {
 
-class HttpPeers : public CellPeers {
+class HttpPeers : public CellPeers, public StoreHearing {
  public:
   explicit HttpPeers(HttpClient& client) : client_(client) {}
 
@@ -30,6 +30,7 @@
              const std::string& job,
              StateCallback done) override;
   void Summary(const CellLead& lead, SummaryCallback done) override;
+  void Ask(const LiveInstance& instance, Callback done) override;
 
  private:
   HttpClient& client_;
@@ -38,14 +39,18 @@
 /// Answers peers' calls from the cells that this process leads.
 class PeerService {
  public:
-  explicit PeerService(std::vector<CellLeader*> cells)
-      : cells_(std::move(cells)) {}
+  PeerService(Executor& executor,
+              const LiveDirectory& live,
+              std::vector<CellLeader*> cells)
+      : executor_(executor), live_(live), cells_(std::move(cells)) {}
 
   void Handle(const HttpRequest& request, HttpServer::Respond respond);
 
  private:
   CellLeader* Find(const std::string& cell) const;
 
+  Executor& executor_;
+  const LiveDirectory& live_;
   std::vector<CellLeader*> cells_;
 };
 
