--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -11,7 +11,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -29,9 +28,13 @@
   double fill_share = 1.0;
   /// A job later than this multiple of its objective is worth nothing.
   double hopeless_factor = 3.0;
-  /// Failures of distinct jobs in a row after which a worker rests.
+  /// Failures of distinct jobs within `failure_memory`, without a success
+  /// between, after which a worker rests.
   int failures_to_rest = 3;
+  Millis failure_memory{6000};
   Millis rest{4000};
+  /// After its rest a worker gets one start in this time until one succeeds.
+  Millis probe_interval{1000};
   /// Filling work is placed beside serving work, or let go faster, only where
   /// the tail is then expected below this share of the target.
   double tail_wanted = 0.75;
@@ -139,14 +142,15 @@
   void OnFailure(const std::string& worker,
                  std::string_view job,
                  Instant now);
-  /// False while the worker rests. After that one run at a time is let
-  /// through (`running` is 0) until one succeeds.
-  bool Allows(const std::string& worker, Instant now, int running) const;
+  void OnStart(const std::string& worker, Instant now);
+  /// False while the worker rests, or has its probe.
+  bool Allows(const std::string& worker, Instant now) const;
   void Forget(const std::string& worker);
 
  private:
   struct Record {
-    std::set<std::string> failed_jobs;
+    /// When a run of each job failed there last.
+    std::map<std::string, Instant, std::less<>> failures;
     Instant rests_until{};
   };
 
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -122,7 +122,7 @@
     room.strains = CollectStrains(session);
     room.open = member.recorded && member.listed && session.responsive() &&
                 !life.draining && now >= member.rests_until &&
-                trust_.Allows(id, now, static_cast<int>(session.runs().size()));
+                trust_.Allows(id, now);
     rooms.push_back(room);
   }
   return rooms;
@@ -264,6 +264,8 @@
     task->job->begun = true;
   }
   ++counters_.starts;
+  trust_.OnStart(std::string(room->id), executor_.Now());
+  room->open = trust_.Allows(std::string(room->id), executor_.Now());
   const auto waited = std::chrono::duration_cast<Millis>(executor_.Now() -
                                                          task->ready_since);
   log_.Write("info", "cell", "start ordered",
--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -185,21 +185,32 @@
                             std::string_view job,
                             Instant now) {
   Record& record = records_[worker];
-  record.failed_jobs.emplace(job);
-  if (static_cast<int>(record.failed_jobs.size()) >=
-      options_.failures_to_rest) {
+  record.failures.insert_or_assign(std::string(job), now);
+  std::erase_if(record.failures, [&](const auto& entry) {
+    return now - entry.second > options_.failure_memory;
+  });
+  if (static_cast<int>(record.failures.size()) >= options_.failures_to_rest) {
     record.rests_until = now + options_.rest;
   }
 }
 
-bool WorkerTrust::Allows(const std::string& worker,
-                         Instant now,
-                         int running) const {
+void WorkerTrust::OnStart(const std::string& worker, Instant now) {
   const auto found = records_.find(worker);
   if (found == records_.end() || found->second.rests_until == Instant{}) {
-    return true;
+    return;
+  }
+  // A probe that nobody heard fail gives the worker its trust back.
+  if (now > found->second.rests_until + options_.failure_memory) {
+    records_.erase(found);
+    return;
   }
-  return now >= found->second.rests_until && running == 0;
+  found->second.rests_until =
+      std::max(found->second.rests_until, now + options_.probe_interval);
+}
+
+bool WorkerTrust::Allows(const std::string& worker, Instant now) const {
+  const auto found = records_.find(worker);
+  return found == records_.end() || now >= found->second.rests_until;
 }
 
 void WorkerTrust::Forget(const std::string& worker) {
