--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -153,6 +153,9 @@
     /// After a refusal it gets nothing new until then.
     Instant rests_until{};
   };
+  /// How many workers can't take a task, by reason.
+  using ProblemCounts = std::map<PlaceProblem, int>;
+
   struct CancelWait {
     CancelCallback done;
     Instant until{};
@@ -209,7 +212,11 @@
   void PlaceGang(const ReadyStep& ready, std::vector<WorkerRoom>* rooms);
   int ChoosePlace(const Task& task,
                   const Queue& queue,
-                  const std::vector<WorkerRoom>& rooms) const;
+                  const std::vector<WorkerRoom>& rooms,
+                  ProblemCounts* problems) const;
+  void TellWaiting(const Task& task,
+                   const StepRank& rank,
+                   const ProblemCounts& problems);
   void StartTask(Task* task, uint32_t run, WorkerRoom* room);
   void PaceWorker(WorkerSession& session);
   void MoveStuckFills(WorkerSession& session);
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -110,14 +110,32 @@
 
 constexpr int kNoWorker = -1;
 
+/// Why a worker can't take a task now.
+enum class PlaceProblem {
+  kNone,
+  /// It is leaving, silent, resting, or not recorded yet.
+  kClosed,
+  kOtherService,
+  kStepBound,
+  kNoLabel,
+  kOtherRack,
+  kNoMemory,
+  kNoCpu,
+  kNoAccelerators,
+  /// What fills would disturb what serves there.
+  kDisturbs,
+};
+
+std::string_view ToString(PlaceProblem problem);
+
 /// Whether `worker` may run the task at all: room, label, service. The bound
 /// on a step's tasks on one worker is the caller's, as `on_worker`.
-bool MayRun(const StepPlan& step,
-            const TaskNeed& need,
-            const WorkerRoom& worker,
-            int on_worker,
-            const InterferenceModel& model,
-            const PolicyOptions& options);
+PlaceProblem FindPlaceProblem(const StepPlan& step,
+                              const TaskNeed& need,
+                              const WorkerRoom& worker,
+                              int on_worker,
+                              const InterferenceModel& model,
+                              const PolicyOptions& options);
 
 /// How good a place is; higher is better. Only for workers that may run it.
 double PlaceScore(const StepPlan& step,
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -36,10 +36,10 @@
   uint32_t last_run = 0;
   /// Highest run whose end is counted; ends at or below it are repeats.
   uint32_t counted_run = 0;
-  /// Runs that ended in failure. Of a gang, the first task counts for all.
-  int failures = 0;
-  /// Highest run that is counted in `failures`.
-  uint32_t failed_run = 0;
+  /// Runs that ended in failure, each once, in the order in which they were
+  /// heard of: after a takeover an earlier run's end may be heard later. Of a
+  /// gang, the first task counts for all.
+  std::vector<uint32_t> failed_runs;
   std::string checkpoint;
 
   /// True while a run is ordered, active, or not proved to be over.
@@ -58,6 +58,8 @@
 
 struct StepState {
   int done = 0;
+  /// When it was last logged that the step waits for a place.
+  Instant waiting_told{};
   std::vector<Task> tasks;
 };
 
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -218,6 +218,8 @@
   uint64_t last_end_ = 0;
   uint64_t recorded_end_ = 0;
   bool look_under_way_ = false;
+  /// The newest answered or failed look failed.
+  bool look_failed_ = false;
   uint64_t look_sequence_ = 0;
   Executor::TimerId look_timer_ = 0;
   /// When the look was sent whose report was taken in last.
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -46,6 +46,8 @@
   const EndEffect effect =
       jobs_.CountEnd(task, run, end, checkpoint, MaxAttempts(*job));
   if (effect == EndEffect::kIgnored) {
+    // It may still be a failure that counts.
+    MarkDirty(job, /*urgent=*/false);
     return;
   }
   log_.Write("info", "cell", "run ended",
@@ -53,7 +55,7 @@
               {"run", run},
               {"worker", session.life().id},
               {"end", ToString(end)},
-              {"failures", task->failures},
+              {"failures", task->failed_runs.size()},
               {"epoch", epoch_}});
   if (end == RunEnd::kDone) {
     ++counters_.ends_done;
@@ -99,7 +101,7 @@
 
 void CellLeader::OnUnknownEnd(WorkerSession& session, const EndedRun& end) {
   Task* task = jobs_.FindTask(end.task);
-  if (task == nullptr || task->placed) {
+  if (task == nullptr) {
     return;
   }
   CountEnd(task, session, end.run, end.end, end.checkpoint);
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -21,6 +21,8 @@
 constexpr int kCrawlPace = 20;
 constexpr Millis kCrawlToMove{900};
 constexpr double kMillis = 1000.0;
+// A step that can't be placed is logged this often.
+constexpr Millis kWaitingToTell{1500};
 
 std::string_view RackOf(const WorkerLife& life) {
   return life.labels.empty() ? std::string_view() : life.labels.back();
@@ -156,7 +158,8 @@
 
 int CellLeader::ChoosePlace(const Task& task,
                             const Queue& queue,
-                            const std::vector<WorkerRoom>& rooms) const {
+                            const std::vector<WorkerRoom>& rooms,
+                            ProblemCounts* problems) const {
   const StepPlan& plan = task.plan();
   const std::string step = StepName(*task.job, task.time, task.step);
   const std::string rack =
@@ -170,8 +173,11 @@
       const auto member = members_.find(std::string(rooms[i].id));
       on_worker = member->second.session->CountOfStep(step);
     }
-    if (!MayRun(plan, need, rooms[i], on_worker, interference_,
-                options_.policy)) {
+    const PlaceProblem problem =
+        FindPlaceProblem(plan, need, rooms[i], on_worker, interference_,
+                         options_.policy);
+    if (problem != PlaceProblem::kNone) {
+      ++(*problems)[problem];
       continue;
     }
     const double score = PlaceScore(plan, need, rooms[i], interference_);
@@ -183,6 +189,33 @@
   return best;
 }
 
+void CellLeader::TellWaiting(const Task& task,
+                             const StepRank& rank,
+                             const ProblemCounts& problems) {
+  const Instant now = executor_.Now();
+  StepState& step = task.job->times[task.time].steps[task.step];
+  if (now - step.waiting_told < kWaitingToTell) {
+    return;
+  }
+  const bool first = step.waiting_told == Instant{};
+  step.waiting_told = now;
+  if (first) {
+    return;  // waits only since now
+  }
+  const StepPlan& plan = task.plan();
+  Json counts = Json::object();
+  for (const auto& [problem, count] : problems) {
+    counts[std::string(ToString(problem))] = count;
+  }
+  log_.Write("info", "cell", "step waits for a place",
+             {{"task", task.name()},
+              {"rank", rank.group},
+              {"cpu", plan.size.cpu_millis},
+              {"memory", plan.size.memory_mib},
+              {"most_per_worker", plan.most_per_worker},
+              {"workers", std::move(counts)}});
+}
+
 void CellLeader::PlaceStep(const ReadyStep& ready,
                            std::vector<WorkerRoom>* rooms) {
   const Queue* queue = QueueOf(*ready.job);
@@ -194,8 +227,10 @@
     if (!IsReady(task)) {
       continue;
     }
-    const int place = ChoosePlace(task, *queue, *rooms);
+    ProblemCounts problems;
+    const int place = ChoosePlace(task, *queue, *rooms, &problems);
     if (place == kNoWorker) {
+      TellWaiting(task, ready.rank, problems);
       return;  // the step's other tasks are of the same size
     }
     StartTask(&task, task.last_run + 1, &(*rooms)[place]);
@@ -219,14 +254,16 @@
   uint32_t run = 0;
   std::string checkpoint;
   std::map<int, int> chosen;
-  for (const Task& task : tasks) {
-    int place = ChoosePlace(task, *queue, trial);
+  ProblemCounts problems;
+  for (Task& task : tasks) {
+    int place = ChoosePlace(task, *queue, trial, &problems);
     const int most = task.plan().most_per_worker;
     while (place != kNoWorker && most > 0 && chosen[place] >= most) {
       trial[place].open = false;
-      place = ChoosePlace(task, *queue, trial);
+      place = ChoosePlace(task, *queue, trial, &problems);
     }
     if (place == kNoWorker) {
+      TellWaiting(task, ready.rank, problems);
       return;
     }
     ++chosen[place];
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -144,7 +144,9 @@
   HoldOrder order;
   order.token = token_;
   order.last_seen = recorded_end_;
-  order.until = runs_.empty() || !may_extend_ ? 0 : LeaseUntil();
+  // A silent worker is promised nothing more, so that its lease surely ends.
+  const bool extend = !runs_.empty() && may_extend_ && !look_failed_;
+  order.until = extend ? LeaseUntil() : 0;
   order.wait = wait;
   workers_.Hold(life_, order,
                 [self = shared_from_this(), sequence, sent](
@@ -178,11 +180,13 @@
     return;
   }
   if (error) {
+    look_failed_ = true;
     if (newest) {
       ScheduleLook(options_.retry_pause);
     }
     return;
   }
+  look_failed_ = false;
   const bool first = !fenced_;
   fenced_ = true;
   if (first) {
--- a/src/libdoorwood/config/entry_settings.cpp
+++ b/src/libdoorwood/config/entry_settings.cpp
@@ -15,7 +15,7 @@
 // Runs go on this long without word from a leader: longer than a leader's
 // death (2 s), its successor's takeover and a short outage of all instances,
 // and short enough that the work of a silent worker soon starts elsewhere.
-constexpr Millis kRunLease{6000};
+constexpr Millis kRunLease{7000};
 // Finished jobs are kept this much longer than can be asked for.
 constexpr Millis kKeepSlack{30'000};
 
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -168,11 +168,11 @@
   if (task->plan().gang) {
     counter = &task->job->times[task->time].steps[task->step].tasks.front();
   }
-  if (run > counter->failed_run) {
-    counter->failed_run = run;
-    ++counter->failures;
+  auto& failed = counter->failed_runs;
+  if (std::find(failed.begin(), failed.end(), run) == failed.end()) {
+    failed.push_back(run);
   }
-  return counter->failures >= max_attempts;
+  return static_cast<int>(failed.size()) >= max_attempts;
 }
 
 EndEffect JobTable::CountEnd(Task* task,
@@ -181,10 +181,20 @@
                              const std::string& checkpoint,
                              int max_attempts) {
   task->last_run = std::max(task->last_run, run);
+  Job* job = task->job;
+  const bool counts_as_failure =
+      end == RunEnd::kFailed && !task->plan().lasting && !task->done;
+  if (counts_as_failure) {
+    job->dirty = true;
+    if (CountFailure(task, run, max_attempts) &&
+        Finish(job, JobOutcome::kFailed)) {
+      task->counted_run = std::max(task->counted_run, run);
+      return EndEffect::kJobFailed;
+    }
+  }
   if (run <= task->counted_run || task->done) {
     return EndEffect::kIgnored;
   }
-  Job* job = task->job;
   task->counted_run = run;
   if (end == RunEnd::kDone && !task->plan().lasting) {
     job->dirty = true;
@@ -194,13 +204,6 @@
   if (!checkpoint.empty()) {
     task->checkpoint = checkpoint;
   }
-  if (end == RunEnd::kFailed && !task->plan().lasting) {
-    job->dirty = true;
-    if (CountFailure(task, run, max_attempts) &&
-        Finish(job, JobOutcome::kFailed)) {
-      return EndEffect::kJobFailed;
-    }
-  }
   return EndEffect::kAgain;
 }
 
@@ -225,12 +228,11 @@
   return task.done || task.last_run > 0;
 }
 
-// [time, step, index, last run, counted run, failures, checkpoint, done,
-//  failed run]
+// [time, step, index, last run, counted run, failed runs, checkpoint, done]
 Json EncodeTask(const Task& task) {
   return Json::array({task.time, task.step, task.index, task.last_run,
-                      task.counted_run, task.failures, task.checkpoint,
-                      task.done ? 1 : 0, task.failed_run});
+                      task.counted_run, task.failed_runs, task.checkpoint,
+                      task.done ? 1 : 0});
 }
 
 }  // namespace
@@ -278,10 +280,9 @@
       Task& task = job->times.at(time).steps.at(step).tasks.at(index);
       row.at(3).get_to(task.last_run);
       row.at(4).get_to(task.counted_run);
-      row.at(5).get_to(task.failures);
+      row.at(5).get_to(task.failed_runs);
       row.at(6).get_to(task.checkpoint);
       task.done = row.at(7).get<int>() != 0;
-      row.at(8).get_to(task.failed_run);
     }
     for (const auto& [outcome, known] : kOutcomeLetters) {
       if (letter.size() == 1 && letter[0] == known) {
--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -3,6 +3,7 @@
 #include "doorwood/cell_policy.h"
 
 #include <algorithm>
+#include <array>
 
 namespace doorwood {
 namespace {
@@ -47,25 +48,31 @@
          options.fill_share;
 }
 
-bool HasRoom(const StepPlan& step,
-             const WorkerRoom& worker,
-             const InterferenceModel& model,
-             const PolicyOptions& options) {
-  Resources need = step.size;
-  if (step.fills) {
-    need.cpu_millis = 0;
+PlaceProblem FindRoomProblem(const StepPlan& step,
+                             const WorkerRoom& worker,
+                             const InterferenceModel& model,
+                             const PolicyOptions& options) {
+  const Resources after = worker.reserved + step.size;
+  if (after.memory_mib > worker.capacity.memory_mib) {
+    return PlaceProblem::kNoMemory;
   }
-  if (!Fits(worker.reserved + need, worker.capacity)) {
-    return false;
+  if (after.accelerators > worker.capacity.accelerators) {
+    return PlaceProblem::kNoAccelerators;
   }
   if (!step.fills) {
-    return true;
+    return after.cpu_millis > worker.capacity.cpu_millis
+               ? PlaceProblem::kNoCpu
+               : PlaceProblem::kNone;
   }
   const auto asked = static_cast<double>(worker.fill_cpu) +
                      static_cast<double>(step.size.cpu_millis);
+  if (asked > FillBudget(worker, options)) {
+    return PlaceProblem::kNoCpu;
+  }
   const double cores = static_cast<double>(step.size.cpu_millis) / kMillis;
-  return asked <= FillBudget(worker, options) &&
-         ExcessStrain(worker, step.image, cores, model) <= 0;
+  return ExcessStrain(worker, step.image, cores, model) > 0
+             ? PlaceProblem::kDisturbs
+             : PlaceProblem::kNone;
 }
 
 }  // namespace
@@ -109,25 +116,35 @@
   return rest[step];
 }
 
-bool MayRun(const StepPlan& step,
-            const TaskNeed& need,
-            const WorkerRoom& worker,
-            int on_worker,
-            const InterferenceModel& model,
-            const PolicyOptions& options) {
-  if (!worker.open || worker.service != need.service) {
-    return false;
+std::string_view ToString(PlaceProblem problem) {
+  constexpr std::array<std::string_view, 10> kWords = {
+      "none",      "closed", "other_service",   "step_bound", "no_label",
+      "other_rack", "no_memory", "no_cpu", "no_accelerators", "disturbs"};
+  return kWords[static_cast<size_t>(problem)];
+}
+
+PlaceProblem FindPlaceProblem(const StepPlan& step,
+                              const TaskNeed& need,
+                              const WorkerRoom& worker,
+                              int on_worker,
+                              const InterferenceModel& model,
+                              const PolicyOptions& options) {
+  if (!worker.open) {
+    return PlaceProblem::kClosed;
+  }
+  if (worker.service != need.service) {
+    return PlaceProblem::kOtherService;
   }
   if (step.most_per_worker > 0 && on_worker >= step.most_per_worker) {
-    return false;
+    return PlaceProblem::kStepBound;
   }
   if (!step.required_label.empty() && !HasLabel(worker, step.required_label)) {
-    return false;
+    return PlaceProblem::kNoLabel;
   }
   if (step.same_rack && !need.rack.empty() && worker.rack != need.rack) {
-    return false;
+    return PlaceProblem::kOtherRack;
   }
-  return HasRoom(step, worker, model, options);
+  return FindRoomProblem(step, worker, model, options);
 }
 
 double PlaceScore(const StepPlan& step,
