--- a/src/build-scripts/check-lint.sh
+++ b/src/build-scripts/check-lint.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 build=${1:-build}
-find src -name '*.cpp' ! -name '*.capnp.cpp' | sort |
+find src platform -name '*.cpp' ! -name '*.capnp.cpp' | sort |
   xargs -P "$(nproc)" -n 2 clang-tidy -p "$build" --quiet 2>/dev/null
--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -85,28 +85,28 @@
           [this] { return config_.table(); },
           UnixMillis),
       peer_service_(executor_, live_, {&cell_}),
-      front_server_(context_,
-                    [this](const HttpRequest& request,
-                           HttpServer::Respond respond) {
-                      front_.Handle(request, std::move(respond));
-                    }),
-      ready_server_(context_,
-                    [this](const HttpRequest&,
-                           const HttpServer::Respond& respond) {
-                      HttpResponse response;
-                      response.status =
-                          IsReady() ? 200 : kServiceUnavailable;
-                      respond(std::move(response));
-                    }),
-      peer_server_(context_,
-                   [this](const HttpRequest& request,
-                          HttpServer::Respond respond) {
-                     peer_service_.Handle(request, std::move(respond));
-                   }),
-      metrics_server_(context_, [this](const HttpRequest&,
-                                       const HttpServer::Respond& respond) {
-        respond(Metrics());
-      }) {}
+      front_server_(
+          context_,
+          [this](const HttpRequest& request, HttpServer::Respond respond) {
+            front_.Handle(request, std::move(respond));
+          }),
+      ready_server_(
+          context_,
+          [this](const HttpRequest&, const HttpServer::Respond& respond) {
+            HttpResponse response;
+            response.status = IsReady() ? 200 : kServiceUnavailable;
+            respond(std::move(response));
+          }),
+      peer_server_(
+          context_,
+          [this](const HttpRequest& request, HttpServer::Respond respond) {
+            peer_service_.Handle(request, std::move(respond));
+          }),
+      metrics_server_(
+          context_,
+          [this](const HttpRequest&, const HttpServer::Respond& respond) {
+            respond(Metrics());
+          }) {}
 
 void EntryDaemon::Run() {
   std::signal(SIGPIPE, SIG_IGN);
@@ -152,7 +152,8 @@
          (store_heard || cell_.leading());
 }
 
-// --- Signals and settings ----------------------------------------------------------
+// --- Signals and settings
+// ----------------------------------------------------------
 
 void EntryDaemon::WaitForSignal() {
   stop_signals_.async_wait(
@@ -207,7 +208,8 @@
   executor_.Schedule(kFlushInterval, [this] { FlushLogs(); });
 }
 
-// --- A planned stop -------------------------------------------------------------------
+// --- A planned stop
+// -------------------------------------------------------------------
 
 void EntryDaemon::BeginLeaving() {
   if (leaving_) {
@@ -238,7 +240,8 @@
   executor_.Schedule(kIdleCheck, [this] { context_.stop(); });
 }
 
-// --- Figures ----------------------------------------------------------------------------
+// --- Figures
+// ----------------------------------------------------------------------------
 
 HttpResponse EntryDaemon::Metrics() const {
   const CellCounters& counters = cell_.counters();
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -196,6 +196,7 @@
                 const std::string& checkpoint);
   void OnJobOver(Job* job);
   void StopRunsOf(const Job& job);
+  void StopRunsOfTask(const std::string& task);
   int MaxAttempts(const Job& job) const;
   /// The queue as configured, or as it last was; null: never heard of.
   const Queue* QueueOf(const Job& job) const;
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -157,9 +157,7 @@
   explicit WorkerTrust(const PolicyOptions& options) : options_(options) {}
 
   void OnSuccess(const std::string& worker);
-  void OnFailure(const std::string& worker,
-                 std::string_view job,
-                 Instant now);
+  void OnFailure(const std::string& worker, std::string_view job, Instant now);
   void OnStart(const std::string& worker, Instant now);
   /// False while the worker rests, or has its probe.
   bool Allows(const std::string& worker, Instant now) const;
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -105,6 +105,9 @@
     return;
   }
   CountEnd(task, session, end.run, end.end, end.checkpoint);
+  if (task->done && task->placed) {
+    StopRunsOfTask(end.task);  // an earlier run had done the work already
+  }
   WakeScheduler();
 }
 
@@ -185,7 +188,8 @@
   }
 }
 
-// --- Jobs that are over ----------------------------------------------------------
+// --- Jobs that are over
+// ----------------------------------------------------------
 
 void CellLeader::OnJobOver(Job* job) {
   job->finished_at = unix_millis_();
@@ -210,7 +214,8 @@
   }
 }
 
-// --- Records ------------------------------------------------------------------------
+// --- Records
+// ------------------------------------------------------------------------
 
 std::string CellLeader::EncodeState(const std::string& id) {
   Job* job = jobs_.Find(id);
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -17,9 +17,9 @@
 constexpr size_t kEntriesOfForgotten = 3;
 
 const StoreItem* FindItem(const StoreCommit& commit, std::string_view key) {
-  const auto found = std::find_if(
-      commit.current.begin(), commit.current.end(),
-      [key](const StoreItem& item) { return item.key == key; });
+  const auto found =
+      std::find_if(commit.current.begin(), commit.current.end(),
+                   [key](const StoreItem& item) { return item.key == key; });
   return found == commit.current.end() ? nullptr : &*found;
 }
 
@@ -184,7 +184,8 @@
   });
 }
 
-// --- Building and sending ------------------------------------------------------
+// --- Building and sending
+// ------------------------------------------------------
 
 void CellJournal::Send() {
   if (!open_) {
@@ -227,8 +228,8 @@
 
 void CellJournal::AddAccepts(Batch* batch) {
   StoreTransaction& transaction = batch->transaction;
-  while (!accepts_.empty() && transaction.entries() + kEntriesOfAccept <=
-                                  kMostTransactionEntries) {
+  while (!accepts_.empty() &&
+         transaction.entries() + kEntriesOfAccept <= kMostTransactionEntries) {
     PendingAccept accept = std::move(accepts_.front());
     accepts_.pop_front();
     const std::string& id = accept.plan.id;
@@ -258,8 +259,7 @@
        it != dirty_.end() && transaction.entries() < kMostTransactionEntries;
        it = dirty_.erase(it)) {
     batch->states.push_back(*it);
-    transaction.puts.push_back(
-        {StateKey(cell_, *it), owner_.EncodeState(*it)});
+    transaction.puts.push_back({StateKey(cell_, *it), owner_.EncodeState(*it)});
   }
   if (dirty_.empty()) {
     batch->ends = owner_.ListedEnds();
@@ -279,7 +279,8 @@
   Wake(options_.patience);
 }
 
-// --- Answers ---------------------------------------------------------------------
+// --- Answers
+// ---------------------------------------------------------------------
 
 void CellJournal::OnAnswer(std::error_code error, const StoreCommit& commit) {
   if (!error) {
@@ -354,7 +355,8 @@
   const StoreItem* chain = FindItem(commit, ChainKey(cell_));
   const int64_t chain_revision = RevisionOf(chain);
   if (chain_revision != chain_revision_) {
-    const ChainRecord stands = DecodeChain(chain == nullptr ? "" : chain->value);
+    const ChainRecord stands =
+        DecodeChain(chain == nullptr ? "" : chain->value);
     if (stands.sequence == batch_->chain.sequence) {
       Succeed(chain_revision);  // the sending without an answer took effect
       return;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -76,7 +76,8 @@
   }
 }
 
-// --- Becoming the leader -------------------------------------------------------
+// --- Becoming the leader
+// -------------------------------------------------------
 
 bool CellLeader::MayCampaign() const {
   return stage_ == Stage::kStandby && table_ && live_.known() &&
@@ -94,8 +95,7 @@
   int rank = 0;
   const LiveInstance& self = live_.self();
   for (const auto& [name, other] : live_.instances()) {
-    if (!IsOfCell(other.data_centre) || other.leaving ||
-        name == self.name) {
+    if (!IsOfCell(other.data_centre) || other.leaving || name == self.name) {
       continue;
     }
     const bool stronger = other.cpu_share > self.cpu_share;
@@ -115,11 +115,10 @@
   if (led && live_.known() && lead == live_.leads().end()) {
     StepDown("the lead key is gone");
   }
-  const bool won_unanswered = stage_ == Stage::kStandby &&
-                              campaign_nonce_ != 0 &&
-                              lead != live_.leads().end() &&
-                              lead->second.nonce == campaign_nonce_ &&
-                              lead->second.epoch > epoch_;
+  const bool won_unanswered =
+      stage_ == Stage::kStandby && campaign_nonce_ != 0 &&
+      lead != live_.leads().end() && lead->second.nonce == campaign_nonce_ &&
+      lead->second.epoch > epoch_;
   if (won_unanswered) {
     OnWon(lead->second.epoch);
     return;
@@ -176,22 +175,22 @@
 
 void CellLeader::ReadRecords() {
   const uint64_t generation = ++generation_;
-  store_.List(CellPrefix(options_.cell),
-              [this, generation](std::error_code error,
-                                 const StoreItems& items) {
-                if (generation != generation_) {
-                  return;
-                }
-                if (error) {
-                  executor_.Schedule(kRetryPause, [this, generation] {
-                    if (generation == generation_) {
-                      ReadRecords();
-                    }
-                  });
-                  return;
-                }
-                Restore(items);
-              });
+  store_.List(
+      CellPrefix(options_.cell),
+      [this, generation](std::error_code error, const StoreItems& items) {
+        if (generation != generation_) {
+          return;
+        }
+        if (error) {
+          executor_.Schedule(kRetryPause, [this, generation] {
+            if (generation == generation_) {
+              ReadRecords();
+            }
+          });
+          return;
+        }
+        Restore(items);
+      });
 }
 
 void CellLeader::Restore(const StoreItems& items) {
@@ -267,7 +266,8 @@
   Tick();
 }
 
-// --- Giving it up ----------------------------------------------------------------
+// --- Giving it up
+// ----------------------------------------------------------------
 
 void CellLeader::OnLeadLost(std::string_view reason) {
   StepDown(reason);
@@ -328,32 +328,32 @@
     transaction.removes.push_back(LeadKey(options_.cell));
     StepDown("leaving");
     stage_ = Stage::kLeft;
-    store_.Commit(transaction, [done = std::move(on_left_)](
-                                   std::error_code, const StoreCommit&) {
-      done();
-    });
+    store_.Commit(transaction,
+                  [done = std::move(on_left_)](std::error_code,
+                                               const StoreCommit&) { done(); });
     return;
   }
   executor_.Schedule(Millis(30), [this] { Leave(std::move(on_left_)); });
 }
 
-// --- Workers -----------------------------------------------------------------------
+// --- Workers
+// -----------------------------------------------------------------------
 
 void CellLeader::ReadWorkers() {
   if (reading_workers_) {
     return;
   }
   reading_workers_ = true;
-  directory_.ListWorkers([this, generation = generation_](
-                             std::error_code error,
-                             std::vector<WorkerLife> lives) {
-    reading_workers_ = false;
-    if (generation != generation_ || !leading() || error) {
-      return;
-    }
-    workers_read_ = executor_.Now();
-    OnWorkers(std::move(lives));
-  });
+  directory_.ListWorkers(
+      [this, generation = generation_](std::error_code error,
+                                       std::vector<WorkerLife> lives) {
+        reading_workers_ = false;
+        if (generation != generation_ || !leading() || error) {
+          return;
+        }
+        workers_read_ = executor_.Now();
+        OnWorkers(std::move(lives));
+      });
 }
 
 void CellLeader::OnWorkers(std::vector<WorkerLife> lives) {
@@ -372,9 +372,9 @@
       continue;
     }
     if (life.draining && !found->second.session->life().draining) {
-      log_.Write("info", "cell", "a worker is leaving",
-                 {{"worker", life.id}, {"remaining_ms",
-                                        life.remaining.count()}});
+      log_.Write(
+          "info", "cell", "a worker is leaving",
+          {{"worker", life.id}, {"remaining_ms", life.remaining.count()}});
     }
     found->second.session->Update(life);
     found->second.listed = true;
@@ -430,10 +430,9 @@
   for (auto it = members_.begin(); it != members_.end();) {
     const WorkerSession& session = *it->second.session;
     const bool over = session.dead() || !it->second.listed;
-    const bool still_counts =
-        !session.runs().empty() ||
-        (it->second.from_takeover && !session.fenced() && !session.dead() &&
-         !accounted_);
+    const bool still_counts = !session.runs().empty() ||
+                              (it->second.from_takeover && !session.fenced() &&
+                               !session.dead() && !accounted_);
     if (over && !still_counts) {
       log_.Write("info", "cell", "a worker is gone",
                  {{"worker", it->first}, {"dead", session.dead()}});
@@ -450,7 +449,8 @@
   }
 }
 
-// --- Time ------------------------------------------------------------------------------
+// --- Time
+// ------------------------------------------------------------------------------
 
 bool CellLeader::MayOrder() const {
   if (!leading() || unsure_after_pause_) {
@@ -469,8 +469,9 @@
   if (now - last_tick_ > options_.tick + kPauseNoticed &&
       !live_.IsLeaseSure()) {
     unsure_after_pause_ = true;
-    log_.Write("warn", "cell", "this process stood still; no orders until the "
-                               "lead is confirmed",
+    log_.Write("warn", "cell",
+               "this process stood still; no orders until the "
+               "lead is confirmed",
                {{"cell", options_.cell}});
   }
   if (live_.IsLeaseSure()) {
@@ -556,7 +557,8 @@
   }
 }
 
-// --- Callers -----------------------------------------------------------------------------
+// --- Callers
+// -----------------------------------------------------------------------------
 
 void CellLeader::Submit(JobPlan plan, SubmitCallback done) {
   if (!leading()) {
@@ -619,9 +621,8 @@
     log_.Write("info", "cell", "job cancelled", {{"job", id}});
     OnJobOver(job);
   }
-  cancels_.emplace(
-      id, CancelWait{std::move(done),
-                     executor_.Now() + options_.journal.patience});
+  cancels_.emplace(id, CancelWait{std::move(done),
+                                  executor_.Now() + options_.journal.patience});
 }
 
 void CellLeader::AnswerCancels() {
@@ -654,9 +655,9 @@
         continue;
       }
       const int left = plan.count - job->times.front().steps[step].done;
-      summary.waiting_work += left *
-                              static_cast<double>(plan.size.cpu_millis) / 1e3 *
-                              static_cast<double>(plan.estimate.count()) / 1e3;
+      summary.waiting_work += left * static_cast<double>(plan.size.cpu_millis) /
+                              1e3 * static_cast<double>(plan.estimate.count()) /
+                              1e3;
     }
   }
   for (const auto& [id, member] : members_) {
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -88,11 +88,10 @@
   for (ReadyStep& step : *ready) {
     const Queue* queue = QueueOf(*step.job);
     if (queue != nullptr) {
-      step.rank = RankStep(step.job->plan, *queue,
-                           step.job->plan.steps[step.step].lasting,
-                           DueAt(*step.job, step.time),
-                           RemainingChain(step.job->plan, step.step), now,
-                           options_.policy);
+      step.rank = RankStep(
+          step.job->plan, *queue, step.job->plan.steps[step.step].lasting,
+          DueAt(*step.job, step.time),
+          RemainingChain(step.job->plan, step.step), now, options_.policy);
     }
   }
   std::sort(ready->begin(), ready->end(),
@@ -173,9 +172,8 @@
       const auto member = members_.find(std::string(rooms[i].id));
       on_worker = member->second.session->CountOfStep(step);
     }
-    const PlaceProblem problem =
-        FindPlaceProblem(plan, need, rooms[i], on_worker, interference_,
-                         options_.policy);
+    const PlaceProblem problem = FindPlaceProblem(
+        plan, need, rooms[i], on_worker, interference_, options_.policy);
     if (problem != PlaceProblem::kNone) {
       ++(*problems)[problem];
       continue;
@@ -303,18 +301,18 @@
   ++counters_.starts;
   trust_.OnStart(std::string(room->id), executor_.Now());
   room->open = trust_.Allows(std::string(room->id), executor_.Now());
-  const auto waited = std::chrono::duration_cast<Millis>(executor_.Now() -
-                                                         task->ready_since);
-  log_.Write("info", "cell", "start ordered",
-             {{"task", run.task},
-              {"run", number},
-              {"worker", room->id},
-              {"epoch", epoch_},
-              {"free_cpu", room->capacity.cpu_millis -
-                               room->reserved.cpu_millis - room->fill_cpu},
-              {"serving", room->serving},
-              {"waited_ms",
-               task->ready_since == Instant{} ? 0 : waited.count()}});
+  const auto waited =
+      std::chrono::duration_cast<Millis>(executor_.Now() - task->ready_since);
+  log_.Write(
+      "info", "cell", "start ordered",
+      {{"task", run.task},
+       {"run", number},
+       {"worker", room->id},
+       {"epoch", epoch_},
+       {"free_cpu",
+        room->capacity.cpu_millis - room->reserved.cpu_millis - room->fill_cpu},
+       {"serving", room->serving},
+       {"waited_ms", task->ready_since == Instant{} ? 0 : waited.count()}});
   session->Start(std::move(run), task->job->plan.payload, "");
   room->reserved = session->reserved();
   room->fill_cpu = session->fill_cpu();
@@ -324,7 +322,8 @@
   room->strains = CollectStrains(*session);
 }
 
-// --- What fills beside what serves -------------------------------------------------
+// --- What fills beside what serves
+// -------------------------------------------------
 
 std::vector<ServingStrain> CellLeader::CollectStrains(
     const WorkerSession& session) const {
@@ -344,8 +343,8 @@
             : options_.policy.interference.first_load;
     // A new task has not taken up its load yet.
     if (now - run.ordered < kFigureAge) {
-      serving.strain = std::max(serving.strain,
-                                options_.policy.interference.first_load);
+      serving.strain =
+          std::max(serving.strain, options_.policy.interference.first_load);
     }
     strains.push_back(serving);
   }
@@ -413,7 +412,8 @@
   }
 }
 
-// --- Workers that leave ---------------------------------------------------------------
+// --- Workers that leave
+// ---------------------------------------------------------------
 
 void CellLeader::EvacuateDraining() {
   for (const auto& [id, member] : members_) {
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -57,10 +57,9 @@
 }
 
 int WorkerSession::CountOfStep(const std::string& step) const {
-  return static_cast<int>(
-      std::count_if(runs_.begin(), runs_.end(), [&](const auto& entry) {
-        return entry.second.step == step;
-      }));
+  return static_cast<int>(std::count_if(
+      runs_.begin(), runs_.end(),
+      [&](const auto& entry) { return entry.second.step == step; }));
 }
 
 bool WorkerSession::responsive() const {
@@ -191,8 +190,8 @@
   fenced_ = true;
   if (first) {
     // What an earlier leader may have promised to runs that are adopted now.
-    longest_until_ = std::max(
-        longest_until_, report.clock + options_.run_lease.count());
+    longest_until_ =
+        std::max(longest_until_, report.clock + options_.run_lease.count());
   }
   TakeReport(sent, std::move(report));
   if (closed_ || dead_ || !newest) {
@@ -310,8 +309,8 @@
     }
     const bool surely_refused =
         run.stop_confirmed && run.stop_confirmed_at < sent;
-    const bool ran_before = run.phase == RunPhase::kRunning &&
-                            run.confirmed < sent;
+    const bool ran_before =
+        run.phase == RunPhase::kRunning && run.confirmed < sent;
     if (surely_refused || ran_before) {
       over.push_back(task);
     } else if (run.phase == RunPhase::kUnresolved && !run.stop_confirmed &&
@@ -398,14 +397,13 @@
   run.ordered = executor_.Now();
   run.progress_changed = run.ordered;
   Insert(std::move(run));
-  workers_.Start(
-      life_, order,
-      [self = shared_from_this(), task = order.task, number](
-          std::error_code error, int64_t clock) {
-        if (!self->closed_ && !self->dead_) {
-          self->OnStartAnswer(task, number, error, clock);
-        }
-      });
+  workers_.Start(life_, order,
+                 [self = shared_from_this(), task = order.task, number](
+                     std::error_code error, int64_t clock) {
+                   if (!self->closed_ && !self->dead_) {
+                     self->OnStartAnswer(task, number, error, clock);
+                   }
+                 });
   if (!look_under_way_ && look_timer_ == 0) {
     ScheduleLook(Millis(20));
   }
@@ -468,8 +466,8 @@
   }
   const StopOrder order{token_, task, number};
   workers_.Stop(life_, order,
-                [self = shared_from_this(), task, number](
-                    std::error_code error, int64_t clock) {
+                [self = shared_from_this(), task, number](std::error_code error,
+                                                          int64_t clock) {
                   if (self->closed_ || self->dead_) {
                     return;
                   }
@@ -520,24 +518,24 @@
   }
   run->pace_under_way = true;
   const PaceOrder order{token_, run->task, run->number, run->wanted_pace};
-  workers_.Pace(life_, order,
-                [self = shared_from_this(), order](std::error_code error,
-                                                   int64_t clock) {
-                  if (self->closed_ || self->dead_) {
-                    return;
-                  }
-                  Run* paced = self->FindRun(order.task);
-                  if (paced == nullptr || paced->number != order.run) {
-                    return;
-                  }
-                  paced->pace_under_way = false;
-                  if (error) {
-                    return;  // sent again by Tick
-                  }
-                  self->TakeClock(clock);
-                  paced->pace = order.percent;
-                  self->SendPace(paced);
-                });
+  workers_.Pace(
+      life_, order,
+      [self = shared_from_this(), order](std::error_code error, int64_t clock) {
+        if (self->closed_ || self->dead_) {
+          return;
+        }
+        Run* paced = self->FindRun(order.task);
+        if (paced == nullptr || paced->number != order.run) {
+          return;
+        }
+        paced->pace_under_way = false;
+        if (error) {
+          return;  // sent again by Tick
+        }
+        self->TakeClock(clock);
+        paced->pace = order.percent;
+        self->SendPace(paced);
+      });
 }
 
 // --- Ends by proof -----------------------------------------------------------
@@ -576,8 +574,8 @@
     return;
   }
   for (auto& [task, run] : runs_) {
-    const bool stops = run.phase == RunPhase::kStopping ||
-                       run.phase == RunPhase::kUnresolved;
+    const bool stops =
+        run.phase == RunPhase::kStopping || run.phase == RunPhase::kUnresolved;
     if (stops && !run.stop_under_way && run.stop_sent != Instant{} &&
         now - run.stop_sent > options_.stop_patience) {
       SendStop(task, run.number);
--- a/src/libdoorwood/config/entry_settings.cpp
+++ b/src/libdoorwood/config/entry_settings.cpp
@@ -42,8 +42,8 @@
   reader.Read("log_level", &settings.log_level);
   size_t span = 0;
   reader.ReadWord("cell_span", {"everywhere", "data_centre"}, &span);
-  settings.cell_span = span == 0 ? CellSpan::kEverywhere
-                                 : CellSpan::kDataCentre;
+  settings.cell_span =
+      span == 0 ? CellSpan::kEverywhere : CellSpan::kDataCentre;
   reader.Read("cpu_share", kSmallestShare, kLargestShare, &settings.cpu_share);
   reader.Read("grace_ms", kGraceMillis, &settings.grace);
   reader.Read("longest_run_lease_ms", kLeaseMillis,
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -39,7 +39,8 @@
   return !live_.leads().empty();
 }
 
-// --- Which cell ------------------------------------------------------------------
+// --- Which cell
+// ------------------------------------------------------------------
 
 double Ingress::Load(const std::string& cell) const {
   const auto known = cells_.find(cell);
@@ -47,8 +48,7 @@
     return 0;
   }
   const KnownCell& state = known->second;
-  return (state.summary.waiting_work + state.sent_since) /
-         state.summary.cores;
+  return (state.summary.waiting_work + state.sent_since) / state.summary.cores;
 }
 
 std::vector<std::string> Ingress::CellsByLoad() const {
@@ -104,7 +104,8 @@
   }
 }
 
-// --- Submitting --------------------------------------------------------------------
+// --- Submitting
+// --------------------------------------------------------------------
 
 void Ingress::Submit(JobPlan plan, SubmitCallback done) {
   std::vector<std::string> cells = CellsByLoad();
@@ -126,31 +127,29 @@
   }
   const std::string cell = cells.front();
   cells.erase(cells.begin());
-  SubmitTo(cell, *plan,
-           [this, plan, cell, cells = std::move(cells),
-            done = std::move(done)](std::error_code error,
-                                    AcceptOutcome outcome) mutable {
-             const bool surely_not =
-                 error == make_error_code(PeerErrc::kNotSent) ||
-                 error == make_error_code(CoreErrc::kNoOwner);
-             if (surely_not) {
-               log_.Write("info", "ingress", "cell has no leader here",
-                          {{"job", plan->id},
-                           {"cell", cell},
-                           {"error", error.message()}});
-               live_.Refresh();
-               TrySubmit(plan, std::move(cells), std::move(done));
-               return;
-             }
-             if (error == make_error_code(PeerErrc::kNoAnswer)) {
-               error = CoreErrc::kOutcomeUnknown;
-             }
-             if (!error && outcome == AcceptOutcome::kAccepted) {
-               Remember(plan->id, cell);
-               cells_[cell].sent_since += EstimatedWork(*plan);
-             }
-             done(error, outcome);
-           });
+  SubmitTo(
+      cell, *plan,
+      [this, plan, cell, cells = std::move(cells), done = std::move(done)](
+          std::error_code error, AcceptOutcome outcome) mutable {
+        const bool surely_not = error == make_error_code(PeerErrc::kNotSent) ||
+                                error == make_error_code(CoreErrc::kNoOwner);
+        if (surely_not) {
+          log_.Write(
+              "info", "ingress", "cell has no leader here",
+              {{"job", plan->id}, {"cell", cell}, {"error", error.message()}});
+          live_.Refresh();
+          TrySubmit(plan, std::move(cells), std::move(done));
+          return;
+        }
+        if (error == make_error_code(PeerErrc::kNoAnswer)) {
+          error = CoreErrc::kOutcomeUnknown;
+        }
+        if (!error && outcome == AcceptOutcome::kAccepted) {
+          Remember(plan->id, cell);
+          cells_[cell].sent_since += EstimatedWork(*plan);
+        }
+        done(error, outcome);
+      });
 }
 
 void Ingress::SubmitTo(const std::string& cell,
@@ -169,7 +168,8 @@
   peers_.Submit(lead->second, plan, std::move(done));
 }
 
-// --- Known jobs ----------------------------------------------------------------------
+// --- Known jobs
+// ----------------------------------------------------------------------
 
 void Ingress::Cancel(const std::string& job, CancelCallback done) {
   FindCell(job, [this, job, done = std::move(done)](std::error_code error,
@@ -221,11 +221,10 @@
       done(CoreErrc::kNoOwner, {});
       return;
     }
-    peers_.State(lead->second, job,
-                 [done](std::error_code result, JobState state) {
-                   done(result ? make_error_code(CoreErrc::kNoOwner) : result,
-                        state);
-                 });
+    peers_.State(
+        lead->second, job, [done](std::error_code result, JobState state) {
+          done(result ? make_error_code(CoreErrc::kNoOwner) : result, state);
+        });
   });
 }
 
--- a/src/libdoorwood/job/job_plan.cpp
+++ b/src/libdoorwood/job/job_plan.cpp
@@ -113,9 +113,12 @@
     json["depends_on"] = step.depends_on;
   }
   const std::pair<const char*, bool> flags[] = {
-      {"checkpoints", step.checkpoints}, {"gang", step.gang},
-      {"same_rack", step.same_rack},     {"lasting", step.lasting},
-      {"fills", step.fills},             {"duplicates", step.duplicates}};
+      {"checkpoints", step.checkpoints},
+      {"gang", step.gang},
+      {"same_rack", step.same_rack},
+      {"lasting", step.lasting},
+      {"fills", step.fills},
+      {"duplicates", step.duplicates}};
   for (const auto& [name, value] : flags) {
     if (value) {
       json[name] = true;
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -79,8 +79,7 @@
     }
     others = true;
     const auto told = deaf_at_.find(instance.data_centre);
-    if (told == deaf_at_.end() ||
-        now - told->second > options_.answer_counts) {
+    if (told == deaf_at_.end() || now - told->second > options_.answer_counts) {
       return false;
     }
   }
@@ -191,7 +190,8 @@
   Grant();
 }
 
-// --- The others ----------------------------------------------------------------
+// --- The others
+// ----------------------------------------------------------------
 
 void LiveDirectory::Refresh() {
   List();
@@ -264,10 +264,9 @@
       instances_.erase(name);
       return;
     }
-    instances_[name] = {name, json->value("data_centre", ""),
-                        json->value("address", ""),
-                        json->value("cpu_share", 1.0),
-                        json->value("leaving", false)};
+    instances_[name] = {
+        name, json->value("data_centre", ""), json->value("address", ""),
+        json->value("cpu_share", 1.0), json->value("leaving", false)};
     return;
   }
   if (rest.starts_with(kLeadFolder)) {
@@ -302,7 +301,8 @@
   // The store may take keys away without a word about the lease.
   if (lease_ && registered_ && !instances_.contains(self_.name)) {
     registered_ = false;
-    log_.Write("warn", "live", "own key is gone; registering again", Json::object());
+    log_.Write("warn", "live", "own key is gone; registering again",
+               Json::object());
     Register();
   }
 }
--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -34,16 +34,15 @@
   const auto same = std::count_if(
       worker.strains.begin(), worker.strains.end(),
       [image](const ServingStrain& serving) { return serving.image == image; });
-  return static_cast<double>(same) /
-         static_cast<double>(worker.strains.size());
+  return static_cast<double>(same) / static_cast<double>(worker.strains.size());
 }
 
 // Processors that filling work may ask for on a worker.
 double FillBudget(const WorkerRoom& worker, const PolicyOptions& options) {
   const int64_t ordinary = worker.reserved.cpu_millis - worker.serving_cpu;
-  const double used = static_cast<double>(ordinary) +
-                      options.serving_use *
-                          static_cast<double>(worker.serving_cpu);
+  const double used =
+      static_cast<double>(ordinary) +
+      options.serving_use * static_cast<double>(worker.serving_cpu);
   return (static_cast<double>(worker.capacity.cpu_millis) - used) *
          options.fill_share;
 }
@@ -60,9 +59,8 @@
     return PlaceProblem::kNoAccelerators;
   }
   if (!step.fills) {
-    return after.cpu_millis > worker.capacity.cpu_millis
-               ? PlaceProblem::kNoCpu
-               : PlaceProblem::kNone;
+    return after.cpu_millis > worker.capacity.cpu_millis ? PlaceProblem::kNoCpu
+                                                         : PlaceProblem::kNone;
   }
   const auto asked = static_cast<double>(worker.fill_cpu) +
                      static_cast<double>(step.size.cpu_millis);
@@ -118,8 +116,10 @@
 
 std::string_view ToString(PlaceProblem problem) {
   constexpr std::array<std::string_view, 10> kWords = {
-      "none",      "closed", "other_service",   "step_bound", "no_label",
-      "other_rack", "no_memory", "no_cpu", "no_accelerators", "disturbs"};
+      "none",       "closed",   "other_service",
+      "step_bound", "no_label", "other_rack",
+      "no_memory",  "no_cpu",   "no_accelerators",
+      "disturbs"};
   return kWords[static_cast<size_t>(problem)];
 }
 
--- a/src/libdoorwood/policy/interference.cpp
+++ b/src/libdoorwood/policy/interference.cpp
@@ -38,8 +38,7 @@
 
 double InterferenceModel::Press(std::string_view serving,
                                 std::string_view fill) const {
-  const auto found =
-      press_.find({std::string(serving), std::string(fill)});
+  const auto found = press_.find({std::string(serving), std::string(fill)});
   return found == press_.end() ? options_.unknown_press : found->second;
 }
 
@@ -71,13 +70,13 @@
   }
   const double error = strain - std::min(expected, 1.0);
   for (const FillLoad& fill : fills) {
-    double& press = press_
-                        .try_emplace({std::string(serving),
-                                      std::string(fill.image)},
-                                     options_.unknown_press)
-                        .first->second;
-    press += options_.learning_rate * error * fill.cores /
-             (squares + kSmallLoad);
+    double& press =
+        press_
+            .try_emplace({std::string(serving), std::string(fill.image)},
+                         options_.unknown_press)
+            .first->second;
+    press +=
+        options_.learning_rate * error * fill.cores / (squares + kSmallLoad);
     press = std::clamp(press, 0.0, options_.highest_press);
   }
 }
--- a/src/libdoorwood/policy/pacing.cpp
+++ b/src/libdoorwood/policy/pacing.cpp
@@ -23,8 +23,8 @@
   for (const PacedServing& task : serving) {
     const double wanted =
         model.StrainAt(task.image, task.target, options.tail_wanted);
-    least = std::min(least, wanted - model.Strain(task.image, task.figure,
-                                                  task.target));
+    least = std::min(
+        least, wanted - model.Strain(task.image, task.figure, task.target));
   }
   return least;
 }
@@ -48,9 +48,9 @@
               return model.Press(worst.image, a.image) * a.cores >
                      model.Press(worst.image, b.image) * b.cores;
             });
-  double excess = model.Strain(worst.image, worst.figure, worst.target) -
-                  model.StrainAt(worst.image, worst.target,
-                                 options.tail_wanted);
+  double excess =
+      model.Strain(worst.image, worst.figure, worst.target) -
+      model.StrainAt(worst.image, worst.target, options.tail_wanted);
   std::vector<PaceDecision> decisions;
   for (const PacedFill& fill : fills) {
     if (excess <= 0) {
@@ -73,11 +73,10 @@
                                 std::vector<PacedFill> fills,
                                 const InterferenceModel& model,
                                 const PolicyOptions& options) {
-  std::sort(fills.begin(), fills.end(),
-            [&](const PacedFill& a, const PacedFill& b) {
-              return WorstPress(serving, a, model) <
-                     WorstPress(serving, b, model);
-            });
+  std::sort(
+      fills.begin(), fills.end(), [&](const PacedFill& a, const PacedFill& b) {
+        return WorstPress(serving, a, model) < WorstPress(serving, b, model);
+      });
   double headroom = Headroom(serving, model, options);
   std::vector<PaceDecision> decisions;
   for (const PacedFill& fill : fills) {
--- a/src/log.adapter/bounded_appender.cpp
+++ b/src/log.adapter/bounded_appender.cpp
@@ -71,8 +71,7 @@
   size_t written = 0;
   while (written < lines.size() && TakesBytes(STDOUT_FILENO)) {
     const size_t size = std::min(kWrittenAtOnce, lines.size() - written);
-    const ssize_t count =
-        write(STDOUT_FILENO, lines.data() + written, size);
+    const ssize_t count = write(STDOUT_FILENO, lines.data() + written, size);
     if (count <= 0) {
       break;
     }
--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -147,29 +147,29 @@
     request_.body() = call_.body;
     request_.prepare_payload();
     connection_->stream.expires_at(deadline_);
-    http::async_write(connection_->stream, request_,
-                      [self = shared_from_this()](const error_code& error,
-                                                  size_t) {
-                        if (error) {
-                          self->OnBroken();
-                          return;
-                        }
-                        self->Read();
-                      });
+    http::async_write(
+        connection_->stream, request_,
+        [self = shared_from_this()](const error_code& error, size_t) {
+          if (error) {
+            self->OnBroken();
+            return;
+          }
+          self->Read();
+        });
   }
 
   void Read() {
     parser_.emplace();
     parser_->body_limit(kLargestAnswer);
-    http::async_read(connection_->stream, connection_->buffer, *parser_,
-                     [self = shared_from_this()](const error_code& error,
-                                                 size_t) {
-                       if (error) {
-                         self->OnBroken();
-                         return;
-                       }
-                       self->OnReply();
-                     });
+    http::async_read(
+        connection_->stream, connection_->buffer, *parser_,
+        [self = shared_from_this()](const error_code& error, size_t) {
+          if (error) {
+            self->OnBroken();
+            return;
+          }
+          self->OnReply();
+        });
   }
 
   // A kept connection may have been closed by the other side before this call
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -99,55 +99,55 @@
                        SubmitCallback done) {
   HttpCall call = Call(lead, "POST", plan.id, kSubmitPatience);
   call.body = Json(plan).dump();
-  client_.Send(std::move(call), [done = std::move(done)](
-                                    std::error_code error,
-                                    const HttpReply& reply) {
-    const bool known = reply.body.find("known") != std::string::npos;
-    done(error ? error : ErrorOf(reply.status),
-         known ? AcceptOutcome::kKnownAlready : AcceptOutcome::kAccepted);
-  });
+  client_.Send(
+      std::move(call),
+      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
+        const bool known = reply.body.find("known") != std::string::npos;
+        done(error ? error : ErrorOf(reply.status),
+             known ? AcceptOutcome::kKnownAlready : AcceptOutcome::kAccepted);
+      });
 }
 
 void HttpPeers::Cancel(const CellLead& lead,
                        const std::string& job,
                        CancelCallback done) {
-  client_.Send(Call(lead, "DELETE", job, kSubmitPatience),
-               [done = std::move(done)](std::error_code error,
-                                        const HttpReply& reply) {
-                 done(error ? error : ErrorOf(reply.status));
-               });
+  client_.Send(
+      Call(lead, "DELETE", job, kSubmitPatience),
+      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
+        done(error ? error : ErrorOf(reply.status));
+      });
 }
 
 void HttpPeers::State(const CellLead& lead,
                       const std::string& job,
                       StateCallback done) {
-  client_.Send(Call(lead, "GET", job, kStatePatience),
-               [done = std::move(done)](std::error_code error,
-                                        const HttpReply& reply) {
-                 if (error || reply.status != kOk) {
-                   done(error ? error : ErrorOf(reply.status), {});
-                   return;
-                 }
-                 for (const JobState state : kStates) {
-                   if (reply.body == ToString(state)) {
-                     done({}, state);
-                     return;
-                   }
-                 }
-                 done(CoreErrc::kInvalid, {});
-               });
+  client_.Send(
+      Call(lead, "GET", job, kStatePatience),
+      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
+        if (error || reply.status != kOk) {
+          done(error ? error : ErrorOf(reply.status), {});
+          return;
+        }
+        for (const JobState state : kStates) {
+          if (reply.body == ToString(state)) {
+            done({}, state);
+            return;
+          }
+        }
+        done(CoreErrc::kInvalid, {});
+      });
 }
 
 void HttpPeers::Summary(const CellLead& lead, SummaryCallback done) {
-  client_.Send(Call(lead, "GET", "", kSummaryPatience),
-               [done = std::move(done)](std::error_code error,
-                                        const HttpReply& reply) {
-                 const auto summary = DecodeSummary(reply.body);
-                 if (!error && (reply.status != kOk || !summary)) {
-                   error = ErrorOf(reply.status);
-                 }
-                 done(error, summary.value_or(CellSummary{}));
-               });
+  client_.Send(
+      Call(lead, "GET", "", kSummaryPatience),
+      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
+        const auto summary = DecodeSummary(reply.body);
+        if (!error && (reply.status != kOk || !summary)) {
+          error = ErrorOf(reply.status);
+        }
+        done(error, summary.value_or(CellSummary{}));
+      });
 }
 
 void HttpPeers::Ask(const LiveInstance& instance, Callback done) {
@@ -155,17 +155,17 @@
   call.address = instance.address;
   call.target = kHearingPath;
   call.timeout = kSummaryPatience;
-  client_.Send(std::move(call), [done = std::move(done)](
-                                    std::error_code error,
-                                    const HttpReply& reply) {
-    int64_t age = 0;
-    const auto read = std::from_chars(
-        reply.body.data(), reply.body.data() + reply.body.size(), age);
-    if (!error && (reply.status != kOk || read.ec != std::errc())) {
-      error = CoreErrc::kInvalid;
-    }
-    done(error, Millis(age));
-  });
+  client_.Send(
+      std::move(call),
+      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
+        int64_t age = 0;
+        const auto read = std::from_chars(
+            reply.body.data(), reply.body.data() + reply.body.size(), age);
+        if (!error && (reply.status != kOk || read.ec != std::errc())) {
+          error = CoreErrc::kInvalid;
+        }
+        done(error, Millis(age));
+      });
 }
 
 CellLeader* PeerService::Find(const std::string& cell) const {
@@ -188,8 +188,8 @@
     respond(std::move(response));
   };
   if (request.path == kHearingPath) {
-    const auto age = std::chrono::duration_cast<Millis>(
-        executor_.Now() - live_.store_heard_at());
+    const auto age = std::chrono::duration_cast<Millis>(executor_.Now() -
+                                                        live_.store_heard_at());
     answer({}, std::to_string(age.count()));
     return;
   }
@@ -214,11 +214,11 @@
       answer(CoreErrc::kInvalid, "");
       return;
     }
-    leader->Submit(plan->get<JobPlan>(), [answer](std::error_code error,
-                                                  AcceptOutcome outcome) {
-      const bool known = outcome == AcceptOutcome::kKnownAlready;
-      answer(error, known ? "known" : "accepted");
-    });
+    leader->Submit(plan->get<JobPlan>(),
+                   [answer](std::error_code error, AcceptOutcome outcome) {
+                     const bool known = outcome == AcceptOutcome::kKnownAlready;
+                     answer(error, known ? "known" : "accepted");
+                   });
   } else if (request.method == "DELETE") {
     leader->Cancel(job, [answer](std::error_code error) { answer(error, ""); });
   } else {
--- a/src/loop.adapter/http_server.cpp
+++ b/src/loop.adapter/http_server.cpp
@@ -57,8 +57,7 @@
 
   void Read() {
     parser_.emplace();
-    parser_->header_limit(
-        static_cast<uint32_t>(shared_->limits.header_bytes));
+    parser_->header_limit(static_cast<uint32_t>(shared_->limits.header_bytes));
     parser_->body_limit(shared_->limits.body_bytes);
     stream_.expires_after(first_ ? shared_->limits.header_timeout
                                  : shared_->limits.idle_timeout);
@@ -99,8 +98,8 @@
     close_after_ = true;
     HttpResponse response;
     response.status = kBadRequest;
-    response.body = R"({"error":"the request can't be read: )" +
-                    error.message() + R"("})";
+    response.body =
+        R"({"error":"the request can't be read: )" + error.message() + R"("})";
     Write(std::move(response));
   }
 
@@ -154,20 +153,20 @@
     response_.keep_alive(!close_after_ && !shared_->draining);
     response_.prepare_payload();
     stream_.expires_after(shared_->limits.idle_timeout);
-    http::async_write(stream_, response_,
-                      [self = shared_from_this()](const error_code& error,
-                                                  size_t) {
-                        if (error) {
-                          return;
-                        }
-                        if (!self->response_.keep_alive()) {
-                          error_code ignored;
-                          self->stream_.socket().shutdown(
-                              asio::ip::tcp::socket::shutdown_send, ignored);
-                          return;
-                        }
-                        self->Read();
-                      });
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](const error_code& error, size_t) {
+          if (error) {
+            return;
+          }
+          if (!self->response_.keep_alive()) {
+            error_code ignored;
+            self->stream_.socket().shutdown(
+                asio::ip::tcp::socket::shutdown_send, ignored);
+            return;
+          }
+          self->Read();
+        });
   }
 
   std::shared_ptr<Shared> shared_;
