--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -152,8 +152,7 @@
          (store_heard || cell_.leading());
 }
 
-// --- Signals and settings
-// ----------------------------------------------------------
+// --- Signals and settings ---
 
 void EntryDaemon::WaitForSignal() {
   stop_signals_.async_wait(
@@ -208,8 +207,7 @@
   executor_.Schedule(kFlushInterval, [this] { FlushLogs(); });
 }
 
-// --- A planned stop
-// -------------------------------------------------------------------
+// --- A planned stop ---
 
 void EntryDaemon::BeginLeaving() {
   if (leaving_) {
@@ -240,8 +238,7 @@
   executor_.Schedule(kIdleCheck, [this] { context_.stop(); });
 }
 
-// --- Figures
-// ----------------------------------------------------------------------------
+// --- Figures ---
 
 HttpResponse EntryDaemon::Metrics() const {
   const CellCounters& counters = cell_.counters();
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -188,8 +188,7 @@
   }
 }
 
-// --- Jobs that are over
-// ----------------------------------------------------------
+// --- Jobs that are over ---
 
 void CellLeader::OnJobOver(Job* job) {
   job->finished_at = unix_millis_();
@@ -214,8 +213,17 @@
   }
 }
 
-// --- Records
-// ------------------------------------------------------------------------
+// --- Records ---
+
+void CellLeader::StopRunsOfTask(const std::string& task) {
+  for (const auto& [id, member] : members_) {
+    const auto session = member.session;
+    if (session->FindRun(task) != nullptr) {
+      ++counters_.stops;
+      session->Stop(task);
+    }
+  }
+}
 
 std::string CellLeader::EncodeState(const std::string& id) {
   Job* job = jobs_.Find(id);
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -184,8 +184,7 @@
   });
 }
 
-// --- Building and sending
-// ------------------------------------------------------
+// --- Building and sending ---
 
 void CellJournal::Send() {
   if (!open_) {
@@ -279,8 +278,7 @@
   Wake(options_.patience);
 }
 
-// --- Answers
-// ---------------------------------------------------------------------
+// --- Answers ---
 
 void CellJournal::OnAnswer(std::error_code error, const StoreCommit& commit) {
   if (!error) {
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -76,8 +76,7 @@
   }
 }
 
-// --- Becoming the leader
-// -------------------------------------------------------
+// --- Becoming the leader ---
 
 bool CellLeader::MayCampaign() const {
   return stage_ == Stage::kStandby && table_ && live_.known() &&
@@ -266,8 +265,7 @@
   Tick();
 }
 
-// --- Giving it up
-// ----------------------------------------------------------------
+// --- Giving it up ---
 
 void CellLeader::OnLeadLost(std::string_view reason) {
   StepDown(reason);
@@ -336,8 +334,7 @@
   executor_.Schedule(Millis(30), [this] { Leave(std::move(on_left_)); });
 }
 
-// --- Workers
-// -----------------------------------------------------------------------
+// --- Workers ---
 
 void CellLeader::ReadWorkers() {
   if (reading_workers_) {
@@ -449,8 +446,7 @@
   }
 }
 
-// --- Time
-// ------------------------------------------------------------------------------
+// --- Time ---
 
 bool CellLeader::MayOrder() const {
   if (!leading() || unsure_after_pause_) {
@@ -557,8 +553,7 @@
   }
 }
 
-// --- Callers
-// -----------------------------------------------------------------------------
+// --- Callers ---
 
 void CellLeader::Submit(JobPlan plan, SubmitCallback done) {
   if (!leading()) {
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -322,8 +322,7 @@
   room->strains = CollectStrains(*session);
 }
 
-// --- What fills beside what serves
-// -------------------------------------------------
+// --- What fills beside what serves ---
 
 std::vector<ServingStrain> CellLeader::CollectStrains(
     const WorkerSession& session) const {
@@ -412,8 +411,7 @@
   }
 }
 
-// --- Workers that leave
-// ---------------------------------------------------------------
+// --- Workers that leave ---
 
 void CellLeader::EvacuateDraining() {
   for (const auto& [id, member] : members_) {
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -76,7 +76,7 @@
   life_ = life;
 }
 
-// --- Leases ------------------------------------------------------------------
+// --- Leases ---
 
 void WorkerSession::TakeClock(int64_t clock) {
   heard_at_ = executor_.Now();
@@ -111,7 +111,7 @@
   return executor_.Now() > clock_at_ + longest + kLapseMargin;
 }
 
-// --- Looks -------------------------------------------------------------------
+// --- Looks ---
 
 Millis WorkerSession::NextWait() const {
   if (last_end_ > recorded_end_) {
@@ -197,9 +197,9 @@
   if (closed_ || dead_ || !newest) {
     return;
   }
-  if (first && !runs_.empty()) {
-    ScheduleLook(Millis(0));
-  } else if (last_end_ > recorded_end_) {
+  // The first look prolongs nothing, so the next one follows at once.
+  const bool ends_wait = last_end_ > recorded_end_;
+  if (ends_wait && (!first || runs_.empty())) {
     ScheduleLook(options_.unrecorded_pause);
   } else if (!runs_.empty()) {
     ScheduleLook(Millis(0));
@@ -331,7 +331,7 @@
   }
 }
 
-// --- Orders ------------------------------------------------------------------
+// --- Orders ---
 
 void WorkerSession::Insert(Run run) {
   const std::string task = run.task;
@@ -538,7 +538,7 @@
       });
 }
 
-// --- Ends by proof -----------------------------------------------------------
+// --- Ends by proof ---
 
 void WorkerSession::Die() {
   if (dead_) {
--- a/src/libdoorwood/config/config_keeper.cpp
+++ b/src/libdoorwood/config/config_keeper.cpp
@@ -66,7 +66,7 @@
       retry_(options.watch_retry),
       configuration_(std::make_shared<Configuration>()) {}
 
-// --- Taking revisions -------------------------------------------------------
+// --- Taking revisions ---
 
 void ConfigKeeper::Start() {
   // The first read asks for all there is, without waiting.
@@ -158,7 +158,7 @@
   return history;
 }
 
-// --- Changes ----------------------------------------------------------------
+// --- Changes ---
 
 void ConfigKeeper::Apply(const ConfigChange& change,
                          std::function<void(ConfigOutcome)> done) {
--- a/src/libdoorwood/holder/holder.cpp
+++ b/src/libdoorwood/holder/holder.cpp
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-// --- Construction and the set of workers ------------------------------------
+// --- Construction and the set of workers ---
 
 WorkerHolder::WorkerHolder(const HolderOptions& options,
                            Executor& executor,
@@ -83,7 +83,7 @@
   Acquire(held);
 }
 
-// --- Acquiring --------------------------------------------------------------
+// --- Acquiring ---
 
 void WorkerHolder::Acquire(const std::shared_ptr<Held>& held) {
   if (held->in_flight || !IsWanted(held)) {
@@ -181,7 +181,7 @@
   RebuildResidents(held);
 }
 
-// --- Renewals and orders ----------------------------------------------------
+// --- Renewals and orders ---
 
 void WorkerHolder::Renew(const std::shared_ptr<Held>& held) {
   if (held->in_flight || !IsWanted(held)) {
@@ -284,7 +284,7 @@
   RebuildResidents(held);
 }
 
-// --- Giving up control ------------------------------------------------------
+// --- Giving up control ---
 
 void WorkerHolder::HandOver(const std::shared_ptr<Held>& held) {
   if (held->state == HoldState::kAcquiring ||
@@ -340,7 +340,7 @@
   }
 }
 
-// --- What is held -----------------------------------------------------------
+// --- What is held ---
 
 bool WorkerHolder::Holds(const std::string& worker) const {
   const auto held = held_.find(worker);
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -39,8 +39,7 @@
   return !live_.leads().empty();
 }
 
-// --- Which cell
-// ------------------------------------------------------------------
+// --- Which cell ---
 
 double Ingress::Load(const std::string& cell) const {
   const auto known = cells_.find(cell);
@@ -104,8 +103,7 @@
   }
 }
 
-// --- Submitting
-// --------------------------------------------------------------------
+// --- Submitting ---
 
 void Ingress::Submit(JobPlan plan, SubmitCallback done) {
   std::vector<std::string> cells = CellsByLoad();
@@ -168,8 +166,7 @@
   peers_.Submit(lead->second, plan, std::move(done));
 }
 
-// --- Known jobs
-// ----------------------------------------------------------------------
+// --- Known jobs ---
 
 void Ingress::Cancel(const std::string& job, CancelCallback done) {
   FindCell(job, [this, job, done = std::move(done)](std::error_code error,
--- a/src/libdoorwood/instance/instance.cpp
+++ b/src/libdoorwood/instance/instance.cpp
@@ -21,7 +21,7 @@
   return XXH3_64bits(member.data(), member.size()) % shard_count;
 }
 
-// --- Life -------------------------------------------------------------------
+// --- Life ---
 
 Instance::Instance(const InstanceOptions& options, const InstancePorts& ports)
     : options_(options),
@@ -106,7 +106,7 @@
   executor_.Post([look]() { (*look)(); });
 }
 
-// --- Registration in the key-value service ----------------------------------
+// --- Registration in the key-value service ---
 
 void Instance::Register() {
   const Instant sent = executor_.Now();
@@ -183,7 +183,7 @@
   });
 }
 
-// --- Membership -------------------------------------------------------------
+// --- Membership ---
 
 void Instance::FetchList() {
   directory_.Fetch([this, alive = alive_](std::error_code error,
@@ -297,7 +297,7 @@
                });
 }
 
-// --- What is held and owned -------------------------------------------------
+// --- What is held and owned ---
 
 void Instance::Rebalance() {
   const Instant now = executor_.Now();
@@ -360,7 +360,7 @@
   return workers;
 }
 
-// --- Ends on their way to the owners ----------------------------------------
+// --- Ends on their way to the owners ---
 
 void Instance::OnAttemptEnded(const ShardId& shard, const Sighting& ended) {
   ends_[shard][ended.attempt] = ended;
@@ -417,7 +417,7 @@
                });
 }
 
-// --- HolderListener, OwnerEnvironment ---------------------------------------
+// --- HolderListener, OwnerEnvironment ---
 
 void Instance::OnHeldChanged() {
   ++holdings_version_;
@@ -508,7 +508,7 @@
              {{"job", task.job}, {"task", task.name}, {"detail", detail}});
 }
 
-// --- PeerService ------------------------------------------------------------
+// --- PeerService ---
 
 void Instance::Handle(const PeerRequest& request, Reply reply) {
   if (const auto* beat = std::get_if<Heartbeat>(&request)) {
@@ -538,7 +538,7 @@
   }
 }
 
-// --- Traffic ----------------------------------------------------------------
+// --- Traffic ---
 
 void Instance::OnConfigChanged() {
   log_.Write("info", "config", "in force", {{"revision", config_->revision()}});
--- a/src/libdoorwood/instance/instance_operator.cpp
+++ b/src/libdoorwood/instance/instance_operator.cpp
@@ -131,7 +131,7 @@
   }
 }
 
-// --- Jobs -------------------------------------------------------------------
+// --- Jobs ---
 
 void Instance::OperateSubmit(const Json& body,
                              const OperatorCall& call,
@@ -245,7 +245,7 @@
   Gather(call, std::move(own), std::move(done));
 }
 
-// --- Configuration ----------------------------------------------------------
+// --- Configuration ---
 
 void Instance::OperateConfigApply(const Json& body, OperatorDone done) {
   ConfigChange change;
@@ -268,7 +268,7 @@
   done(Answer({{"revision", config_->revision()}, {"text", config_->text()}}));
 }
 
-// --- Workers and status -----------------------------------------------------
+// --- Workers and status ---
 
 void Instance::OperateWorkers(const OperatorCall& call, OperatorDone done) {
   Json own = Json::array();
@@ -337,7 +337,7 @@
   Gather(call, routes_.Burn(), std::move(done));
 }
 
-// --- Idempotency keys -------------------------------------------------------
+// --- Idempotency keys ---
 
 void Instance::Claim(const std::string& key,
                      const std::string& request,
@@ -363,7 +363,7 @@
   Operate({"unclaim", body.dump()}, [](const OperatorReply&) {});
 }
 
-// --- Passing on -------------------------------------------------------------
+// --- Passing on ---
 
 void Instance::ToOwner(const ShardId& shard,
                        const OperatorCall& call,
--- a/src/libdoorwood/instance/instance_test.cpp
+++ b/src/libdoorwood/instance/instance_test.cpp
@@ -283,7 +283,7 @@
   }
 }
 
-// --- Eviction, checkpoint, resume ------------------------------------------
+// --- Eviction, checkpoint, resume ---
 
 // One worker full of batch work; a service task needs room there.
 struct Evicting : Running {
@@ -376,7 +376,7 @@
   });
 }
 
-// --- What may not be repeated ------------------------------------------------
+// --- What may not be repeated ---
 
 constexpr const char* kOnce = "    repeatable: false\n";
 
@@ -405,7 +405,7 @@
   }
 }
 
-// --- Answers of the store that get lost --------------------------------------
+// --- Answers of the store that get lost ---
 
 BOOST_AUTO_TEST_CASE(submission_with_unknown_outcome_runs_once_when_logged) {
   for (const Fault fault :
@@ -435,8 +435,7 @@
   }
 }
 
-// --- Placements that arrive late
-// ----------------------------------------------
+// --- Placements that arrive late ---
 
 BOOST_AUTO_TEST_CASE(placement_that_arrives_after_a_census_is_refused) {
   for (const char* more : {"", kOnce}) {
@@ -451,7 +450,7 @@
   }
 }
 
-// --- Cancellation ------------------------------------------------------------
+// --- Cancellation ---
 
 BOOST_AUTO_TEST_CASE(cancelled_job_with_queued_and_running_tasks_ends) {
   Running cluster({.workers = 1});
@@ -470,7 +469,7 @@
       4000);
 }
 
-// --- Jobs that can never run -------------------------------------------------
+// --- Jobs that can never run ---
 
 BOOST_AUTO_TEST_CASE(job_larger_than_any_worker_is_told_and_blocks_nobody) {
   Running cluster;
@@ -496,7 +495,7 @@
   BOOST_TEST(cluster.world.Starts("task") == 3);
 }
 
-// --- Workers that do not refuse older epochs --------------------------------
+// --- Workers that do not refuse older epochs ---
 
 BOOST_AUTO_TEST_CASE(worker_without_fencing_and_killed_holder_keeps_the_rules) {
   Running cluster({.workers = 1, .fences = false});
@@ -508,7 +507,7 @@
   cluster.CheckRules();
 }
 
-// --- Leaving -----------------------------------------------------------------
+// --- Leaving ---
 
 BOOST_AUTO_TEST_CASE(leaving_worker_seen_in_the_list_gets_nothing_new) {
   Running cluster;
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -112,7 +112,7 @@
   }
 }
 
-// --- The own lease -----------------------------------------------------------
+// --- The own lease ---
 
 void LiveDirectory::Grant() {
   if (stopped_) {
@@ -190,8 +190,7 @@
   Grant();
 }
 
-// --- The others
-// ----------------------------------------------------------------
+// --- The others ---
 
 void LiveDirectory::Refresh() {
   List();
--- a/src/libdoorwood/owner/shard_log.cpp
+++ b/src/libdoorwood/owner/shard_log.cpp
@@ -63,7 +63,7 @@
   return "shard/" + ToString(shard_) + "/snapshot";
 }
 
-// --- Appending --------------------------------------------------------------
+// --- Appending ---
 
 void ShardLog::Append(LogRecord record, bool refusable, Done done) {
   if (fenced_ || !open_) {
@@ -308,7 +308,7 @@
   });
 }
 
-// --- Snapshots --------------------------------------------------------------
+// --- Snapshots ---
 
 void ShardLog::MaybeSnapshot() {
   const bool due = position_ - snapshot_position_ >= options_.snapshot_after;
@@ -358,7 +358,7 @@
   }
 }
 
-// --- Closing ----------------------------------------------------------------
+// --- Closing ---
 
 void ShardLog::Close(Done done) {
   if (!open_ || fenced_) {
--- a/src/libdoorwood/owner/shard_owner.cpp
+++ b/src/libdoorwood/owner/shard_owner.cpp
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-// --- Life -------------------------------------------------------------------
+// --- Life ---
 
 ShardOwner::ShardOwner(const OwnerOptions& options,
                        const ShardId& shard,
@@ -118,7 +118,7 @@
   return {log_->epoch(), ++counter_};
 }
 
-// --- What operators and callers ask -----------------------------------------
+// --- What operators and callers ask ---
 
 void ShardOwner::Submit(const JobSpec& job, Done done) {
   if (log_->state().FindJob(job.id) != nullptr) {
@@ -232,7 +232,7 @@
       });
 }
 
-// --- Ends -------------------------------------------------------------------
+// --- Ends ---
 
 void ShardOwner::LogEnd(Task& task,
                         const AttemptId& attempt,
@@ -325,7 +325,7 @@
   finish();
 }
 
-// --- For operators ----------------------------------------------------------
+// --- For operators ---
 
 std::string_view ShardOwner::StageName(Stage stage) {
   switch (stage) {
--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -185,7 +185,7 @@
 
   void OnReply() {
     HttpReply reply;
-    reply.status = parser_->get().result_int();
+    reply.status = static_cast<int>(parser_->get().result_int());
     reply.body = std::move(parser_->get().body());
     if (parser_->get().keep_alive()) {
       connection_->stream.expires_never();
