--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -122,7 +122,9 @@
     connection_->stream.async_connect(
         *endpoint, [self = shared_from_this()](const error_code& error) {
           if (error) {
-            self->Finish(PeerErrc::kNotSent);
+            // An earlier try on a kept connection may have arrived.
+            self->Finish(self->sent_ ? PeerErrc::kNoAnswer
+                                     : PeerErrc::kNotSent);
             return;
           }
           error_code ignored;
@@ -147,6 +149,7 @@
     request_.body() = call_.body;
     request_.prepare_payload();
     connection_->stream.expires_at(deadline_);
+    sent_ = true;
     http::async_write(
         connection_->stream, request_,
         [self = shared_from_this()](const error_code& error, size_t) {
@@ -202,6 +205,8 @@
   Instant deadline_;
   std::shared_ptr<Connection> connection_;
   bool reused_ = false;
+  /// Some of the request may have left on this or an earlier connection.
+  bool sent_ = false;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
 };
