feat(interference): each serving task has a load of its own in the model

Cause: 72% of the reports over target came within 1.2 s of a filling task's start, in pairs that press hard; the model blamed the load, which swings by 0.24 with a phase of its own a task, as much as the new neighbour.

--- a/src/include/doorwood/interference.h
+++ b/src/include/doorwood/interference.h
@@ -8,7 +8,8 @@
 /// B its best tail and x its strain, 0 (idle) to 1 (stands still). Filling
 /// work adds to the strain in proportion to the processors it uses; the factor
 /// of each pair of images is fitted as reports come, by normalised least mean
-/// squares.
+/// squares. Each serving task has a load of its own that drifts over seconds;
+/// it is followed slowly, so that sudden changes are put down to what fills.
 
 #ifndef DOORWOOD_INTERFERENCE_H_
 #define DOORWOOD_INTERFERENCE_H_
@@ -37,8 +38,9 @@
   double lowest_base = 0.1;
   /// Best tail as a share of the target before anything is known.
   double first_base = 0.2;
-  /// Weight of a new report in the strain without filling work.
-  double load_rate = 0.1;
+  /// Weight of a new report in a task's load, beside filling work and without.
+  double load_rate = 0.15;
+  double load_rate_alone = 0.6;
   double first_load = 0.45;
 };
 
@@ -61,23 +63,20 @@
   double Press(std::string_view serving, std::string_view fill) const;
 
   /// Learns from one report of a serving task and the filling work beside it.
-  void Observe(std::string_view serving,
-               int64_t figure,
-               Millis target,
-               std::span<const FillLoad> fills);
+  /// `load` is the task's own strain so far, below 0 if not known yet; gives
+  /// the new one.
+  double Observe(std::string_view serving,
+                 int64_t figure,
+                 Millis target,
+                 std::span<const FillLoad> fills,
+                 double load);
 
  private:
-  struct Serving {
-    /// Best tail seen, in milliseconds.
-    double base = 0;
-    /// Strain without filling work.
-    double load = 0;
-  };
-
   double BaseOf(std::string_view image, Millis target) const;
 
   const InterferenceOptions options_;
-  std::map<std::string, Serving, std::less<>> serving_;
+  /// Best tail seen of each serving image, in milliseconds.
+  std::map<std::string, double, std::less<>> base_;
   std::map<std::pair<std::string, std::string>, double> press_;
 };
 
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -59,6 +59,9 @@
   int progress = 0;
   Instant progress_changed{};
   int64_t figure = -1;
+  /// Of a serving task: its own strain without what fills beside it; below 0:
+  /// not known yet.
+  double load = -1;
   std::string checkpoint;
   /// Share of its speed that it may work at: wanted, and confirmed.
   int wanted_pace = 100;
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -375,8 +375,16 @@
       loads.push_back({run.image, used});
     }
   }
-  for (const PacedServing& task : serving) {
-    interference_.Observe(task.image, task.figure, task.target, loads);
+  std::vector<std::string> observed;
+  for (const auto& [task, run] : session.runs()) {
+    if (run.latency_target > Millis(0) && run.figure > 0) {
+      observed.push_back(task);
+    }
+  }
+  for (const std::string& task : observed) {
+    Run* run = session.FindRun(task);
+    run->load = interference_.Observe(run->image, run->figure,
+                                      run->latency_target, loads, run->load);
   }
   if (fills.empty()) {
     return;
--- a/src/libdoorwood/policy/interference.cpp
+++ b/src/libdoorwood/policy/interference.cpp
@@ -14,11 +14,11 @@
 
 double InterferenceModel::BaseOf(std::string_view image, Millis target) const {
   const auto bound = static_cast<double>(target.count());
-  const auto known = serving_.find(image);
-  if (known == serving_.end() || known->second.base <= 0) {
+  const auto known = base_.find(image);
+  if (known == base_.end()) {
     return bound * options_.first_base;
   }
-  return std::max(known->second.base, bound * options_.lowest_base);
+  return std::max(known->second, bound * options_.lowest_base);
 }
 
 double InterferenceModel::Strain(std::string_view image,
@@ -42,33 +42,28 @@
   return found == press_.end() ? options_.unknown_press : found->second;
 }
 
-void InterferenceModel::Observe(std::string_view serving,
-                                int64_t figure,
-                                Millis target,
-                                std::span<const FillLoad> fills) {
+double InterferenceModel::Observe(std::string_view serving,
+                                  int64_t figure,
+                                  Millis target,
+                                  std::span<const FillLoad> fills,
+                                  double load) {
   if (figure <= 0 || target <= Millis(0)) {
-    return;
+    return load;
   }
-  const auto [place, added] =
-      serving_.try_emplace(std::string(serving), Serving{});
-  Serving& known = place->second;
   const auto tail = static_cast<double>(figure);
-  if (added) {
-    known.load = options_.first_load;
-  }
-  known.base = known.base <= 0 ? tail : std::min(known.base, tail);
+  const auto [base, added] = base_.try_emplace(std::string(serving), tail);
+  base->second = std::min(base->second, tail);
   const double strain = Strain(serving, figure, target);
-  if (fills.empty()) {
-    known.load += options_.load_rate * (strain - known.load);
-    return;
-  }
-  double expected = known.load;
+  double pressed = 0;
   double squares = 0;
   for (const FillLoad& fill : fills) {
-    expected += Press(serving, fill.image) * fill.cores;
+    pressed += Press(serving, fill.image) * fill.cores;
     squares += fill.cores * fill.cores;
   }
-  const double error = strain - std::min(expected, 1.0);
+  if (load < 0) {
+    return std::max(0.0, strain - pressed);
+  }
+  const double error = strain - std::min(load + pressed, 1.0);
   for (const FillLoad& fill : fills) {
     double& press =
         press_
@@ -79,6 +74,9 @@
         options_.learning_rate * error * fill.cores / (squares + kSmallLoad);
     press = std::clamp(press, 0.0, options_.highest_press);
   }
+  const double rate =
+      squares > 0 ? options_.load_rate : options_.load_rate_alone;
+  return std::clamp(load + rate * error, 0.0, 1.0);
 }
 
 }  // namespace doorwood
--- a/src/libdoorwood/policy/pacing_test.cpp
+++ b/src/libdoorwood/policy/pacing_test.cpp
@@ -13,13 +13,13 @@
 // 0.005.
 struct PacingFixture {
   PacingFixture() {
-    model.Observe("s", 30, kTarget, {});
+    model.Observe("s", 30, kTarget, {}, -1);
+    double load = 0.30;
     for (int i = 0; i < 200; ++i) {
       const FillLoad heavy[] = {{"heavy", 4.0}};
       const FillLoad light[] = {{"light", 4.0}};
-      model.Observe("s", TailAt(0.30 + 0.24), kTarget, heavy);
-      model.Observe("s", TailAt(0.30 + 0.02), kTarget, light);
-      model.Observe("s", TailAt(0.30), kTarget, {});
+      load = model.Observe("s", TailAt(0.30 + 0.24), kTarget, heavy, load);
+      load = model.Observe("s", TailAt(0.30 + 0.02), kTarget, light, load);
     }
   }
 
