--- /dev/null
+++ b/testsuite/platform-bad-input/run.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# SPDX-License-Identifier: Apache-2.0
+# What is malformed is refused with a sentence, and nothing of it is kept.
+set -u
+here=$(dirname "$0")
+. "$here/../lib.sh"
+. "$here/../platform-lib.sh"
+
+start_platform 1 "$here/../platform-job/config.json"
+start_entry a1 plaka
+until_true is_ready a1
+
+id=00000000000000b1
+call a1 POST "/jobs/$id" '{"steps":'
+call a1 POST "/jobs/$id" '[]'
+call a1 POST "/jobs/$id" '{"steps":[]}'
+call a1 POST "/jobs/$id" '{"steps":[{"count":0}]}'
+call a1 POST "/jobs/$id" '{"steps":[{"count":"four"}]}' | sed 's/type: .*"} /type: ..."} /'
+call a1 POST "/jobs/$id" '{"steps":[{"count":1,"dependsOn":[1]}]}'
+call a1 POST "/jobs/$id" '{"steps":[{"count":1,"longRunning":true}],"maxRuns":2,"intervalMs":100}'
+call a1 POST /jobs/short '{"steps":[{"count":1}]}'
+call a1 POST /jobs/ '{"steps":[{"count":1}]}'
+call a1 PUT "/jobs/$id" '{}'
+large=$(head -c 5000 /dev/zero | tr '\0' 'x')
+call a1 POST "/jobs/$id" "{\"spec\":\"$large\"}" | tail -c 5
+call a1 GET "/jobs/$id"
+call a1 GET /nowhere/
+printf 'nonsense\r\n\r\n' | timeout 5 bash -c "exec 3<>/dev/tcp/127.0.0.1/${PORT[a1-front]}; cat >&3; head -1 <&3" | tr -d '\r'
+is_ready a1 && echo "still ready"
+
+sed 's/^instance:.*/instence: a1/' "$WORK/a1.yaml" >"$WORK/bad.yaml"
+"$BIN/doorwood-celld" --settings "$WORK/bad.yaml" 2>&1 | sed "s#$WORK/##"
+"$BIN/doorwood-celld" --settings "$WORK/a1.yaml" --check-settings | sed "s#$WORK/##"
--- /dev/null
+++ b/testsuite/platform-lib.sh
@@ -0,0 +1,72 @@
+# SPDX-License-Identifier: Apache-2.0
+# shellcheck shell=bash
+# Functions for sessions of entry instances on the platform's stand-in.
+# Sourced after lib.sh, which ends what is started here.
+
+# start_platform WORKERS CONFIG: the store and so many workers.
+start_platform() {
+  local args=() n
+  PORT[store]=$(free_port)
+  for ((n = 1; n <= $1; n++)); do
+    PORT[worker-$n]=$(free_port)
+    args+=(--worker "127.0.0.1:${PORT[worker-$n]}")
+  done
+  "$BIN/doorwood-platform-standin" --store "127.0.0.1:${PORT[store]}" "${args[@]}" \
+    --config "$2" >"$WORK/standin.out" 2>&1 &
+  PID[standin]=$!
+  STARTED+=(standin)
+  until_true grep -q '^listening' "$WORK/standin.out"
+}
+
+# until_true COMMAND...: at most 20 s.
+until_true() {
+  local tries
+  for ((tries = 0; tries < 200; tries++)); do
+    "$@" >/dev/null 2>&1 && return
+    sleep 0.1
+  done
+  fail "never true: $*"
+}
+
+# start_entry NAME DATA_CENTRE
+start_entry() {
+  local name=$1 part
+  for part in front ready peer metrics; do
+    PORT[$name-$part]=$(free_port)
+  done
+  cat >"$WORK/$name.yaml" <<YAML
+instance: $name
+data_centre: $2
+front: 127.0.0.1:${PORT[$name-front]}
+ready: 127.0.0.1:${PORT[$name-ready]}
+peer: 127.0.0.1:${PORT[$name-peer]}
+metrics: 127.0.0.1:${PORT[$name-metrics]}
+store: 127.0.0.1:${PORT[store]}
+YAML
+  run_entry "$name"
+}
+
+# run_entry NAME: also to start it again.
+run_entry() {
+  "$BIN/doorwood-celld" --settings "$WORK/$1.yaml" >>"$WORK/$1.log" 2>&1 &
+  PID[$1]=$!
+  STARTED+=("$1")
+}
+
+is_ready() {
+  [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:${PORT[$1-ready]}/ready")" = 200 ]
+}
+
+# call NAME METHOD PATH [BODY]: status and body of a requester's call.
+call() {
+  curl -s -X "$2" -H 'Host: queue.example' ${4:+--data-binary "$4"} \
+    -w ' %{http_code}\n' "http://127.0.0.1:${PORT[$1-front]}$3"
+}
+
+state_is() {
+  call "$1" GET "/jobs/$2" | grep -q "\"$3\""
+}
+
+leads() {
+  curl -s "http://127.0.0.1:${PORT[$1-metrics]}/metrics" | grep -q '^doorwood_leading 1'
+}
