--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -208,6 +208,8 @@
   void Schedule();
   std::vector<ReadyStep> CollectReady() const;
   void RankReady(std::vector<ReadyStep>* ready) const;
+  /// Tasks that are ready for the first time begin to wait.
+  void NoteReadySince(const std::vector<ReadyStep>& ready);
   std::vector<WorkerRoom> CollectRooms() const;
   bool IsReady(const Task& task) const;
   void PlaceStep(const ReadyStep& ready, std::vector<WorkerRoom>* rooms);
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -23,9 +23,10 @@
 namespace doorwood {
 
 struct PolicyOptions {
-  /// Share of a worker's unreserved processors that filling work may ask for.
-  /// From trials on a quiet day; see docs/POLICY.md.
-  double fill_share = 1.0;
+  /// Filling work may ask for this share of the processors that the rest of a
+  /// worker leaves unused. From trials on the standard days; see
+  /// docs/POLICY.md.
+  double fill_share = 1.2;
   /// A job later than this multiple of its objective is worth nothing.
   double hopeless_factor = 3.0;
   /// Failures of distinct jobs within `failure_memory`, without a success
@@ -46,7 +47,7 @@
   int pace_step = 25;
   /// Share of the processors that serving tasks reserve which they are taken
   /// to use. From a trial day: 0.48 on the mean.
-  double serving_use = 0.55;
+  double serving_use = 0.45;
   InterferenceOptions interference;
 };
 
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -103,6 +103,17 @@
             });
 }
 
+void CellLeader::NoteReadySince(const std::vector<ReadyStep>& ready) {
+  const Instant now = executor_.Now();
+  for (const ReadyStep& step : ready) {
+    for (Task& task : step.job->times[step.time].steps[step.step].tasks) {
+      if (task.ready_since == Instant{}) {
+        task.ready_since = now;
+      }
+    }
+  }
+}
+
 std::vector<WorkerRoom> CellLeader::CollectRooms() const {
   std::vector<WorkerRoom> rooms;
   const Instant now = executor_.Now();
@@ -134,6 +145,7 @@
   if (ready.empty()) {
     return;
   }
+  NoteReadySince(ready);
   RankReady(&ready);
   std::vector<WorkerRoom> rooms = CollectRooms();
   for (const ReadyStep& step : ready) {
@@ -303,16 +315,15 @@
   room->open = trust_.Allows(std::string(room->id), executor_.Now());
   const auto waited =
       std::chrono::duration_cast<Millis>(executor_.Now() - task->ready_since);
-  log_.Write(
-      "info", "cell", "start ordered",
-      {{"task", run.task},
-       {"run", number},
-       {"worker", room->id},
-       {"epoch", epoch_},
-       {"free_cpu",
-        room->capacity.cpu_millis - room->reserved.cpu_millis - room->fill_cpu},
-       {"serving", room->serving},
-       {"waited_ms", task->ready_since == Instant{} ? 0 : waited.count()}});
+  log_.Write("info", "cell", "start ordered",
+             {{"task", run.task},
+              {"run", number},
+              {"worker", room->id},
+              {"epoch", epoch_},
+              {"free_cpu", room->capacity.cpu_millis -
+                               room->reserved.cpu_millis - room->fill_cpu},
+              {"serving", room->serving},
+              {"waited_ms", waited.count()}});
   session->Start(std::move(run), task->job->plan.payload, "");
   room->reserved = session->reserved();
   room->fill_cpu = session->fill_cpu();
