feat(ticket_book): starts with tickets on queues that need advice

Which workers may run a step is asked of the adviser in batches of 30, kept while it holds, and asked again; a start carries the ticket. Without this such queues would have started nothing.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -59,6 +59,7 @@
       client_(context_),
       store_(client_, settings_.store),
       workers_(client_),
+      adviser_(client_, settings_.adviser),
       directory_(store_),
       config_source_(store_),
       peers_(client_),
@@ -68,6 +69,7 @@
             store_,
             directory_,
             workers_,
+            settings_.adviser.empty() ? nullptr : &adviser_,
             live_,
             log_,
             UnixMillis,
@@ -111,7 +113,6 @@
 void EntryDaemon::Run() {
   std::signal(SIGPIPE, SIG_IGN);
   started_at_ = executor_.Now();
-  front_server_.SetPatienceHeader(platform::kPatienceHeader);
   front_server_.Listen(settings_.front);
   ready_server_.Listen(settings_.ready);
   peer_server_.Listen(settings_.peer);
--- a/src/celld/entry_daemon.h
+++ b/src/celld/entry_daemon.h
@@ -20,6 +20,7 @@
 #include "loop.adapter/http_peers.h"
 #include "loop.adapter/http_server.h"
 #include "loop.adapter/loop_executor.h"
+#include "platform/advice.h"
 #include "platform/config.h"
 #include "platform/front.h"
 #include "platform/store.h"
@@ -58,6 +59,7 @@
   HttpClient client_;
   platform::Store store_;
   platform::Workers workers_;
+  platform::AdviceService adviser_;
   platform::Directory directory_;
   platform::Config config_source_;
   HttpPeers peers_;
--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -282,6 +282,29 @@
   WorldInstance& self_;
 };
 
+// Permits every worker whose id does not end in "x".
+class WorldAdviser : public Adviser {
+ public:
+  explicit WorldAdviser(WorldInstance& self) : self_(self) {}
+
+  void Ask(const std::string& step,
+           const std::vector<std::string>& workers,
+           Callback done) override {
+    Advice advice;
+    advice.valid = Millis(2000);
+    for (const std::string& worker : workers) {
+      if (!worker.ends_with("x")) {
+        advice.tickets.push_back({worker, step + "@" + worker});
+      }
+    }
+    self_.executor->Schedule(
+        kStoreDelay, [advice, done = std::move(done)] { done({}, advice); });
+  }
+
+ private:
+  WorldInstance& self_;
+};
+
 class WorldLog : public EventLog {
  public:
   WorldLog(const CellWorld& world, std::string name)
@@ -325,6 +348,7 @@
   self.directory = std::make_unique<WorldDirectory>(*this, self);
   self.workers = std::make_unique<WorldWorkers>(*this, self);
   self.hearing = std::make_unique<WorldHearing>(*this, self);
+  self.adviser = std::make_unique<WorldAdviser>(self);
   self.log = std::make_unique<WorldLog>(*this, name);
   LiveInstance live;
   live.name = name;
@@ -336,8 +360,9 @@
   CellOptions options;
   options.cell = "all";
   self.cell = std::make_unique<CellLeader>(
-      *self.executor, *self.store, *self.directory, *self.workers, *self.live,
-      *self.log, [this] { return time_.millis(); }, options);
+      *self.executor, *self.store, *self.directory, *self.workers,
+      self.adviser.get(), *self.live, *self.log,
+      [this] { return time_.millis(); }, options);
   by_name_[name] = &self;
   instances_.push_back(std::move(instance));
   if (table_) {
@@ -442,8 +467,14 @@
   return found == starts_.end() ? 0 : found->second;
 }
 
+std::string CellWorld::ticket(const std::string& task) const {
+  const auto found = tickets_.find(task);
+  return found == tickets_.end() ? "" : found->second;
+}
+
 void CellWorld::OnStarted(const std::string& worker, const StartOrder& order) {
   ++starts_[order.task];
+  tickets_[order.task] = order.ticket;
   Trace("world: " + order.task + " run " + std::to_string(order.run) +
         " starts on " + worker);
   CheckRuns(order.task);
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -43,6 +43,7 @@
   std::unique_ptr<WorkerDirectory> directory;
   std::unique_ptr<RunWorkers> workers;
   std::unique_ptr<StoreHearing> hearing;
+  std::unique_ptr<Adviser> adviser;
   std::unique_ptr<EventLog> log;
   std::unique_ptr<LiveDirectory> live;
   std::unique_ptr<CellLeader> cell;
@@ -93,6 +94,8 @@
   /// Rules that were broken, in words.
   const std::vector<std::string>& broken() const { return broken_; }
   int starts(const std::string& task) const;
+  /// Ticket that the task's newest start carried.
+  std::string ticket(const std::string& task) const;
   /// What is logged, where DOORWOOD_TRACE is set.
   void Trace(const std::string& line) const;
 
@@ -112,6 +115,7 @@
   std::map<std::string, std::unique_ptr<WorldWorker>> workers_;
   std::shared_ptr<const QueueTable> table_;
   std::map<std::string, int> starts_;
+  std::map<std::string, std::string> tickets_;
   std::vector<std::string> broken_;
 };
 
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -28,6 +28,7 @@
 #include "doorwood/queue_table.h"
 #include "doorwood/record_store.h"
 #include "doorwood/run_worker.h"
+#include "doorwood/ticket_book.h"
 #include "doorwood/worker_session.h"
 
 namespace doorwood {
@@ -87,10 +88,12 @@
   /// CoreErrc::kNotFound: no such job here.
   using CancelCallback = std::function<void(std::error_code)>;
 
+  /// `adviser` may be null; then queues that need advice start nothing.
   CellLeader(Executor& executor,
              RecordStore& store,
              WorkerDirectory& directory,
              RunWorkers& workers,
+             Adviser* adviser,
              LiveDirectory& live,
              EventLog& log,
              std::function<int64_t()> unix_millis,
@@ -221,7 +224,14 @@
   void TellWaiting(const Task& task,
                    const StepRank& rank,
                    const ProblemCounts& problems);
-  void StartTask(Task* task, uint32_t run, WorkerRoom* room);
+  void StartTask(Task* task,
+                 uint32_t run,
+                 WorkerRoom* room,
+                 const std::string& ticket);
+  /// Closes, on a copy, the rooms that the step has no ticket for, and asks
+  /// for more.
+  std::vector<WorkerRoom> PermittedRooms(const ReadyStep& ready,
+                                         const std::vector<WorkerRoom>& rooms);
   void PaceWorker(WorkerSession& session);
   void MoveStuckFills(WorkerSession& session);
   std::vector<ServingStrain> CollectStrains(const WorkerSession& session) const;
@@ -262,6 +272,7 @@
   CellJournal journal_;
   WorkerTrust trust_;
   InterferenceModel interference_;
+  TicketBook tickets_;
   std::map<std::string, Member> members_;
   std::multimap<std::string, CancelWait> cancels_;
   /// All runs of the time before the takeover are accounted for.
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -44,6 +44,7 @@
                        RecordStore& store,
                        WorkerDirectory& directory,
                        RunWorkers& workers,
+                       Adviser* adviser,
                        LiveDirectory& live,
                        EventLog& log,
                        std::function<int64_t()> unix_millis,
@@ -58,7 +59,10 @@
       options_(options),
       journal_(executor, store, log, *this, options.journal, options.cell),
       trust_(options.policy),
-      interference_(options.policy.interference) {}
+      interference_(options.policy.interference),
+      tickets_(executor, adviser, log, TicketOptions{}, [this] {
+        WakeScheduler();
+      }) {}
 
 CellLeader::~CellLeader() = default;
 
@@ -308,6 +312,7 @@
     tick_timer_ = 0;
   }
   journal_.Close();
+  tickets_.Clear();
   auto cancels = std::move(cancels_);
   cancels_.clear();
   for (auto& [job, wait] : cancels) {
--- a/src/libdoorwood/cell/cell_leader_test.cpp
+++ b/src/libdoorwood/cell/cell_leader_test.cpp
@@ -112,6 +112,23 @@
   BOOST_TEST(State() == "completed");
 }
 
+BOOST_FIXTURE_TEST_CASE(Job_QueueNeedsAdvice_StartsWithTicketsWherePermitted,
+                        CellFixture) {
+  Queue advised = fakes::MakeQueue("queue", 3);
+  advised.advice = AdvicePolicy{};
+  world.SetTable({advised});
+  world.AddWorker("wx", 64'000);  // never permitted, though it has most room
+  world.Run(Millis(1000));
+  world.Submit(fakes::MakePlan(kJob, 2, 2, "ms=300"));
+  world.Run(Millis(3000));
+  BOOST_TEST(State() == "completed");
+  for (const char* task : {".0.0.0", ".0.0.1", ".0.1.0", ".0.1.1"}) {
+    const std::string ticket = world.ticket(kJob + std::string(task));
+    BOOST_TEST(ticket.find('@') != std::string::npos, ticket);
+    BOOST_TEST(!ticket.ends_with("x"));
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(Leader_Dies_SuccessorAdoptsWhatRuns, CellFixture) {
   world.Submit(fakes::MakePlan(kJob, 1, 4, "ms=6000"));
   world.Run(Millis(500));
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -226,24 +226,53 @@
               {"workers", std::move(counts)}});
 }
 
+std::vector<WorkerRoom> CellLeader::PermittedRooms(
+    const ReadyStep& ready,
+    const std::vector<WorkerRoom>& rooms) {
+  const std::string step = StepName(*ready.job, ready.time, ready.step);
+  std::vector<WorkerRoom> permitted = rooms;
+  std::vector<std::string> unasked;
+  for (WorkerRoom& room : permitted) {
+    const std::string worker(room.id);
+    if (room.open && tickets_.Find(step, worker).empty()) {
+      room.open = false;
+      unasked.push_back(worker);
+    }
+  }
+  tickets_.Want(step, unasked);
+  return permitted;
+}
+
 void CellLeader::PlaceStep(const ReadyStep& ready,
                            std::vector<WorkerRoom>* rooms) {
   const Queue* queue = QueueOf(*ready.job);
   if (queue == nullptr) {
     return;
   }
+  const bool advised = queue->advice.has_value();
+  std::vector<WorkerRoom> permitted;
+  if (advised) {
+    permitted = PermittedRooms(ready, *rooms);
+  }
+  const std::string step = StepName(*ready.job, ready.time, ready.step);
   auto& tasks = ready.job->times[ready.time].steps[ready.step].tasks;
   for (Task& task : tasks) {
     if (!IsReady(task)) {
       continue;
     }
     ProblemCounts problems;
-    const int place = ChoosePlace(task, *queue, *rooms, &problems);
+    const int place =
+        ChoosePlace(task, *queue, advised ? permitted : *rooms, &problems);
     if (place == kNoWorker) {
       TellWaiting(task, ready.rank, problems);
       return;  // the step's other tasks are of the same size
     }
-    StartTask(&task, task.last_run + 1, &(*rooms)[place]);
+    WorkerRoom& room = (*rooms)[place];
+    StartTask(&task, task.last_run + 1, &room,
+              advised ? tickets_.Find(step, std::string(room.id)) : "");
+    if (advised) {
+      permitted[place] = room;
+    }
   }
 }
 
@@ -259,7 +288,9 @@
   }
   // Place on a copy first: all or none. A member's run and saved text are
   // those of the whole gang.
-  std::vector<WorkerRoom> trial = *rooms;
+  const bool advised = queue->advice.has_value();
+  std::vector<WorkerRoom> trial =
+      advised ? PermittedRooms(ready, *rooms) : *rooms;
   std::vector<int> places;
   uint32_t run = 0;
   std::string checkpoint;
@@ -286,11 +317,17 @@
   }
   for (size_t i = 0; i < tasks.size(); ++i) {
     tasks[i].checkpoint = checkpoint;
-    StartTask(&tasks[i], run + 1, &(*rooms)[places[i]]);
+    WorkerRoom& room = (*rooms)[places[i]];
+    const std::string step = StepName(*ready.job, ready.time, ready.step);
+    StartTask(&tasks[i], run + 1, &room,
+              advised ? tickets_.Find(step, std::string(room.id)) : "");
   }
 }
 
-void CellLeader::StartTask(Task* task, uint32_t number, WorkerRoom* room) {
+void CellLeader::StartTask(Task* task,
+                           uint32_t number,
+                           WorkerRoom* room,
+                           const std::string& ticket) {
   const StepPlan& plan = task->plan();
   const auto member = members_.find(std::string(room->id));
   const auto session = member->second.session;
@@ -324,7 +361,7 @@
                                room->reserved.cpu_millis - room->fill_cpu},
               {"serving", room->serving},
               {"waited_ms", waited.count()}});
-  session->Start(std::move(run), task->job->plan.payload, "");
+  session->Start(std::move(run), task->job->plan.payload, ticket);
   room->reserved = session->reserved();
   room->fill_cpu = session->fill_cpu();
   room->serving = session->serving();
@@ -413,10 +450,10 @@
   std::vector<std::string> stuck;
   for (const auto& [task, run] : session.runs()) {
     const Task* known = jobs_.FindTask(task);
-    const bool slow = run.fills && run.phase == RunPhase::kRunning &&
-                      run.wanted_pace <= kCrawlPace &&
-                      run.paced_since != Instant{} &&
-                      now - run.paced_since > kCrawlToMove;
+    const bool slow =
+        run.fills && !run.lasting && run.phase == RunPhase::kRunning &&
+        run.wanted_pace <= kCrawlPace && run.paced_since != Instant{} &&
+        now - run.paced_since > kCrawlToMove;
     if (slow && known != nullptr && known->plan().checkpoints) {
       stuck.push_back(task);
     }
--- /dev/null
+++ b/src/libdoorwood/cell/ticket_book_test.cpp
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "doorwood/ticket_book.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "doorwood/error.h"
+#include "fakes/fakes.h"
+
+namespace doorwood {
+namespace {
+
+class FakeAdviser : public Adviser {
+ public:
+  explicit FakeAdviser(Executor& executor) : executor_(executor) {}
+
+  void Ask(const std::string& step,
+           const std::vector<std::string>& workers,
+           Callback done) override {
+    ++questions;
+    asked = workers;
+    Advice advice;
+    advice.valid = Millis(3000);
+    for (const std::string& worker : workers) {
+      if (worker != "refused") {
+        advice.tickets.push_back({worker, step + "-" + worker});
+      }
+    }
+    executor_.Schedule(Millis(50), [this, advice, done = std::move(done)] {
+      done(error, advice);
+    });
+  }
+
+  std::error_code error;
+  int questions = 0;
+  std::vector<std::string> asked;
+
+ private:
+  Executor& executor_;
+};
+
+struct TicketFixture {
+  fakes::VirtualTime time;
+  fakes::FakeExecutor executor{time, 1};
+  FakeAdviser adviser{executor};
+  fakes::Trace trace;
+  fakes::FakeLog log{time, "tickets", trace};
+  int changes = 0;
+  TicketBook book{executor, &adviser, log, TicketOptions{},
+                  [this] { ++changes; }};
+};
+
+BOOST_FIXTURE_TEST_CASE(Want_Answered_TicketHoldsForItsTime, TicketFixture) {
+  book.Want("s", {"w1", "refused"});
+  book.Want("s", {"w1", "refused"});  // is asked about already
+  time.Run(Millis(100));
+  BOOST_TEST(adviser.questions == 1);
+  BOOST_TEST(changes == 1);
+  BOOST_TEST(book.Find("s", "w1") == "s-w1");
+  BOOST_TEST(book.Find("s", "refused").empty());
+  BOOST_TEST(book.Find("other", "w1").empty());
+  book.Want("s", {"w1", "refused"});
+  BOOST_TEST(adviser.questions == 1);
+  time.Run(Millis(2800));
+  BOOST_TEST(book.Find("s", "w1").empty());
+  book.Want("s", {"w1"});
+  BOOST_TEST(adviser.questions == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(Want_AdviserBusy_AsksAgainAfterAPause, TicketFixture) {
+  adviser.error = CoreErrc::kNoOwner;
+  book.Want("s", {"w1"});
+  time.Run(Millis(100));
+  BOOST_TEST(changes == 0);
+  book.Want("s", {"w1"});
+  BOOST_TEST(adviser.questions == 1);
+  time.Run(Millis(300));
+  adviser.error = {};
+  book.Want("s", {"w1"});
+  time.Run(Millis(100));
+  BOOST_TEST(book.Find("s", "w1") == "s-w1");
+}
+
+BOOST_FIXTURE_TEST_CASE(Want_ManyWorkers_AsksABatchAtATime, TicketFixture) {
+  std::vector<std::string> workers;
+  for (int i = 0; i < 70; ++i) {
+    workers.push_back("w" + std::to_string(i));
+  }
+  for (int i = 0; i < 3; ++i) {
+    book.Want("s", workers);
+    time.Run(Millis(100));
+  }
+  BOOST_TEST(adviser.questions == 3);
+  BOOST_TEST(book.Find("s", "w69") == "s-w69");
+}
+
+BOOST_FIXTURE_TEST_CASE(Clear_AnswerComesLater_IsDropped, TicketFixture) {
+  book.Want("s", {"w1"});
+  book.Clear();
+  time.Run(Millis(100));
+  BOOST_TEST(book.Find("s", "w1").empty());
+}
+
+}  // namespace
+}  // namespace doorwood
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -53,7 +53,7 @@
 std::vector<std::string> Ingress::CellsByLoad() const {
   std::vector<std::pair<double, std::string>> loads;
   for (const auto& [cell, lead] : live_.leads()) {
-    const bool home = cell.starts_with(live_.self().data_centre);
+    const bool home = cell == live_.self().data_centre;
     loads.emplace_back(Load(cell) - (home ? options_.home_bonus : 0.0), cell);
   }
   std::sort(loads.begin(), loads.end());
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -78,6 +78,19 @@
           {"cores", summary.cores}};
 }
 
+// Nothing if the text is no plan.
+std::optional<JobPlan> DecodePlan(std::string_view text) {
+  const auto json = ParseJson(text);
+  if (!json) {
+    return std::nullopt;
+  }
+  try {
+    return json->get<JobPlan>();
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::optional<CellSummary> DecodeSummary(std::string_view text) {
   const auto json = ParseJson(text);
   if (!json) {
--- a/src/loop.adapter/http_server.cpp
+++ b/src/loop.adapter/http_server.cpp
@@ -4,10 +4,10 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -22,6 +22,7 @@
 
 constexpr int kBacklog = 512;
 constexpr int kBadRequest = 400;
+constexpr Millis kAcceptPause{100};
 
 std::string_view ToView(beast::string_view text) {
   return {text.data(), text.size()};
@@ -31,13 +32,12 @@
 
 struct HttpServer::Shared {
   Shared(asio::io_context& io, Handler request_handler)
-      : context(io), acceptor(io), handler(std::move(request_handler)) {}
+      : acceptor(io), pause(io), handler(std::move(request_handler)) {}
 
-  asio::io_context& context;
   asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer pause;
   Handler handler;
   HttpServerLimits limits;
-  std::string patience_header;
   bool draining = false;
   size_t open_requests = 0;
   size_t connections = 0;
@@ -115,12 +115,6 @@
     }
     const std::string_view host = ToView(message[http::field::host]);
     request.host = std::string(host.substr(0, host.find(':')));
-    if (!shared_->patience_header.empty()) {
-      const std::string_view text = ToView(message[shared_->patience_header]);
-      int64_t millis = 0;
-      std::from_chars(text.data(), text.data() + text.size(), millis);
-      request.patience = Millis(std::max<int64_t>(0, millis));
-    }
     close_after_ = !message.keep_alive();
     request.body = std::move(parser_->get().body());
     stream_.expires_never();
@@ -209,7 +203,17 @@
           socket.set_option(asio::ip::tcp::no_delay(true), ignored);
           std::make_shared<Session>(shared, std::move(socket))->Read();
         }
-        Accept();
+        if (!error) {
+          Accept();
+          return;
+        }
+        // Out of descriptors, most likely: not to be asked again at once.
+        shared->pause.expires_after(kAcceptPause);
+        shared->pause.async_wait([this, shared](const error_code& cancelled) {
+          if (!cancelled && shared->acceptor.is_open()) {
+            Accept();
+          }
+        });
       });
 }
 
@@ -217,10 +221,6 @@
   shared_->limits = limits;
 }
 
-void HttpServer::SetPatienceHeader(std::string name) {
-  shared_->patience_header = std::move(name);
-}
-
 void HttpServer::Drain() {
   shared_->draining = true;
 }
--- a/src/loop.adapter/http_server.h
+++ b/src/loop.adapter/http_server.h
@@ -24,8 +24,6 @@
   /// Value of the Host header, without port.
   std::string host;
   std::string body;
-  /// How long the caller waits for the answer; zero: untold.
-  Millis patience{0};
 };
 
 struct HttpResponse {
@@ -58,8 +56,6 @@
   /// `address`: IP number and port. Throws boost::system::system_error.
   void Listen(const std::string& address);
   void SetLimits(const HttpServerLimits& limits);
-  /// Name of the header that carries the caller's patience in milliseconds.
-  void SetPatienceHeader(std::string name);
   /// Answers close their connections from now on.
   void Drain();
   void Close();
