test(cell_policy): rows rest on shares of their own, not on the tuned ones

The row for a full fill budget (30 of 32 cores) rested on the default share; the budget was raised to 1.2 and the row no longer refused. The fixture now sets the shares it counts with; the rows are as strict as before.

--- a/src/libdoorwood/policy/cell_policy_test.cpp
+++ b/src/libdoorwood/policy/cell_policy_test.cpp
@@ -13,6 +13,9 @@
 
 struct PolicyFixture {
   PolicyFixture() {
+    // Not the tuned shares: rows count in whole workers.
+    options.fill_share = 1.0;
+    options.serving_use = 0.5;
     worker.id = "w1";
     worker.service = "pool";
     worker.rack = "r1";
