--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -171,7 +171,8 @@
     int step = 0;
   };
 
-  // cell_leader.cpp: leading and giving it up
+  // cell_leader.cpp: leading and giving it up; cell_members.cpp: its workers;
+  // cell_calls.cpp: callers
   void Campaign();
   Millis CampaignDelay() const;
   bool MayCampaign() const;
@@ -206,7 +207,7 @@
   const Queue* QueueOf(const Job& job) const;
   void MarkDirty(Job* job, bool urgent);
 
-  // cell_scheduling.cpp: starting, moving and pacing
+  // cell_scheduling.cpp: starting and moving; cell_pacing.cpp: pacing
   void WakeScheduler();
   void Schedule();
   std::vector<ReadyStep> CollectReady() const;
--- /dev/null
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// What callers ask of a cell's leader: submit, cancel, states, a summary.
+
+#include <utility>
+
+#include "doorwood/cell_leader.h"
+
+namespace doorwood {
+
+std::string_view ToString(JobPhase state) {
+  switch (state) {
+    case JobPhase::kQueued:
+      return "queued";
+    case JobPhase::kRunning:
+      return "running";
+    case JobPhase::kCompleted:
+      return "completed";
+    case JobPhase::kFailed:
+      return "failed";
+    case JobPhase::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+void CellLeader::Submit(JobPlan plan, SubmitCallback done) {
+  if (!leading()) {
+    done(CoreErrc::kNoOwner, {});
+    return;
+  }
+  if (jobs_.Find(plan.id) != nullptr) {
+    done({}, AcceptOutcome::kKnownAlready);
+    return;
+  }
+  journal_.Accept(std::move(plan), std::move(done));
+}
+
+void CellLeader::OnAccepted(const JobPlan& plan) {
+  Job* job = jobs_.Add(plan);
+  if (job == nullptr) {
+    return;
+  }
+  ++counters_.accepted;
+  log_.Write("info", "cell", "job accepted",
+             {{"job", plan.id},
+              {"queue", plan.queue},
+              {"steps", plan.steps.size()},
+              {"epoch", epoch_}});
+  WakeScheduler();
+}
+
+std::optional<JobPhase> CellLeader::Find(const std::string& id) const {
+  const auto found = jobs_.jobs().find(id);
+  if (!leading() || found == jobs_.jobs().end()) {
+    return std::nullopt;
+  }
+  const Job& job = *found->second;
+  if (job.outcome_recorded) {
+    switch (job.outcome) {
+      case JobOutcome::kCompleted:
+        return JobPhase::kCompleted;
+      case JobOutcome::kFailed:
+        return JobPhase::kFailed;
+      case JobOutcome::kCancelled:
+        return JobPhase::kCancelled;
+      case JobOutcome::kOpen:
+        break;
+    }
+  }
+  return job.begun ? JobPhase::kRunning : JobPhase::kQueued;
+}
+
+void CellLeader::Cancel(const std::string& id, CancelCallback done) {
+  Job* job = leading() ? jobs_.Find(id) : nullptr;
+  if (job == nullptr) {
+    done(leading() ? CoreErrc::kNotFound : CoreErrc::kNoOwner);
+    return;
+  }
+  if (job->outcome_recorded) {
+    done({});
+    return;
+  }
+  if (jobs_.Finish(job, JobOutcome::kCancelled)) {
+    log_.Write("info", "cell", "job cancelled", {{"job", id}});
+    OnJobOver(job);
+  }
+  cancels_.emplace(id, CancelWait{std::move(done),
+                                  executor_.Now() + options_.journal.patience});
+}
+
+void CellLeader::AnswerCancels() {
+  const Instant now = executor_.Now();
+  for (auto it = cancels_.begin(); it != cancels_.end();) {
+    if (it->second.until <= now) {
+      const auto done = std::move(it->second.done);
+      it = cancels_.erase(it);
+      done(CoreErrc::kOutcomeUnknown);
+    } else {
+      ++it;
+    }
+  }
+}
+
+CellSummary CellLeader::Summary() const {
+  CellSummary summary;
+  summary.cell = options_.cell;
+  summary.epoch = epoch_;
+  for (const auto& [id, job] : jobs_.jobs()) {
+    if (job->outcome != JobOutcome::kOpen) {
+      continue;
+    }
+    if (!job->begun) {
+      ++summary.pending[job->plan.queue];
+    }
+    for (size_t step = 0; step < job->plan.steps.size(); ++step) {
+      const StepPlan& plan = job->plan.steps[step];
+      if (plan.lasting) {
+        continue;
+      }
+      const int left = plan.count - job->times.front().steps[step].done;
+      summary.waiting_work += left * static_cast<double>(plan.size.cpu_millis) /
+                              1e3 * static_cast<double>(plan.estimate.count()) /
+                              1e3;
+    }
+  }
+  for (const auto& [id, member] : members_) {
+    if (member.listed) {
+      summary.cores +=
+          static_cast<double>(member.session->life().capacity.cpu_millis) / 1e3;
+    }
+  }
+  return summary;
+}
+
+}  // namespace doorwood
--- /dev/null
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// The workers of a cell: who is in it, and since when they may be given work.
+
+#include <utility>
+
+#include "doorwood/cell_leader.h"
+
+namespace doorwood {
+
+void CellLeader::ReadWorkers() {
+  if (reading_workers_) {
+    return;
+  }
+  reading_workers_ = true;
+  directory_.ListWorkers(
+      [this, generation = generation_](std::error_code error,
+                                       std::vector<WorkerLife> lives) {
+        reading_workers_ = false;
+        if (generation != generation_ || !leading() || error) {
+          return;
+        }
+        workers_read_ = executor_.Now();
+        OnWorkers(std::move(lives));
+      });
+}
+
+void CellLeader::OnWorkers(std::vector<WorkerLife> lives) {
+  for (auto& [id, member] : members_) {
+    member.listed = false;
+  }
+  bool added = false;
+  for (const WorkerLife& life : lives) {
+    if (!IsOfCell(life.data_centre)) {
+      continue;
+    }
+    const auto found = members_.find(life.id);
+    if (found == members_.end()) {
+      AddMember(life, /*from_takeover=*/false);
+      added = true;
+      continue;
+    }
+    if (life.draining && !found->second.session->life().draining) {
+      log_.Write(
+          "info", "cell", "a worker is leaving",
+          {{"worker", life.id}, {"remaining_ms", life.remaining.count()}});
+    }
+    found->second.session->Update(life);
+    found->second.listed = true;
+  }
+  DropMembers();
+  if (added) {
+    RecordMembers();
+  }
+  EvacuateDraining();
+  WakeScheduler();
+}
+
+void CellLeader::AddMember(const WorkerLife& life, bool from_takeover) {
+  Member member;
+  member.session = std::make_shared<WorkerSession>(
+      executor_, workers_, log_, *this, options_.sessions, life,
+      static_cast<uint64_t>(epoch_));
+  member.recorded = from_takeover;
+  member.listed = !from_takeover;
+  // Also a worker that only the directory names may run what an earlier
+  // leader ordered: the chain record names it before any order goes there,
+  // but only if that leader was of this cell.
+  member.from_takeover = from_takeover;
+  const auto session = member.session;
+  members_.emplace(life.id, std::move(member));
+  session->Open();
+}
+
+void CellLeader::RecordMembers() {
+  std::vector<KnownWorker> known;
+  for (const auto& [id, member] : members_) {
+    known.push_back({id, member.session->life().address});
+  }
+  journal_.SetWorkers(std::move(known));
+}
+
+void CellLeader::OnWorkersRecorded(const std::vector<KnownWorker>& workers) {
+  bool changed = false;
+  for (const KnownWorker& worker : workers) {
+    const auto found = members_.find(worker.id);
+    if (found != members_.end() && !found->second.recorded) {
+      found->second.recorded = true;
+      changed = true;
+    }
+  }
+  if (changed) {
+    WakeScheduler();
+  }
+}
+
+void CellLeader::DropMembers() {
+  bool dropped = false;
+  for (auto it = members_.begin(); it != members_.end();) {
+    const WorkerSession& session = *it->second.session;
+    const bool over = session.dead() || !it->second.listed;
+    const bool still_counts = !session.runs().empty() ||
+                              (it->second.from_takeover && !session.fenced() &&
+                               !session.dead() && !accounted_);
+    if (over && !still_counts) {
+      log_.Write("info", "cell", "a worker is gone",
+                 {{"worker", it->first}, {"dead", session.dead()}});
+      it->second.session->Close();
+      trust_.Forget(it->first);
+      it = members_.erase(it);
+      dropped = true;
+    } else {
+      ++it;
+    }
+  }
+  if (dropped) {
+    RecordMembers();
+  }
+}
+
+}  // namespace doorwood
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Starting, moving and pacing a cell's work. What is decided lies in
-// policy/; here are the facts it is given and the orders that follow.
+// Starting and moving a cell's work. What is decided lies in policy/; here are
+// the facts it is given and the orders that follow.
 
 #include <algorithm>
 #include <limits>
@@ -14,13 +14,6 @@
 
 // Gathers what happens in one moment into one pass.
 constexpr Millis kScheduleDelay{2};
-// A worker's figures tell of the last half second, and a look may be as old.
-constexpr Millis kFigureAge{900};
-// Filling work that is held at this pace or below for so long is moved to
-// another worker, where it saves its progress.
-constexpr int kCrawlPace = 20;
-constexpr Millis kCrawlToMove{900};
-constexpr double kMillis = 1000.0;
 // A step that can't be placed is logged this often.
 constexpr Millis kWaitingToTell{1500};
 
@@ -370,103 +363,6 @@
   room->strains = CollectStrains(*session);
 }
 
-// --- What fills beside what serves ---
-
-std::vector<ServingStrain> CellLeader::CollectStrains(
-    const WorkerSession& session) const {
-  std::vector<ServingStrain> strains;
-  const Instant now = executor_.Now();
-  for (const auto& [task, run] : session.runs()) {
-    if (run.latency_target <= Millis(0)) {
-      continue;
-    }
-    ServingStrain serving;
-    serving.image = run.image;
-    serving.wanted = interference_.StrainAt(run.image, run.latency_target,
-                                            options_.policy.tail_wanted);
-    serving.strain =
-        run.figure > 0
-            ? interference_.Strain(run.image, run.figure, run.latency_target)
-            : options_.policy.interference.first_load;
-    // A new task has not taken up its load yet.
-    if (now - run.ordered < kFigureAge) {
-      serving.strain =
-          std::max(serving.strain, options_.policy.interference.first_load);
-    }
-    strains.push_back(serving);
-  }
-  for (const auto& [task, run] : session.runs()) {
-    if (!run.fills || now - run.ordered >= kFigureAge) {
-      continue;
-    }
-    const double cores = static_cast<double>(run.size.cpu_millis) / kMillis;
-    for (ServingStrain& serving : strains) {
-      serving.strain += interference_.Press(serving.image, run.image) * cores;
-    }
-  }
-  return strains;
-}
-
-void CellLeader::PaceWorker(WorkerSession& session) {
-  std::vector<PacedServing> serving;
-  std::vector<PacedFill> fills;
-  std::vector<FillLoad> loads;
-  for (const auto& [task, run] : session.runs()) {
-    if (run.latency_target > Millis(0) && run.figure > 0) {
-      serving.push_back({run.image, run.figure, run.latency_target});
-    }
-    if (run.fills && run.phase == RunPhase::kRunning) {
-      const double full = static_cast<double>(run.size.cpu_millis) / kMillis;
-      const double used =
-          run.figure >= 0 ? static_cast<double>(run.figure) / kMillis : full;
-      fills.push_back({task, run.image, full, used, run.wanted_pace});
-      loads.push_back({run.image, used});
-    }
-  }
-  std::vector<std::string> observed;
-  for (const auto& [task, run] : session.runs()) {
-    if (run.latency_target > Millis(0) && run.figure > 0) {
-      observed.push_back(task);
-    }
-  }
-  for (const std::string& task : observed) {
-    Run* run = session.FindRun(task);
-    run->load = interference_.Observe(run->image, run->figure,
-                                      run->latency_target, loads, run->load);
-  }
-  if (fills.empty()) {
-    return;
-  }
-  for (const PaceDecision& decision :
-       DecidePaces(serving, fills, interference_, options_.policy)) {
-    ++counters_.paces;
-    session.SetPace(decision.task, decision.pace);
-  }
-  MoveStuckFills(session);
-}
-
-void CellLeader::MoveStuckFills(WorkerSession& session) {
-  const Instant now = executor_.Now();
-  std::vector<std::string> stuck;
-  for (const auto& [task, run] : session.runs()) {
-    const Task* known = jobs_.FindTask(task);
-    const bool slow =
-        run.fills && !run.lasting && run.phase == RunPhase::kRunning &&
-        run.wanted_pace <= kCrawlPace && run.paced_since != Instant{} &&
-        now - run.paced_since > kCrawlToMove;
-    if (slow && known != nullptr && known->plan().checkpoints) {
-      stuck.push_back(task);
-    }
-  }
-  for (const std::string& task : stuck) {
-    log_.Write("info", "cell", "filling work moved off",
-               {{"task", task}, {"worker", session.life().id}});
-    ++counters_.stops;
-    jobs_.FindTask(task)->failed_on = session.life().id;
-    session.Stop(task);
-  }
-}
-
 // --- Workers that leave ---
 
 void CellLeader::EvacuateDraining() {
--- /dev/null
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -0,0 +1,216 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Orders to one life of a worker, and what their answers, or none, mean.
+
+#include <utility>
+
+#include "doorwood/worker_session.h"
+
+namespace doorwood {
+
+void WorkerSession::Insert(Run run) {
+  const std::string task = run.task;
+  reserved_.memory_mib += run.size.memory_mib;
+  reserved_.accelerators += run.size.accelerators;
+  if (run.fills) {
+    fill_cpu_ += run.size.cpu_millis;
+    ++fills_;
+  } else {
+    reserved_.cpu_millis += run.size.cpu_millis;
+  }
+  if (run.latency_target > Millis(0)) {
+    ++serving_;
+    serving_cpu_ += run.size.cpu_millis;
+  }
+  runs_.emplace(task, std::move(run));
+}
+
+std::optional<Run> WorkerSession::TakeOut(const std::string& task) {
+  const auto found = runs_.find(task);
+  if (found == runs_.end()) {
+    return std::nullopt;
+  }
+  Run run = std::move(found->second);
+  runs_.erase(found);
+  reserved_.memory_mib -= run.size.memory_mib;
+  reserved_.accelerators -= run.size.accelerators;
+  if (run.fills) {
+    fill_cpu_ -= run.size.cpu_millis;
+    --fills_;
+  } else {
+    reserved_.cpu_millis -= run.size.cpu_millis;
+  }
+  if (run.latency_target > Millis(0)) {
+    --serving_;
+    serving_cpu_ -= run.size.cpu_millis;
+  }
+  return run;
+}
+
+void WorkerSession::EndRun(const std::string& task,
+                           RunEnd end,
+                           bool told_by_worker) {
+  const auto run = TakeOut(task);
+  if (run) {
+    listener_.OnRunEnded(*this, *run, end, told_by_worker);
+  }
+}
+
+void WorkerSession::Start(Run run, std::string payload, std::string ticket) {
+  StartOrder order;
+  order.token = token_;
+  order.task = run.task;
+  order.run = run.number;
+  order.payload = std::move(payload);
+  order.checkpoint = run.checkpoint;
+  order.until = LeaseUntil();
+  order.ticket = std::move(ticket);
+  if (runs_.empty()) {
+    heard_at_ = executor_.Now();
+  }
+  const uint32_t number = run.number;
+  run.ordered = executor_.Now();
+  run.progress_changed = run.ordered;
+  Insert(std::move(run));
+  workers_.Start(life_, order,
+                 [self = shared_from_this(), task = order.task, number](
+                     std::error_code error, int64_t clock) {
+                   if (!self->closed_ && !self->dead_) {
+                     self->OnStartAnswer(task, number, error, clock);
+                   }
+                 });
+  if (!look_under_way_ && look_timer_ == 0) {
+    ScheduleLook(Millis(20));
+  }
+}
+
+void WorkerSession::OnStartAnswer(const std::string& task,
+                                  uint32_t number,
+                                  std::error_code error,
+                                  int64_t clock) {
+  if (error == make_error_code(RunErrc::kOtherLife)) {
+    Die();
+    return;
+  }
+  if (error != make_error_code(RunErrc::kNoAnswer)) {
+    TakeClock(clock);
+  }
+  Run* run = FindRun(task);
+  if (run == nullptr || run->number != number) {
+    return;
+  }
+  if (!error) {
+    run->confirmed = executor_.Now();
+    if (run->phase == RunPhase::kStarting) {
+      run->phase = RunPhase::kRunning;
+    }
+    return;
+  }
+  if (error == make_error_code(RunErrc::kNoAnswer)) {
+    if (run->phase == RunPhase::kStarting) {
+      run->phase = RunPhase::kUnresolved;
+      log_.Write("warn", "worker", "a start was not answered",
+                 {{"worker", life_.id}, {"task", task}, {"run", number}});
+      Look(Millis(0));
+    }
+    return;
+  }
+  // A definite refusal: nothing runs. Forget the run, then tell.
+  const Run refused = *TakeOut(task);
+  listener_.OnStartRefused(*this, refused, error);
+  if (error == make_error_code(RunErrc::kFenced) && !closed_ && !fence_told_) {
+    fence_told_ = true;
+    listener_.OnFenced(*this);
+  }
+}
+
+void WorkerSession::Stop(const std::string& task) {
+  Run* run = FindRun(task);
+  if (run == nullptr || run->phase == RunPhase::kStopping) {
+    return;
+  }
+  run->phase = RunPhase::kStopping;
+  SendStop(task, run->number);
+}
+
+void WorkerSession::SendStop(const std::string& task, uint32_t number) {
+  Run* run = FindRun(task);
+  if (run != nullptr && run->number == number) {
+    run->stop_under_way = true;
+    run->stop_sent = executor_.Now();
+  }
+  const StopOrder order{token_, task, number};
+  workers_.Stop(life_, order,
+                [self = shared_from_this(), task, number](std::error_code error,
+                                                          int64_t clock) {
+                  if (self->closed_ || self->dead_) {
+                    return;
+                  }
+                  if (error == make_error_code(RunErrc::kOtherLife)) {
+                    self->Die();
+                    return;
+                  }
+                  Run* stopped = self->FindRun(task);
+                  const bool known =
+                      stopped != nullptr && stopped->number == number;
+                  if (known) {
+                    stopped->stop_under_way = false;
+                  }
+                  if (error) {
+                    return;
+                  }
+                  self->TakeClock(clock);
+                  if (!known) {
+                    return;
+                  }
+                  stopped->stop_confirmed = true;
+                  stopped->stop_confirmed_at = self->executor_.Now();
+                  if (stopped->phase == RunPhase::kUnresolved) {
+                    self->Look(Millis(0));
+                  }
+                });
+}
+
+void WorkerSession::SetPace(const std::string& task, int percent) {
+  Run* run = FindRun(task);
+  if (run == nullptr || run->wanted_pace == percent) {
+    return;
+  }
+  constexpr int kFullPace = 100;
+  if (percent >= kFullPace) {
+    run->paced_since = Instant{};
+  } else if (run->paced_since == Instant{}) {
+    run->paced_since = executor_.Now();
+  }
+  run->wanted_pace = percent;
+  SendPace(run);
+}
+
+void WorkerSession::SendPace(Run* run) {
+  if (run->pace_under_way || run->wanted_pace == run->pace ||
+      run->phase != RunPhase::kRunning) {
+    return;
+  }
+  run->pace_under_way = true;
+  const PaceOrder order{token_, run->task, run->number, run->wanted_pace};
+  workers_.Pace(
+      life_, order,
+      [self = shared_from_this(), order](std::error_code error, int64_t clock) {
+        if (self->closed_ || self->dead_) {
+          return;
+        }
+        Run* paced = self->FindRun(order.task);
+        if (paced == nullptr || paced->number != order.run) {
+          return;
+        }
+        paced->pace_under_way = false;
+        if (error) {
+          return;  // sent again by Tick
+        }
+        self->TakeClock(clock);
+        paced->pace = order.percent;
+        self->SendPace(paced);
+      });
+}
+
+}  // namespace doorwood
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -222,12 +222,12 @@
   if (job.empty()) {
     answer({}, EncodeSummary(leader->Summary()).dump());
   } else if (request.method == "POST") {
-    const auto plan = ParseJson(request.body);
+    const auto plan = DecodePlan(request.body);
     if (!plan) {
       answer(CoreErrc::kInvalid, "");
       return;
     }
-    leader->Submit(plan->get<JobPlan>(),
+    leader->Submit(*plan,
                    [answer](std::error_code error, AcceptOutcome outcome) {
                      const bool known = outcome == AcceptOutcome::kKnownAlready;
                      answer(error, known ? "known" : "accepted");
