refactor: one copy of what the platform's way had written twice

Read again as a whole; behaviour is meant to stay as it is, no test is changed. - A run is made from a task in one place (MakeRun), for starts and adoptions; a worker's reservations are added and taken off by one function; a task's name and its step's share StepName; loops over all tasks share ForEachTask. - The bound on slow clocks stands once (LongestOnOurClock). - Plans are parsed by one function for peers and for records.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -3,10 +3,9 @@
 #include "celld/entry_daemon.h"
 
 #include <csignal>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
+#include "doorwood/settings_file.h"
 #include "log.adapter/bounded_appender.h"
 
 namespace doorwood {
@@ -30,13 +29,6 @@
       .count();
 }
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream in(path);
-  std::stringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
 LiveInstance SelfOf(const EntrySettings& settings) {
   LiveInstance self;
   self.name = settings.instance;
@@ -51,7 +43,7 @@
 EntryDaemon::EntryDaemon(EntrySettings settings, std::string settings_path)
     : settings_(std::move(settings)),
       settings_path_(std::move(settings_path)),
-      settings_text_(ReadFile(settings_path_)),
+      settings_text_(ReadTextFile(settings_path_).value_or("")),
       stop_signals_(context_, SIGTERM, SIGINT),
       reload_signals_(context_, SIGHUP),
       executor_(context_),
@@ -112,7 +104,6 @@
 
 void EntryDaemon::Run() {
   std::signal(SIGPIPE, SIG_IGN);
-  started_at_ = executor_.Now();
   front_server_.Listen(settings_.front);
   ready_server_.Listen(settings_.ready);
   peer_server_.Listen(settings_.peer);
@@ -178,14 +169,14 @@
 }
 
 void EntryDaemon::CheckSettingsFile() {
-  if (ReadFile(settings_path_) != settings_text_) {
+  if (ReadTextFile(settings_path_).value_or("") != settings_text_) {
     Reload("the file changed");
   }
   executor_.Schedule(kSettingsCheck, [this] { CheckSettingsFile(); });
 }
 
 void EntryDaemon::Reload(std::string_view cause) {
-  const std::string text = ReadFile(settings_path_);
+  const std::string text = ReadTextFile(settings_path_).value_or("");
   Problems problems(settings_path_);
   const auto fresh = ParseEntrySettings(text, &problems);
   if (!fresh) {
--- a/src/celld/entry_daemon.h
+++ b/src/celld/entry_daemon.h
@@ -76,7 +76,6 @@
   bool leaving_ = false;
   bool lead_given_up_ = false;
   Instant leaving_since_{};
-  Instant started_at_{};
 };
 
 }  // namespace doorwood
--- a/src/celld/main.cpp
+++ b/src/celld/main.cpp
@@ -3,12 +3,10 @@
 // doorwood-celld: one entry instance on the platform.
 
 #include <CLI/CLI.hpp>
-#include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "celld/entry_daemon.h"
+#include "doorwood/settings_file.h"
 #include "log.adapter/bounded_appender.h"
 
 namespace {
@@ -30,17 +28,9 @@
   app.footer("Example: doorwood-celld --settings /etc/doorwood/plaka-1.yaml");
   CLI11_PARSE(app, argc, argv);
 
-  std::ifstream in(file);
-  if (!in) {
-    std::cerr << file << ": cannot be read\n";
-    return kBadSettings;
-  }
-  std::stringstream text;
-  text << in.rdbuf();
-  doorwood::Problems problems(file);
-  const auto settings = doorwood::ParseEntrySettings(text.str(), &problems);
+  const auto settings =
+      doorwood::LoadSettings(file, doorwood::ParseEntrySettings);
   if (!settings) {
-    std::cerr << problems.text();
     return kBadSettings;
   }
   if (check) {
--- a/src/doorwood/main.cpp
+++ b/src/doorwood/main.cpp
@@ -12,6 +12,7 @@
 
 #include "doorwood/burn.h"
 #include "doorwood/client.h"
+#include "doorwood/settings_file.h"
 
 namespace {
 
@@ -35,18 +36,16 @@
 };
 
 std::optional<std::string> ReadFile(const std::string& name) {
-  std::stringstream text;
   if (name == "-") {
+    std::stringstream text;
     text << std::cin.rdbuf();
     return text.str();
   }
-  std::ifstream in(name);
-  if (!in) {
+  auto text = doorwood::ReadTextFile(name);
+  if (!text) {
     std::cerr << "doorwood: " << name << " cannot be read\n";
-    return std::nullopt;
   }
-  text << in.rdbuf();
-  return text.str();
+  return text;
 }
 
 // Calls `look` until it gives an exit code or the time is over.
--- a/src/doorwoodd/main.cpp
+++ b/src/doorwoodd/main.cpp
@@ -3,11 +3,10 @@
 // doorwoodd: one entry instance.
 
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "doorwood/settings.h"
+#include "doorwood/settings_file.h"
 #include "doorwoodd/daemon.h"
 
 namespace {
@@ -30,17 +29,8 @@
   app.footer("Example: doorwoodd --settings /etc/doorwood/plaka-1.yaml");
   CLI11_PARSE(app, argc, argv);
 
-  std::ifstream in(file);
-  if (!in) {
-    std::cerr << file << ": cannot be read\n";
-    return kBadSettings;
-  }
-  std::stringstream text;
-  text << in.rdbuf();
-  doorwood::Problems problems(file);
-  auto settings = doorwood::ParseSettings(text.str(), &problems);
+  auto settings = doorwood::LoadSettings(file, doorwood::ParseSettings);
   if (!settings) {
-    std::cerr << problems.text();
     return kBadSettings;
   }
   if (check) {
--- /dev/null
+++ b/src/fakes/cell_world_ports.cpp
@@ -0,0 +1,353 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "fakes/cell_world_ports.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace doorwood::fakes {
+namespace {
+
+constexpr Millis kStoreDelay{2};
+constexpr Millis kWorkerDelay{1};
+constexpr Millis kNoAnswer{700};
+constexpr Millis kLatest{6000};
+constexpr Millis kWatchStep{20};
+
+// The store as one instance sees it.
+class WorldStore : public RecordStore {
+ public:
+  WorldStore(CellWorld& world, WorldInstance& self)
+      : world_(world), self_(self) {}
+
+  void Get(const std::string& key, Callback<StoreItem> done) override {
+    Call<StoreItem>(false, std::move(done), [this, key](StoreItem* item) {
+      return world_.store().Get(key, item);
+    });
+  }
+  void List(const std::string& prefix, Callback<StoreItems> done) override {
+    Call<StoreItems>(false, std::move(done), [this, prefix](StoreItems* items) {
+      *items = world_.store().List(prefix);
+      return std::error_code();
+    });
+  }
+  void Watch(const std::string& prefix,
+             int64_t after,
+             Millis wait,
+             Callback<StoreItems> done) override {
+    StoreItems events;
+    if (self_.store_faults.down || self_.store_faults.silent) {
+      Answer<StoreItems>(kNoAnswer, KvErrc::kUnknown, {}, std::move(done));
+      return;
+    }
+    world_.AdvanceAll();
+    const auto error = world_.store().Changes(prefix, after, &events);
+    if (error || !events.items.empty() || wait <= Millis(0)) {
+      Answer<StoreItems>(kStoreDelay, error, events, std::move(done));
+      return;
+    }
+    self_.executor->Schedule(kWatchStep, [this, prefix, after, wait,
+                                          done = std::move(done)]() mutable {
+      Watch(prefix, after, wait - kWatchStep, std::move(done));
+    });
+  }
+  void Commit(const StoreTransaction& transaction,
+              Callback<StoreCommit> done) override {
+    Call<StoreCommit>(true, std::move(done),
+                      [this, transaction](StoreCommit* commit) {
+                        return world_.store().Commit(transaction, commit);
+                      });
+  }
+  void GrantLease(Millis lifetime, Callback<int64_t> done) override {
+    Call<int64_t>(false, std::move(done), [this, lifetime](int64_t* lease) {
+      *lease = world_.store().Grant(lifetime.count());
+      return std::error_code();
+    });
+  }
+  void KeepLease(int64_t lease, Callback<int64_t> done) override {
+    Call<int64_t>(false, std::move(done), [this, lease](int64_t*) {
+      return world_.store().Keep(lease);
+    });
+  }
+  void EndLease(int64_t lease, Callback<int64_t> done) override {
+    Call<int64_t>(false, std::move(done), [this, lease](int64_t*) {
+      return world_.store().End(lease);
+    });
+  }
+
+ private:
+  template <typename T>
+  void Answer(Millis delay, std::error_code error, T value, Callback<T> done) {
+    self_.executor->Schedule(
+        delay, [error, value = std::move(value), done = std::move(done)] {
+          done(error, value);
+        });
+  }
+
+  template <typename T, typename Effect>
+  void Call(bool writes, Callback<T> done, Effect effect) {
+    const StoreFaults& faults = self_.store_faults;
+    if (faults.down) {
+      Answer<T>(kStoreDelay, KvErrc::kUnavailable, {}, std::move(done));
+      return;
+    }
+    if (faults.silent) {
+      Answer<T>(kNoAnswer, KvErrc::kUnknown, {}, std::move(done));
+      return;
+    }
+    const double dice = writes ? world_.Chance() : 1.0;
+    if (dice < faults.late) {
+      world_.time().At(world_.time().now() + kLatest, [this, effect] {
+        T ignored{};
+        world_.AdvanceAll();
+        effect(&ignored);
+      });
+      Answer<T>(kNoAnswer, KvErrc::kUnknown, {}, std::move(done));
+      return;
+    }
+    world_.AdvanceAll();
+    T value{};
+    const std::error_code error = effect(&value);
+    if (dice < faults.late + faults.answer_lost) {
+      Answer<T>(kNoAnswer, KvErrc::kUnknown, {}, std::move(done));
+      return;
+    }
+    // Answers on different connections overtake each other.
+    const auto jitter = Millis(static_cast<int>(world_.Chance() * 25));
+    Answer<T>(kStoreDelay + jitter, error, std::move(value), std::move(done));
+  }
+
+  CellWorld& world_;
+  WorldInstance& self_;
+};
+
+// The workers as one instance reaches them.
+class WorldWorkers : public RunWorkers {
+ public:
+  WorldWorkers(CellWorld& world, WorldInstance& self)
+      : world_(world), self_(self) {}
+
+  void Hold(const WorkerLife& worker,
+            const HoldOrder& order,
+            Callback<WorkerReport> done) override {
+    WorldWorker* target = Reach(worker);
+    if (target == nullptr) {
+      Fail<WorkerReport>(worker, std::move(done));
+      return;
+    }
+    world_.AdvanceAll();
+    WorkerReport report;
+    const auto error = target->model.Hold(order, &report);
+    if (!error && report.ended.empty() && order.wait > Millis(0)) {
+      HoldOrder rest = order;
+      rest.wait = std::max(Millis(0), order.wait - kWatchStep);
+      self_.executor->Schedule(
+          kWatchStep, [this, worker, rest, done = std::move(done)]() mutable {
+            Hold(worker, rest, std::move(done));
+          });
+      return;
+    }
+    self_.executor->Schedule(
+        kWorkerDelay,
+        [error, report, done = std::move(done)] { done(error, report); });
+  }
+  void Start(const WorkerLife& worker,
+             const StartOrder& order,
+             Callback<int64_t> done) override {
+    Order(worker, std::move(done),
+          [this, order, id = worker.id](WorldWorker& target) {
+            const bool ran = target.model.Runs(order.task);
+            const auto error = target.model.Start(order);
+            if (!error && !ran) {
+              world_.OnStarted(id, order);
+            }
+            return error;
+          });
+  }
+  void Stop(const WorkerLife& worker,
+            const StopOrder& order,
+            Callback<int64_t> done) override {
+    Order(worker, std::move(done),
+          [order](WorldWorker& target) { return target.model.Stop(order); });
+  }
+  void Pace(const WorkerLife& worker,
+            const PaceOrder& order,
+            Callback<int64_t> done) override {
+    Order(worker, std::move(done),
+          [order](WorldWorker& target) { return target.model.Pace(order); });
+  }
+
+ private:
+  WorldWorker* Reach(const WorkerLife& worker) {
+    const auto found = world_.workers().find(worker.id);
+    const bool reached = found != world_.workers().end() && found->second->up &&
+                         !self_.cut_from.contains(worker.id);
+    return reached ? found->second.get() : nullptr;
+  }
+
+  // A crashed worker's address is answered by its next life.
+  template <typename T>
+  void Fail(const WorkerLife& worker, Callback<T> done) {
+    const bool over = !world_.workers().contains(worker.id);
+    const auto error = over ? RunErrc::kOtherLife : RunErrc::kNoAnswer;
+    self_.executor->Schedule(
+        over ? kWorkerDelay : kNoAnswer,
+        [error, done = std::move(done)] { done(error, T{}); });
+  }
+
+  template <typename Effect>
+  void Order(const WorkerLife& worker, Callback<int64_t> done, Effect effect) {
+    WorldWorker* target = Reach(worker);
+    if (target == nullptr) {
+      Fail<int64_t>(worker, std::move(done));
+      return;
+    }
+    const double dice = world_.Chance();
+    if (dice < self_.late_orders) {
+      world_.time().At(world_.time().now() + kLatest, [this, worker, effect] {
+        if (WorldWorker* later = Reach(worker)) {
+          world_.AdvanceAll();
+          effect(*later);
+        }
+      });
+      self_.executor->Schedule(
+          kNoAnswer, [done = std::move(done)] { done(RunErrc::kNoAnswer, 0); });
+      return;
+    }
+    world_.AdvanceAll();
+    const auto error = effect(*target);
+    const int64_t clock = target->model.now();
+    self_.executor->Schedule(
+        kWorkerDelay,
+        [error, clock, done = std::move(done)] { done(error, clock); });
+  }
+
+  CellWorld& world_;
+  WorldInstance& self_;
+};
+
+class WorldDirectory : public WorkerDirectory {
+ public:
+  WorldDirectory(CellWorld& world, WorldInstance& self)
+      : world_(world), self_(self) {}
+
+  void ListWorkers(Callback done) override {
+    std::error_code error;
+    if (self_.store_faults.down || self_.store_faults.silent) {
+      error = KvErrc::kUnavailable;
+    }
+    std::vector<WorkerLife> lives;
+    for (const auto& [id, worker] : world_.workers()) {
+      lives.push_back(worker->life);
+    }
+    self_.executor->Schedule(
+        kStoreDelay,
+        [error, lives, done = std::move(done)] { done(error, lives); });
+  }
+
+ private:
+  CellWorld& world_;
+  WorldInstance& self_;
+};
+
+class WorldHearing : public StoreHearing {
+ public:
+  WorldHearing(CellWorld& world, WorldInstance& self)
+      : world_(world), self_(self) {}
+
+  void Ask(const LiveInstance& instance, Callback done) override {
+    const auto found = world_.instances().find(instance.name);
+    const bool there =
+        found != world_.instances().end() && found->second->alive;
+    Millis age{0};
+    if (there) {
+      age = std::chrono::duration_cast<Millis>(
+          world_.time().now() - found->second->live->store_heard_at());
+    }
+    const std::error_code error =
+        there ? std::error_code() : make_error_code(PeerErrc::kNotSent);
+    self_.executor->Schedule(
+        kWorkerDelay,
+        [error, age, done = std::move(done)] { done(error, age); });
+  }
+
+ private:
+  CellWorld& world_;
+  WorldInstance& self_;
+};
+
+// Permits every worker whose id does not end in "x".
+class WorldAdviser : public Adviser {
+ public:
+  explicit WorldAdviser(WorldInstance& self) : self_(self) {}
+
+  void Ask(const std::string& step,
+           const std::vector<std::string>& workers,
+           Callback done) override {
+    Advice advice;
+    advice.valid = Millis(2000);
+    for (const std::string& worker : workers) {
+      if (!worker.ends_with("x")) {
+        advice.tickets.push_back({worker, step + "@" + worker});
+      }
+    }
+    self_.executor->Schedule(
+        kStoreDelay, [advice, done = std::move(done)] { done({}, advice); });
+  }
+
+ private:
+  WorldInstance& self_;
+};
+
+class WorldLog : public EventLog {
+ public:
+  WorldLog(const CellWorld& world, std::string name)
+      : world_(world), name_(std::move(name)) {}
+
+  bool IsEnabled(std::string_view) const override { return true; }
+  void Write(std::string_view level,
+             std::string_view component,
+             std::string_view message,
+             const Json& fields) override {
+    world_.Trace(name_ + " " + std::string(level) + " " +
+                 std::string(component) + ": " + std::string(message) + " " +
+                 fields.dump());
+  }
+
+ private:
+  const CellWorld& world_;
+  std::string name_;
+};
+
+}  // namespace
+
+std::unique_ptr<RecordStore> MakeWorldStore(CellWorld& world,
+                                            WorldInstance& self) {
+  return std::make_unique<WorldStore>(world, self);
+}
+
+std::unique_ptr<RunWorkers> MakeWorldWorkers(CellWorld& world,
+                                             WorldInstance& self) {
+  return std::make_unique<WorldWorkers>(world, self);
+}
+
+std::unique_ptr<WorkerDirectory> MakeWorldDirectory(CellWorld& world,
+                                                    WorldInstance& self) {
+  return std::make_unique<WorldDirectory>(world, self);
+}
+
+std::unique_ptr<StoreHearing> MakeWorldHearing(CellWorld& world,
+                                               WorldInstance& self) {
+  return std::make_unique<WorldHearing>(world, self);
+}
+
+std::unique_ptr<Adviser> MakeWorldAdviser(WorldInstance& self) {
+  return std::make_unique<WorldAdviser>(self);
+}
+
+std::unique_ptr<EventLog> MakeWorldLog(const CellWorld& world,
+                                       std::string name) {
+  return std::make_unique<WorldLog>(world, std::move(name));
+}
+
+}  // namespace doorwood::fakes
--- /dev/null
+++ b/src/fakes/cell_world_ports.h
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The ports of one instance of a `CellWorld`, with the world's faults.
+
+#ifndef DOORWOOD_FAKES_CELL_WORLD_PORTS_H_
+#define DOORWOOD_FAKES_CELL_WORLD_PORTS_H_
+
+#include <memory>
+#include <string>
+
+#include "fakes/cell_world.h"
+
+namespace doorwood::fakes {
+
+std::unique_ptr<RecordStore> MakeWorldStore(CellWorld& world,
+                                            WorldInstance& self);
+std::unique_ptr<RunWorkers> MakeWorldWorkers(CellWorld& world,
+                                             WorldInstance& self);
+std::unique_ptr<WorkerDirectory> MakeWorldDirectory(CellWorld& world,
+                                                    WorldInstance& self);
+std::unique_ptr<StoreHearing> MakeWorldHearing(CellWorld& world,
+                                               WorldInstance& self);
+/// Permits every worker whose id does not end in "x".
+std::unique_ptr<Adviser> MakeWorldAdviser(WorldInstance& self);
+std::unique_ptr<EventLog> MakeWorldLog(const CellWorld& world,
+                                       std::string name);
+
+}  // namespace doorwood::fakes
+
+#endif  // DOORWOOD_FAKES_CELL_WORLD_PORTS_H_
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -94,7 +94,6 @@
   /// Processors that filling work there asks for.
   int64_t fill_cpu = 0;
   int serving = 0;
-  int fills = 0;
   /// Processors that serving work reserves.
   int64_t serving_cpu = 0;
   std::vector<ServingStrain> strains;
--- a/src/include/doorwood/ingress.h
+++ b/src/include/doorwood/ingress.h
@@ -90,7 +90,6 @@
  private:
   struct KnownCell {
     CellSummary summary;
-    Instant heard_at{};
     /// Work sent there since the summary, in core-seconds.
     double sent_since = 0;
   };
--- a/src/include/doorwood/job_plan.h
+++ b/src/include/doorwood/job_plan.h
@@ -92,6 +92,8 @@
 void from_json(const Json& json, StepPlan& step);
 void to_json(Json& json, const JobPlan& plan);
 void from_json(const Json& json, JobPlan& plan);
+/// Nothing if the text is not of that form.
+std::optional<JobPlan> ParsePlan(std::string_view text);
 
 }  // namespace doorwood
 
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -85,6 +86,12 @@
   bool dirty = false;
 };
 
+/// "JOB.TIME.STEP"
+std::string StepName(const Job& job, int time, int step);
+
+/// Calls `each` with every task of every time of the job.
+void ForEachTask(Job* job, const std::function<void(Task*)>& each);
+
 /// "JOB.TIME.STEP.INDEX" taken apart.
 struct TaskName {
   std::string_view job;
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -57,7 +57,6 @@
   std::string step;
 
   int progress = 0;
-  Instant progress_changed{};
   int64_t figure = -1;
   /// Of a serving task: its own strain without what fills beside it; below 0:
   /// not known yet.
@@ -69,10 +68,15 @@
   bool pace_under_way = false;
   /// Since when it is held below its full speed; zero: it isn't.
   Instant paced_since{};
-  /// Since when the serving task's figure is over its target; zero: it isn't.
-  Instant over_target_since{};
 };
 
+/// A run of `task` that is not ordered yet, without a checkpoint.
+Run MakeRun(const Task& task, uint32_t number);
+
+/// How long a time of a worker's clock may last on ours: it may run 2% slow
+/// (the platform's bound).
+Millis LongestOnOurClock(Millis on_worker);
+
 struct WorkerSessionOptions {
   /// How long runs may go on without word from a leader. Bounded by the
   /// platform's longest hold; see docs/CONFIGURATION.md.
@@ -192,6 +196,8 @@
   int64_t LeaseUntil();
   bool HasLapsed() const;
   Millis NextWait() const;
+  /// Adds (1) or takes off (-1) what the run reserves.
+  void Count(const Run& run, int sign);
   void Insert(Run run);
   std::optional<Run> TakeOut(const std::string& task);
   void EndRun(const std::string& task, RunEnd end, bool told_by_worker);
@@ -228,7 +234,6 @@
   /// When the look was sent whose report was taken in last.
   Instant report_sent_{};
   Instant heard_at_{};
-  Instant asked_since_{};
   /// The worker's clock as last told, and when that was heard.
   int64_t clock_ = 0;
   Instant clock_at_{};
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -133,20 +133,9 @@
     task->job->begun = true;
     task->job->dirty = true;
   }
-  const StepPlan& plan = task->plan();
-  Run run;
-  run.task = row.task;
-  run.number = row.run;
+  Run run = MakeRun(*task, row.run);
   run.phase = RunPhase::kRunning;
   run.ordered = executor_.Now();
-  run.progress_changed = run.ordered;
-  run.size = plan.size;
-  run.fills = plan.fills;
-  run.lasting = plan.lasting;
-  run.latency_target = plan.latency_target;
-  run.estimate = plan.estimate;
-  run.image = plan.image;
-  run.step = row.task.substr(0, row.task.rfind('.'));
   run.checkpoint = row.checkpoint;
   // An earlier leader may have slowed it down: the pace is told anew.
   run.pace = kUnknownPace;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -17,9 +17,8 @@
 // Run numbers after a takeover begin this far above the highest one known, so
 // that no run that nobody recorded has the same number.
 constexpr uint32_t kRunsBetweenLeaders = 16;
-// Slack on the time after which an unheard worker's runs are over: clocks 2%
-// slow, and the last orders of the earlier leader.
-constexpr double kSlowestClock = 0.98;
+// Slack on the time after which an unheard worker's runs are over, for the last
+// orders of the earlier leader.
 constexpr Millis kLastOrders{500};
 
 }  // namespace
@@ -104,20 +103,15 @@
   if (led && live_.known() && lead == live_.leads().end()) {
     StepDown("the lead key is gone");
   }
-  const bool key_left_behind =
-      stage_ == Stage::kStandby && campaign_nonce_ != 0 &&
-      lead != live_.leads().end() && lead->second.nonce == campaign_nonce_ &&
-      lead->second.epoch <= epoch_;
-  if (key_left_behind) {
-    GiveUpKey();
+  const bool own_key = stage_ == Stage::kStandby && campaign_nonce_ != 0 &&
+                       lead != live_.leads().end() &&
+                       lead->second.nonce == campaign_nonce_;
+  if (own_key && lead->second.epoch > epoch_) {
+    OnWon(lead->second.epoch);  // the winning try was not answered
     return;
   }
-  const bool won_unanswered =
-      stage_ == Stage::kStandby && campaign_nonce_ != 0 &&
-      lead != live_.leads().end() && lead->second.nonce == campaign_nonce_ &&
-      lead->second.epoch > epoch_;
-  if (won_unanswered) {
-    OnWon(lead->second.epoch);
+  if (own_key) {
+    GiveUpKey();  // left behind by a lead that is given up
     return;
   }
   if (!MayCampaign() || campaign_scheduled_) {
@@ -201,9 +195,9 @@
       chain = DecodeChain(item.value);
       chain_revision = item.revision;
     } else if (item.key.starts_with(plans)) {
-      const auto json = ParseJson(item.value);
-      if (json) {
-        jobs_.Add(json->get<JobPlan>());
+      auto plan = ParsePlan(item.value);
+      if (plan) {
+        jobs_.Add(std::move(*plan));
       } else {
         log_.Write("error", "cell", "a plan can't be read",
                    {{"key", item.key}});
@@ -226,15 +220,11 @@
       continue;
     }
     ++open;
-    for (TimeState& time : job->times) {
-      for (StepState& step : time.steps) {
-        for (Task& task : step.tasks) {
-          task.last_run += kRunsBetweenLeaders;
-          task.unaccounted = !task.done;
-          task.ready_since = executor_.Now();
-        }
-      }
-    }
+    ForEachTask(job.get(), [this](Task* task) {
+      task->last_run += kRunsBetweenLeaders;
+      task->unaccounted = !task->done;
+      task->ready_since = executor_.Now();
+    });
   }
   stage_ = Stage::kLeading;
   accounted_ = false;
@@ -383,11 +373,12 @@
   for (const auto& [id, member] : members_) {
     sessions.push_back(member.session);
   }
+  const bool may_extend = MayOrder();
   for (const auto& session : sessions) {
     if (!leading()) {
       return;
     }
-    session->SetMayExtend(MayOrder());
+    session->SetMayExtend(may_extend);
     session->Tick();
   }
   if (!leading()) {
@@ -408,9 +399,7 @@
   if (accounted_) {
     return;
   }
-  const auto lease = Millis(static_cast<int64_t>(
-      static_cast<double>(options_.sessions.run_lease.count()) /
-      kSlowestClock));
+  const Millis lease = LongestOnOurClock(options_.sessions.run_lease);
   const bool lapsed = executor_.Now() > led_since_ + lease +
                                             options_.unsure_patience +
                                             kLastOrders;
@@ -424,13 +413,7 @@
   }
   accounted_ = true;
   for (const auto& [id, job] : jobs_.jobs()) {
-    for (TimeState& time : job->times) {
-      for (StepState& step : time.steps) {
-        for (Task& task : step.tasks) {
-          task.unaccounted = false;
-        }
-      }
-    }
+    ForEachTask(job.get(), [](Task* task) { task->unaccounted = false; });
   }
   log_.Write("info", "cell", "all earlier runs are accounted for",
              {{"cell", options_.cell},
--- a/src/libdoorwood/cell/cell_pacing.cpp
+++ b/src/libdoorwood/cell/cell_pacing.cpp
@@ -60,9 +60,11 @@
   std::vector<PacedServing> serving;
   std::vector<PacedFill> fills;
   std::vector<FillLoad> loads;
+  std::vector<std::string> observed;
   for (const auto& [task, run] : session.runs()) {
     if (run.latency_target > Millis(0) && run.figure > 0) {
       serving.push_back({run.image, run.figure, run.latency_target});
+      observed.push_back(task);
     }
     if (run.fills && run.phase == RunPhase::kRunning) {
       const double full = static_cast<double>(run.size.cpu_millis) / kMillis;
@@ -72,12 +74,6 @@
       loads.push_back({run.image, used});
     }
   }
-  std::vector<std::string> observed;
-  for (const auto& [task, run] : session.runs()) {
-    if (run.latency_target > Millis(0) && run.figure > 0) {
-      observed.push_back(task);
-    }
-  }
   for (const std::string& task : observed) {
     Run* run = session.FindRun(task);
     run->load = interference_.Observe(run->image, run->figure,
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -21,10 +21,6 @@
   return life.labels.empty() ? std::string_view() : life.labels.back();
 }
 
-std::string StepName(const Job& job, int time, int step) {
-  return job.plan.id + "." + std::to_string(time) + "." + std::to_string(step);
-}
-
 int64_t DueAt(const Job& job, int time) {
   return job.plan.times > 0
              ? job.plan.first_due + time * job.plan.interval.count()
@@ -122,7 +118,6 @@
     room.reserved = session.reserved();
     room.fill_cpu = session.fill_cpu();
     room.serving = session.serving();
-    room.fills = session.fills();
     room.serving_cpu = session.serving_cpu();
     room.strains = CollectStrains(session);
     room.open = member.recorded && member.listed && session.responsive() &&
@@ -321,25 +316,13 @@
                            uint32_t number,
                            WorkerRoom* room,
                            const std::string& ticket) {
-  const StepPlan& plan = task->plan();
   const auto member = members_.find(std::string(room->id));
   const auto session = member->second.session;
-  Run run;
-  run.task = task->name();
-  run.number = number;
-  run.size = plan.size;
-  run.fills = plan.fills;
-  run.lasting = plan.lasting;
-  run.latency_target = plan.latency_target;
-  run.estimate = plan.estimate;
-  run.image = plan.image;
-  run.step = StepName(*task->job, task->time, task->step);
+  Run run = MakeRun(*task, number);
   run.checkpoint = task->checkpoint;
   task->last_run = number;
   task->placed = true;
-  if (!task->job->begun) {
-    task->job->begun = true;
-  }
+  task->job->begun = true;
   ++counters_.starts;
   trust_.OnStart(std::string(room->id), executor_.Now());
   room->open = trust_.Allows(std::string(room->id), executor_.Now());
@@ -358,7 +341,6 @@
   room->reserved = session->reserved();
   room->fill_cpu = session->fill_cpu();
   room->serving = session->serving();
-  room->fills = session->fills();
   room->serving_cpu = session->serving_cpu();
   room->strains = CollectStrains(*session);
 }
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -8,20 +8,24 @@
 
 namespace doorwood {
 
-void WorkerSession::Insert(Run run) {
-  const std::string task = run.task;
-  reserved_.memory_mib += run.size.memory_mib;
-  reserved_.accelerators += run.size.accelerators;
+void WorkerSession::Count(const Run& run, int sign) {
+  reserved_.memory_mib += sign * run.size.memory_mib;
+  reserved_.accelerators += sign * run.size.accelerators;
   if (run.fills) {
-    fill_cpu_ += run.size.cpu_millis;
-    ++fills_;
+    fill_cpu_ += sign * run.size.cpu_millis;
+    fills_ += sign;
   } else {
-    reserved_.cpu_millis += run.size.cpu_millis;
+    reserved_.cpu_millis += sign * run.size.cpu_millis;
   }
   if (run.latency_target > Millis(0)) {
-    ++serving_;
-    serving_cpu_ += run.size.cpu_millis;
+    serving_ += sign;
+    serving_cpu_ += sign * run.size.cpu_millis;
   }
+}
+
+void WorkerSession::Insert(Run run) {
+  const std::string task = run.task;
+  Count(run, 1);
   runs_.emplace(task, std::move(run));
 }
 
@@ -32,18 +36,7 @@
   }
   Run run = std::move(found->second);
   runs_.erase(found);
-  reserved_.memory_mib -= run.size.memory_mib;
-  reserved_.accelerators -= run.size.accelerators;
-  if (run.fills) {
-    fill_cpu_ -= run.size.cpu_millis;
-    --fills_;
-  } else {
-    reserved_.cpu_millis -= run.size.cpu_millis;
-  }
-  if (run.latency_target > Millis(0)) {
-    --serving_;
-    serving_cpu_ -= run.size.cpu_millis;
-  }
+  Count(run, -1);
   return run;
 }
 
@@ -70,7 +63,6 @@
   }
   const uint32_t number = run.number;
   run.ordered = executor_.Now();
-  run.progress_changed = run.ordered;
   Insert(std::move(run));
   workers_.Start(life_, order,
                  [self = shared_from_this(), task = order.task, number](
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -8,9 +8,6 @@
 namespace doorwood {
 namespace {
 
-// A worker's clock may run this much slow (the platform's bound of 2%), so a
-// lease may last longer by this factor on ours.
-constexpr double kSlowestClock = 0.98;
 // Added to the proof that a lease is over, for rounding and timer lateness.
 constexpr Millis kLapseMargin{300};
 
@@ -22,6 +19,27 @@
 
 }  // namespace
 
+Run MakeRun(const Task& task, uint32_t number) {
+  const StepPlan& plan = task.plan();
+  Run run;
+  run.task = task.name();
+  run.number = number;
+  run.size = plan.size;
+  run.fills = plan.fills;
+  run.lasting = plan.lasting;
+  run.latency_target = plan.latency_target;
+  run.estimate = plan.estimate;
+  run.image = plan.image;
+  run.step = StepName(*task.job, task.time, task.step);
+  return run;
+}
+
+Millis LongestOnOurClock(Millis on_worker) {
+  constexpr double kSlowestClock = 0.98;
+  return Millis(static_cast<int64_t>(static_cast<double>(on_worker.count()) /
+                                     kSlowestClock));
+}
+
 WorkerSession::WorkerSession(Executor& executor,
                              RunWorkers& workers,
                              EventLog& log,
@@ -38,8 +56,7 @@
       token_(token) {}
 
 void WorkerSession::Open() {
-  asked_since_ = executor_.Now();
-  heard_at_ = asked_since_;
+  heard_at_ = executor_.Now();
   Look(Millis(0));
 }
 
@@ -106,9 +123,8 @@
   if (clock_ == 0) {
     return false;
   }
-  const double left = static_cast<double>(longest_until_ - clock_);
-  const auto longest = Millis(static_cast<int64_t>(left / kSlowestClock));
-  return executor_.Now() > clock_at_ + longest + kLapseMargin;
+  const Millis left(longest_until_ - clock_);
+  return executor_.Now() > clock_at_ + LongestOnOurClock(left) + kLapseMargin;
 }
 
 // --- Looks ---
@@ -281,21 +297,11 @@
       run->phase = RunPhase::kRunning;
       run->confirmed = sent;
     }
-    if (row.progress != run->progress) {
-      run->progress = row.progress;
-      run->progress_changed = executor_.Now();
-    }
+    run->progress = row.progress;
     if (!row.checkpoint.empty()) {
       run->checkpoint = row.checkpoint;
     }
     run->figure = row.figure;
-    const bool over = run->latency_target > Millis(0) &&
-                      row.figure > run->latency_target.count();
-    if (!over) {
-      run->over_target_since = Instant{};
-    } else if (run->over_target_since == Instant{}) {
-      run->over_target_since = executor_.Now();
-    }
   }
 }
 
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -240,7 +240,7 @@
 void Ingress::PollSummaries() {
   for (const auto& [cell, lead] : live_.leads()) {
     if (CellLeader* leader = Local(cell)) {
-      cells_[cell] = {leader->Summary(), executor_.Now(), 0};
+      cells_[cell] = {leader->Summary(), 0};
       continue;
     }
     if (lead.instance == live_.self().name) {
@@ -249,7 +249,7 @@
     peers_.Summary(lead, [this, cell = cell](std::error_code error,
                                              const CellSummary& summary) {
       if (!error) {
-        cells_[cell] = {summary, executor_.Now(), 0};
+        cells_[cell] = {summary, 0};
       }
     });
   }
--- a/src/libdoorwood/job/job_plan.cpp
+++ b/src/libdoorwood/job/job_plan.cpp
@@ -189,4 +189,16 @@
   plan.interval = Millis(json.value("interval_ms", int64_t{0}));
 }
 
+std::optional<JobPlan> ParsePlan(std::string_view text) {
+  const auto json = ParseJson(text);
+  if (!json) {
+    return std::nullopt;
+  }
+  try {
+    return json->get<JobPlan>();
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace doorwood
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -14,12 +14,21 @@
 }
 
 std::string Task::name() const {
-  std::string text = job->plan.id;
-  for (const int part : {time, step, index}) {
-    text += '.';
-    text += std::to_string(part);
+  return StepName(*job, time, step) + "." + std::to_string(index);
+}
+
+std::string StepName(const Job& job, int time, int step) {
+  return job.plan.id + "." + std::to_string(time) + "." + std::to_string(step);
+}
+
+void ForEachTask(Job* job, const std::function<void(Task*)>& each) {
+  for (TimeState& time : job->times) {
+    for (StepState& step : time.steps) {
+      for (Task& task : step.tasks) {
+        each(&task);
+      }
+    }
   }
-  return text;
 }
 
 std::string_view ToString(RunEnd end) {
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -78,19 +78,6 @@
           {"cores", summary.cores}};
 }
 
-// Nothing if the text is no plan.
-std::optional<JobPlan> DecodePlan(std::string_view text) {
-  const auto json = ParseJson(text);
-  if (!json) {
-    return std::nullopt;
-  }
-  try {
-    return json->get<JobPlan>();
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
-}
-
 std::optional<CellSummary> DecodeSummary(std::string_view text) {
   const auto json = ParseJson(text);
   if (!json) {
@@ -222,7 +209,7 @@
   if (job.empty()) {
     answer({}, EncodeSummary(leader->Summary()).dump());
   } else if (request.method == "POST") {
-    const auto plan = DecodePlan(request.body);
+    const auto plan = ParsePlan(request.body);
     if (!plan) {
       answer(CoreErrc::kInvalid, "");
       return;
