feat(bench): cost of a cell's leader on a fleet of fakes in virtual time

What the leader of a grown fleet spends its time on was not measured anywhere. doorwood-bench cell plays 350 workers and 32 jobs/s. The fakes advance one worker an order instead of all of them (the check for double runs still advances all).

--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -2,7 +2,8 @@
 
 /// \file
 /// Measuring programs: load on entry instances, a bare forwarding hop to
-/// compare with, and the speed of placement decisions.
+/// compare with, the speed of placement decisions, and the cost of a cell's
+/// leader.
 
 #ifndef DOORWOOD_BENCH_BENCH_H_
 #define DOORWOOD_BENCH_BENCH_H_
@@ -47,6 +48,16 @@
 /// Prints decisions a second at several sizes.
 int RunDecisions();
 
+struct CellBenchOptions {
+  int workers = 350;
+  double jobs_per_second = 32;
+  /// Of virtual time.
+  int seconds = 20;
+};
+
+/// Plays a fleet of fakes under one leader and prints the real time it took.
+int RunCell(const CellBenchOptions& options);
+
 }  // namespace doorwood::bench
 
 #endif  // DOORWOOD_BENCH_BENCH_H_
--- /dev/null
+++ b/src/bench/cell.cpp
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// What a cell's leader costs: a fleet of fakes in virtual time under a load
+// like that of the grown sites, and the real time that playing it takes.
+
+#include <chrono>
+#include <iostream>
+#include <string>
+
+#include "bench/bench.h"
+#include "doorwood/json_codec.h"
+#include "fakes/cell_world.h"
+
+namespace doorwood::bench {
+namespace {
+
+constexpr int64_t kWorkerCores = 32'000;
+constexpr int kTaskMillisMean = 1'000;
+constexpr Millis kSlice{50};
+
+// A job as the grown sites hand them in: short ordinary work, long filling
+// work, and some that lasts and serves.
+JobPlan DrawJob(std::mt19937_64* random, int number) {
+  const auto kind = (*random)() % 100;
+  const bool lasting = kind < 2;
+  const bool fills = !lasting && kind < 45;
+  const int millis = fills ? 2 * kTaskMillisMean : kTaskMillisMean * 6 / 10;
+  JobPlan plan = fakes::MakePlan(
+      "job" + std::to_string(number), 1 + static_cast<int>((*random)() % 3),
+      1 + static_cast<int>((*random)() % (fills ? 40 : 20)),
+      lasting ? "" : "ms=" + std::to_string(millis));
+  for (StepPlan& step : plan.steps) {
+    step.size = {static_cast<int64_t>(2000 + (*random)() % 4000), 6000, 0};
+    step.estimate = Millis(millis);
+    step.fills = fills;
+    step.checkpoints = fills;
+    step.lasting = lasting;
+    step.latency_target = Millis(lasting ? 150 : 0);
+    step.image = "image" + std::to_string((*random)() % 18);
+  }
+  return plan;
+}
+
+}  // namespace
+
+int RunCell(const CellBenchOptions& options) {
+  fakes::CellWorld world(1);
+  world.SetTable({fakes::MakeQueue("queue", 3)});
+  for (int n = 0; n < options.workers; ++n) {
+    auto& worker = world.AddWorker("w" + std::to_string(n), kWorkerCores);
+    worker.life.capacity.memory_mib = 125 * 1024;
+    worker.life.labels = {"a", "r" + std::to_string(n / 8)};
+  }
+  world.AddInstance("one", "plaka");
+  world.WaitForLeader();
+  world.Run(Millis(2000));
+  std::mt19937_64 random(1);
+  const double per_slice =
+      options.jobs_per_second * static_cast<double>(kSlice.count()) / 1e3;
+  double owed = 0;
+  int jobs = 0;
+  const auto begin = std::chrono::steady_clock::now();
+  for (Millis passed{0}; passed < Millis(options.seconds * 1000);
+       passed += kSlice) {
+    owed += per_slice;
+    for (; owed >= 1; owed -= 1) {
+      JobPlan plan = DrawJob(&random, jobs++);
+      plan.accepted_at = world.time().millis();
+      world.Leader()->cell->Submit(plan,
+                                   [](std::error_code, AcceptOutcome) {});
+    }
+    world.Run(kSlice);
+  }
+  const double seconds = std::chrono::duration<double>(
+                             std::chrono::steady_clock::now() - begin)
+                             .count();
+  const CellCounters& counters = world.Leader()->cell->counters();
+  std::cout << Json{{"workers", options.workers},
+                    {"virtual_seconds", options.seconds},
+                    {"jobs", counters.accepted},
+                    {"starts", counters.starts},
+                    {"ends", counters.ends_done},
+                    {"real_seconds", seconds},
+                    {"us_per_start",
+                     seconds * 1e6 / static_cast<double>(counters.starts)}}
+                   .dump()
+            << std::endl;
+  return 0;
+}
+
+}  // namespace doorwood::bench
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -40,6 +40,14 @@
       app.add_subcommand("decisions", "speed of placement decisions");
   decisions_app->callback([&]() { code = doorwood::bench::RunDecisions(); });
 
+  doorwood::bench::CellBenchOptions cell;
+  CLI::App* cell_app =
+      app.add_subcommand("cell", "cost of a cell's leader, in virtual time");
+  cell_app->add_option("--workers", cell.workers)->check(CLI::Range(1, 3000));
+  cell_app->add_option("--jobs-per-second", cell.jobs_per_second);
+  cell_app->add_option("--seconds", cell.seconds)->check(CLI::Range(1, 600));
+  cell_app->callback([&]() { code = RunCell(cell); });
+
   CLI11_PARSE(app, argc, argv);
   return code;
 }
--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -160,6 +160,7 @@
   tickets_[order.task] = order.ticket;
   Trace("world: " + order.task + " run " + std::to_string(order.run) +
         " starts on " + worker);
+  AdvanceAll();
   CheckRuns(order.task);
 }
 
--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -135,7 +135,7 @@
       Fail<WorkerReport>(worker, std::move(done));
       return;
     }
-    world_.AdvanceAll();
+    target->model.Advance(world_.time().millis());
     WorkerReport report;
     const auto error = target->model.Hold(order, &report);
     if (!error && report.ended.empty() && order.wait > Millis(0)) {
@@ -214,7 +214,7 @@
           kNoAnswer, [done = std::move(done)] { done(RunErrc::kNoAnswer, 0); });
       return;
     }
-    world_.AdvanceAll();
+    target->model.Advance(world_.time().millis());
     const auto error = effect(*target);
     const int64_t clock = target->model.now();
     self_.executor->Schedule(
