fix(cell_journal): ends are recorded also while jobs never stop changing

Cause: ends were noted only by a batch that left no changed job behind, and a batch that was full waited 80 ms for the next. Each batch also carried the names of all workers, 21 KB at 350. Change: ends are noted once the jobs that they changed are recorded, first changed first; a full batch is followed at once; the workers have a key of their own. Tests MarkDirty_ChangesNeverPause_... and Workers_Unchanged_... failed before.

--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -35,6 +35,7 @@
 /// "doorwood/cell/CELL/"
 std::string CellPrefix(std::string_view cell);
 std::string ChainKey(std::string_view cell);
+std::string WorkersKey(std::string_view cell);
 std::string PlanKey(std::string_view cell, std::string_view job);
 std::string StateKey(std::string_view cell, std::string_view job);
 /// Key that tells which cell has a job.
@@ -46,14 +47,15 @@
   std::string address;
 };
 
-/// What lies under the chain key.
-struct ChainRecord {
-  uint64_t sequence = 0;
-  std::vector<KnownWorker> workers;
-};
+/// What lies under the chain key: the number of the newest batch.
+std::string EncodeSequence(uint64_t sequence);
+/// 0 if the text is not of that form.
+uint64_t DecodeSequence(std::string_view text);
 
-std::string EncodeChain(const ChainRecord& chain);
-ChainRecord DecodeChain(std::string_view text);
+/// What lies under the workers' key. It stands apart from the chain, since it
+/// is long and changes seldom.
+std::string EncodeWorkers(const std::vector<KnownWorker>& workers);
+std::vector<KnownWorker> DecodeWorkers(std::string_view text);
 
 struct JournalOptions {
   /// How long changes that nobody waits for are gathered.
@@ -96,14 +98,15 @@
               const JournalOptions& options,
               std::string cell);
 
-  /// Begins with the lead key's revision and what lies under the chain key.
-  void Open(int64_t lead_revision, int64_t chain_revision, ChainRecord chain);
+  /// Begins with the lead key's revision, the chain key's, and the number under
+  /// the chain key.
+  void Open(int64_t lead_revision, int64_t chain_revision, uint64_t sequence);
   /// Answers all that wait; sends nothing more.
   void Close();
 
   void Accept(JobPlan plan, AcceptCallback done);
   void MarkDirty(const std::string& job, bool urgent);
-  /// Replaces the workers of the chain record.
+  /// Replaces the workers under the workers' key.
   void SetWorkers(std::vector<KnownWorker> workers);
   /// Removes all keys of a job that is long over.
   void Forget(const std::string& job);
@@ -122,21 +125,31 @@
     bool answered = false;
   };
   struct Batch {
-    ChainRecord chain;
+    uint64_t sequence = 0;
+    /// Set where the batch records the workers.
+    std::optional<std::vector<KnownWorker>> workers;
     std::vector<PendingAccept> accepts;
     std::vector<std::string> states;
     std::vector<std::string> forgotten;
-    std::map<std::string, uint64_t> ends;
     StoreTransaction transaction;
     /// An earlier sending was not answered.
     bool unanswered = false;
   };
 
+  /// Ends that workers had listed at one moment, and the jobs that they changed
+  /// whose new state is not recorded yet.
+  struct EndsToRecord {
+    std::map<std::string, uint64_t> ends;
+    std::set<std::string> jobs;
+  };
+
   void Wake(Millis delay);
   void Send();
   Batch Build();
   void AddAccepts(Batch* batch);
   void AddStates(Batch* batch);
+  void AddForgotten(Batch* batch);
+  void NoteRecorded(const std::vector<std::string>& jobs);
   void Submit();
   void OnAnswer(std::error_code error, const StoreCommit& commit);
   void OnConflict(const StoreCommit& commit);
@@ -161,12 +174,17 @@
   uint64_t generation_ = 0;
   int64_t lead_revision_ = 0;
   int64_t chain_revision_ = 0;
-  ChainRecord chain_;
+  uint64_t sequence_ = 0;
+  std::vector<KnownWorker> workers_;
   bool workers_changed_ = false;
+  /// The next batch carries something even if nothing else changed.
+  bool probing_ = false;
   std::deque<PendingAccept> accepts_;
+  /// Jobs whose state is to be recorded, and the order in which they changed.
   std::set<std::string> dirty_;
+  std::deque<std::string> dirty_order_;
   std::set<std::string> to_forget_;
-  bool ends_waiting_ = false;
+  std::optional<EndsToRecord> ends_;
   std::optional<Batch> batch_;
   bool refusing_ = false;
   uint64_t commits_ = 0;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -146,7 +146,7 @@
   enum class Stage { kStandby, kCampaigning, kReading, kLeading, kLeft };
   struct Member {
     std::shared_ptr<WorkerSession> session;
-    /// The chain record names the worker, so it may be given work.
+    /// The workers' key names the worker, so it may be given work.
     bool recorded = false;
     /// The directory lists it.
     bool listed = false;
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -37,6 +37,10 @@
   return CellPrefix(cell) + "chain";
 }
 
+std::string WorkersKey(std::string_view cell) {
+  return CellPrefix(cell) + "workers";
+}
+
 std::string PlanKey(std::string_view cell, std::string_view job) {
   return CellPrefix(cell) + "plan/" + std::string(job);
 }
@@ -49,27 +53,33 @@
   return std::string(kJobFolder) + std::string(job);
 }
 
-std::string EncodeChain(const ChainRecord& chain) {
-  Json workers = Json::array();
-  for (const KnownWorker& worker : chain.workers) {
-    workers.push_back({worker.id, worker.address});
-  }
-  return Json{{"sequence", chain.sequence}, {"workers", std::move(workers)}}
-      .dump();
+std::string EncodeSequence(uint64_t sequence) {
+  return Json{{"sequence", sequence}}.dump();
 }
 
-ChainRecord DecodeChain(std::string_view text) {
-  ChainRecord chain;
+uint64_t DecodeSequence(std::string_view text) {
   const auto json = ParseJson(text);
-  if (!json) {
-    return chain;
+  return json && json->is_object() ? json->value("sequence", uint64_t{0}) : 0;
+}
+
+std::string EncodeWorkers(const std::vector<KnownWorker>& workers) {
+  Json rows = Json::array();
+  for (const KnownWorker& worker : workers) {
+    rows.push_back({worker.id, worker.address});
   }
-  chain.sequence = json->value("sequence", uint64_t{0});
-  for (const Json& row : json->value("workers", Json::array())) {
-    chain.workers.push_back(
-        {row.at(0).get<std::string>(), row.at(1).get<std::string>()});
+  return rows.dump();
+}
+
+std::vector<KnownWorker> DecodeWorkers(std::string_view text) {
+  std::vector<KnownWorker> workers;
+  const auto json = ParseJson(text);
+  if (json && json->is_array()) {
+    for (const Json& row : *json) {
+      workers.push_back(
+          {row.at(0).get<std::string>(), row.at(1).get<std::string>()});
+    }
   }
-  return chain;
+  return workers;
 }
 
 CellJournal::CellJournal(Executor& executor,
@@ -87,13 +97,13 @@
 
 void CellJournal::Open(int64_t lead_revision,
                        int64_t chain_revision,
-                       ChainRecord chain) {
+                       uint64_t sequence) {
   ++generation_;
   open_ = true;
   refusing_ = false;
   lead_revision_ = lead_revision;
   chain_revision_ = chain_revision;
-  chain_ = std::move(chain);
+  sequence_ = sequence;
 }
 
 void CellJournal::Close() {
@@ -108,8 +118,11 @@
   auto batch = std::move(batch_);
   batch_.reset();
   dirty_.clear();
+  dirty_order_.clear();
   to_forget_.clear();
+  ends_.reset();
   workers_changed_ = false;
+  probing_ = false;
   for (PendingAccept& accept : waiting) {
     Answer(&accept, CoreErrc::kNoOwner, {});
   }
@@ -148,15 +161,18 @@
 }
 
 void CellJournal::MarkDirty(const std::string& job, bool urgent) {
-  if (open_) {
-    dirty_.insert(job);
-    Wake(urgent ? Millis(0) : options_.delay);
+  if (!open_) {
+    return;
   }
+  if (dirty_.insert(job).second) {
+    dirty_order_.push_back(job);
+  }
+  Wake(urgent ? Millis(0) : options_.delay);
 }
 
 void CellJournal::SetWorkers(std::vector<KnownWorker> workers) {
   if (open_) {
-    chain_.workers = std::move(workers);
+    workers_ = std::move(workers);
     workers_changed_ = true;
     Wake(Millis(0));
   }
@@ -195,7 +211,7 @@
     return;  // its answer leads on
   }
   if (accepts_.empty() && dirty_.empty() && to_forget_.empty() &&
-      !workers_changed_) {
+      !workers_changed_ && !probing_) {
     return;
   }
   batch_ = Build();
@@ -204,25 +220,34 @@
 
 CellJournal::Batch CellJournal::Build() {
   Batch batch;
-  ++chain_.sequence;
-  batch.chain = chain_;
-  workers_changed_ = false;
+  batch.sequence = ++sequence_;
+  probing_ = false;
   StoreTransaction& transaction = batch.transaction;
   transaction.expected.push_back({LeadKey(cell_), lead_revision_});
   transaction.expected.push_back({ChainKey(cell_), chain_revision_});
-  transaction.puts.push_back({ChainKey(cell_), EncodeChain(chain_)});
+  transaction.puts.push_back({ChainKey(cell_), EncodeSequence(sequence_)});
+  if (workers_changed_) {
+    workers_changed_ = false;
+    batch.workers = workers_;
+    transaction.puts.push_back({WorkersKey(cell_), EncodeWorkers(workers_)});
+  }
   AddAccepts(&batch);
   AddStates(&batch);
+  AddForgotten(&batch);
+  return batch;
+}
+
+void CellJournal::AddForgotten(Batch* batch) {
+  StoreTransaction& transaction = batch->transaction;
   for (auto it = to_forget_.begin();
-       it != to_forget_.end() && batch.forgotten.size() < kForgottenAtOnce &&
+       it != to_forget_.end() && batch->forgotten.size() < kForgottenAtOnce &&
        transaction.entries() + kEntriesOfForgotten <= kMostTransactionEntries;
        it = to_forget_.erase(it)) {
-    batch.forgotten.push_back(*it);
+    batch->forgotten.push_back(*it);
     transaction.removes.push_back(JobIdKey(*it));
     transaction.removes.push_back(PlanKey(cell_, *it));
     transaction.removes.push_back(StateKey(cell_, *it));
   }
-  return batch;
 }
 
 void CellJournal::AddAccepts(Batch* batch) {
@@ -253,15 +278,17 @@
 }
 
 void CellJournal::AddStates(Batch* batch) {
-  StoreTransaction& transaction = batch->transaction;
-  for (auto it = dirty_.begin();
-       it != dirty_.end() && transaction.entries() < kMostTransactionEntries;
-       it = dirty_.erase(it)) {
-    batch->states.push_back(*it);
-    transaction.puts.push_back({StateKey(cell_, *it), owner_.EncodeState(*it)});
+  if (!ends_) {
+    ends_ = EndsToRecord{owner_.ListedEnds(), dirty_};
   }
-  if (dirty_.empty()) {
-    batch->ends = owner_.ListedEnds();
+  StoreTransaction& transaction = batch->transaction;
+  while (!dirty_order_.empty() &&
+         transaction.entries() < kMostTransactionEntries) {
+    std::string job = std::move(dirty_order_.front());
+    dirty_order_.pop_front();
+    dirty_.erase(job);
+    transaction.puts.push_back({StateKey(cell_, job), owner_.EncodeState(job)});
+    batch->states.push_back(std::move(job));
   }
 }
 
@@ -292,7 +319,7 @@
   if (!refusing_) {
     log_.Write("warn", "journal", "the store does not take a batch",
                {{"cell", cell_},
-                {"sequence", batch_->chain.sequence},
+                {"sequence", batch_->sequence},
                 {"error", error.message()}});
   }
   refusing_ = true;
@@ -324,14 +351,17 @@
     Answer(&accept, CoreErrc::kStoreUnavailable, {});
   }
   accepts_.clear();
-  workers_changed_ = true;  // also keeps on asking
+  probing_ = true;  // keeps on asking until the store takes batches again
   TakeBack(std::move(batch));
   Wake(options_.retry_pause);
 }
 
 void CellJournal::TakeBack(Batch batch) {
+  workers_changed_ = workers_changed_ || batch.workers.has_value();
   for (const std::string& job : batch.states) {
-    dirty_.insert(job);
+    if (dirty_.insert(job).second) {
+      dirty_order_.push_front(job);
+    }
   }
   for (const std::string& job : batch.forgotten) {
     to_forget_.insert(job);
@@ -353,9 +383,8 @@
   const StoreItem* chain = FindItem(commit, ChainKey(cell_));
   const int64_t chain_revision = RevisionOf(chain);
   if (chain_revision != chain_revision_) {
-    const ChainRecord stands =
-        DecodeChain(chain == nullptr ? "" : chain->value);
-    if (stands.sequence == batch_->chain.sequence) {
+    const uint64_t stands = DecodeSequence(chain == nullptr ? "" : chain->value);
+    if (stands == batch_->sequence) {
       Succeed(chain_revision);  // the sending without an answer took effect
       return;
     }
@@ -374,7 +403,7 @@
     }
   }
   batch.accepts = std::move(fresh);
-  workers_changed_ = true;
+  probing_ = true;
   TakeBack(std::move(batch));
   Wake(Millis(0));
 }
@@ -397,15 +426,32 @@
       owner_.OnStateRecorded(job);
     }
   }
-  owner_.OnEndsRecorded(batch.ends);
-  owner_.OnWorkersRecorded(batch.chain.workers);
-  if (!accepts_.empty() || workers_changed_) {
+  NoteRecorded(batch.states);
+  if (batch.workers) {
+    owner_.OnWorkersRecorded(*batch.workers);
+  }
+  // What did not fit goes at once; otherwise changes are gathered again.
+  const bool was_full = batch.transaction.entries() >= kMostTransactionEntries;
+  if (!accepts_.empty() || workers_changed_ || (was_full && !dirty_.empty())) {
     Wake(Millis(0));
   } else if (!dirty_.empty() || !to_forget_.empty()) {
     Wake(options_.delay);
   }
 }
 
+void CellJournal::NoteRecorded(const std::vector<std::string>& jobs) {
+  if (!ends_) {
+    return;
+  }
+  for (const std::string& job : jobs) {
+    ends_->jobs.erase(job);
+  }
+  if (ends_->jobs.empty()) {
+    owner_.OnEndsRecorded(ends_->ends);
+    ends_.reset();
+  }
+}
+
 void CellJournal::AnswerOverdue() {
   const Instant now = executor_.Now();
   if (batch_) {
--- a/src/libdoorwood/cell/cell_journal_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <set>
 #include <utility>
 
 #include "fakes/cell_world.h"
@@ -83,7 +84,7 @@
     StoreCommit won;
     store.model.Commit(lead, &won);
     lead_revision = won.revision;
-    journal.Open(lead_revision, 0, {});
+    journal.Open(lead_revision, 0, 0);
   }
 
   std::string EncodeState(const std::string&) override { return state; }
@@ -251,6 +252,44 @@
   BOOST_TEST(recorded.size() == 40U);
 }
 
+// A busy cell: more jobs change in each moment than a batch holds.
+BOOST_FIXTURE_TEST_CASE(MarkDirty_ChangesNeverPause_EndsAreRecordedAllTheSame,
+                        JournalFixture) {
+  constexpr int kJobs = 60;
+  std::set<std::string> recorded_early;
+  for (int round = 0; round < 20; ++round) {
+    for (int i = 0; i < kJobs; ++i) {
+      journal.MarkDirty("job" + std::to_string(i), false);
+    }
+    time.Run(Millis(50));
+  }
+  BOOST_REQUIRE(ends_recorded.contains("w"));
+  BOOST_TEST(ends_recorded.at("w") == 7U);
+  recorded_early.insert(recorded.begin(), recorded.end());
+  BOOST_TEST(recorded_early.size() == static_cast<size_t>(kJobs));
+}
+
+BOOST_FIXTURE_TEST_CASE(Workers_Unchanged_AreNotWrittenAgain, JournalFixture) {
+  journal.SetWorkers({{"w", "address"}});
+  time.Run(Millis(50));
+  StoreItem first;
+  BOOST_TEST(!store.model.Get(WorkersKey("all"), &first));
+  Accept();
+  time.Run(Millis(50));
+  StoreItem second;
+  BOOST_TEST(!store.model.Get(WorkersKey("all"), &second));
+  BOOST_TEST(second.revision == first.revision);
+}
+
+BOOST_FIXTURE_TEST_CASE(Workers_BatchRefused_AreWrittenWithALaterOne,
+                        JournalFixture) {
+  store.script = {Step::kRefuse, Step::kRefuse};
+  journal.SetWorkers({{"w", "address"}});
+  time.Run(Millis(1000));
+  StoreItem item;
+  BOOST_TEST(!store.model.Get(WorkersKey("all"), &item));
+}
+
 BOOST_FIXTURE_TEST_CASE(Commit_AnotherLeads_LeadIsLostAndAnswersAreTrue,
                         JournalFixture) {
   StoreTransaction other;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -187,13 +187,16 @@
 void CellLeader::Restore(const StoreItems& items) {
   const std::string plans = PlanKey(options_.cell, "");
   const std::string states = StateKey(options_.cell, "");
-  ChainRecord chain;
+  uint64_t sequence = 0;
   int64_t chain_revision = 0;
+  std::vector<KnownWorker> known;
   jobs_.Clear();
   for (const StoreItem& item : items.items) {
     if (item.key == ChainKey(options_.cell)) {
-      chain = DecodeChain(item.value);
+      sequence = DecodeSequence(item.value);
       chain_revision = item.revision;
+    } else if (item.key == WorkersKey(options_.cell)) {
+      known = DecodeWorkers(item.value);
     } else if (item.key.starts_with(plans)) {
       auto plan = ParsePlan(item.value);
       if (plan) {
@@ -238,10 +241,9 @@
               {"epoch", epoch_},
               {"jobs", jobs_.jobs().size()},
               {"open", open},
-              {"sequence", chain.sequence},
-              {"workers", chain.workers.size()}});
-  const std::vector<KnownWorker> known = chain.workers;
-  journal_.Open(epoch_, chain_revision, std::move(chain));
+              {"sequence", sequence},
+              {"workers", known.size()}});
+  journal_.Open(epoch_, chain_revision, sequence);
   for (const KnownWorker& worker : known) {
     WorkerLife life;
     life.id = worker.id;
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -64,7 +64,7 @@
   member.recorded = from_takeover;
   member.listed = !from_takeover;
   // Also a worker that only the directory names may run what an earlier
-  // leader ordered: the chain record names it before any order goes there,
+  // leader ordered: the workers' key names it before any order goes there,
   // but only if that leader was of this cell.
   member.from_takeover = from_takeover;
   const auto session = member.session;
