fix(worker_session): a run that began between two looks is not taken for over

The worker answers the second one, begins the run, answers the first; the first answer comes first and confirmed the run as of the time when that look was SENT, which is before the second one was, so the second answer proved the run over and it began again elsewhere. Ruled out: a takeover between the two starts (run 2 follows run 1, a new lead jumps by 16), a lapsed lease, another life. Also: no run is proved over by a report that could not list all ends, and a start called too old, which may have run if it was sent twice, waits for the report. Tests Look_AnswersOvertake_..., Look_NotAllEndsListed_..., Start_CalledOldAfter...; the first failed before.

--- /dev/null
+++ b/src/include/doorwood/machine_platform.h
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Port to the platform that runs the workers' machines: which there are, and
+/// orders to take one down for its upkeep or to move it to another pool.
+
+#ifndef DOORWOOD_MACHINE_PLATFORM_H_
+#define DOORWOOD_MACHINE_PLATFORM_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "doorwood/error.h"
+#include "doorwood/types.h"
+
+namespace doorwood {
+
+enum class MachineState { kUp, kMoving, kUpkeep, kDown };
+
+struct Machine {
+  std::string id;
+  /// Pool of workers that the machine belongs to.
+  std::string pool;
+  MachineState state = MachineState::kDown;
+  std::string data_centre;
+  std::vector<std::string> labels;
+  Resources capacity;
+  /// The worker that is the machine's present life; may be empty.
+  std::string worker;
+};
+
+/// Machines that the operators want taken down for upkeep, each once.
+struct UpkeepWave {
+  int64_t number = 0;
+  std::vector<std::string> machines;
+  /// Time within which all of them should have had it.
+  Millis duration{0};
+  /// Most machines of the wave that may be down at a time.
+  int most_at_once = 1;
+};
+
+enum class WaveState { kRunning, kCompleted };
+
+struct UpkeepOrder {
+  std::string machine;
+  int64_t wave = 0;
+  /// Who orders, and the fencing token of its lead.
+  std::string holder;
+  uint64_t token = 0;
+};
+
+struct MoveOrder {
+  std::string machine;
+  std::string pool;
+  std::string holder;
+  uint64_t token = 0;
+};
+
+/// Calls finish on the control thread, exactly once. Orders fail with a
+/// RunErrc: kNoAnswer (may be carried out, now or later), kFenced, kBusy (not
+/// now), kRejected (no such machine, or not of that wave). Reads fail with a
+/// KvErrc or PeerErrc.
+class MachinePlatform {
+ public:
+  using ListCallback =
+      std::function<void(std::error_code, std::vector<Machine>)>;
+  using OrderCallback = std::function<void(std::error_code)>;
+  using WavesCallback =
+      std::function<void(std::error_code, std::vector<UpkeepWave>)>;
+
+  virtual ~MachinePlatform() = default;
+
+  virtual void ListMachines(ListCallback done) = 0;
+  /// Ends all that runs there at once. Succeeds also if it was done before.
+  virtual void OrderUpkeep(const UpkeepOrder& order, OrderCallback done) = 0;
+  virtual void OrderMove(const MoveOrder& order, OrderCallback done) = 0;
+  /// The operators' waves.
+  virtual void ListWaves(WavesCallback done) = 0;
+  /// Tells the operators how a wave is.
+  virtual void TellWave(int64_t wave, WaveState state, OrderCallback done) = 0;
+};
+
+}  // namespace doorwood
+
+#endif  // DOORWOOD_MACHINE_PLATFORM_H_
--- a/src/include/doorwood/run_worker.h
+++ b/src/include/doorwood/run_worker.h
@@ -92,6 +92,9 @@
   int64_t clock = 0;
   std::vector<ActiveRun> active;
   std::vector<EndedRun> ended;
+  /// More ends wait than the report could list: a run that it does not name may
+  /// be among them.
+  bool more_ended = false;
 };
 
 struct HoldOrder {
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -45,6 +45,9 @@
   Instant stop_confirmed_at{};
   bool stop_under_way = false;
   Instant stop_sent{};
+  /// The worker called the number too old: this very run may have ended there
+  /// already, if the order was sent twice.
+  bool called_old = false;
 
   /// Copied from the step, so that a run outlives its job.
   Resources size;
@@ -186,7 +189,7 @@
   void ScheduleLook(Millis delay);
   void TakeReport(Instant sent, WorkerReport report);
   void TakeEnds(const std::vector<EndedRun>& ended);
-  void TakeActive(Instant sent, const std::vector<ActiveRun>& active);
+  void TakeActive(const std::vector<ActiveRun>& active);
   void ResolveMissing(Instant sent, const std::vector<ActiveRun>& active);
   void OnStartAnswer(const std::string& task,
                      uint32_t number,
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -88,6 +88,9 @@
   if (!run.checkpoint.empty() && !task->done) {
     task->checkpoint = run.checkpoint;
   }
+  if (run.called_old) {
+    task->last_run = std::max(task->last_run, run.number + kRunJump);
+  }
   if (!told_by_worker) {
     log_.Write("warn", "cell", "run is over without the worker's word",
                {{"task", run.task},
@@ -163,9 +166,6 @@
   }
   JobTable::SetPlaced(task, false);
   task->failed_on = session.life().id;
-  if (error == make_error_code(RunErrc::kOldRun)) {
-    task->last_run += kRunJump;
-  }
   WakeScheduler();
 }
 
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -108,6 +108,15 @@
     }
     return;
   }
+  if (error == make_error_code(RunErrc::kOldRun)) {
+    // The next report names its end, or proves that it never began.
+    run->phase = RunPhase::kUnresolved;
+    run->called_old = true;
+    run->stop_confirmed = true;
+    run->stop_confirmed_at = executor_.Now();
+    Look(Millis(0));
+    return;
+  }
   // A definite refusal: nothing runs. Forget the run, then tell.
   const Run refused = *TakeOut(task);
   listener_.OnStartRefused(*this, refused, error);
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -243,8 +243,10 @@
   if (sent >= report_sent_) {
     report_sent_ = sent;
     ++version_;
-    TakeActive(sent, report.active);
-    ResolveMissing(sent, report.active);
+    TakeActive(report.active);
+    if (!report.more_ended) {
+      ResolveMissing(sent, report.active);
+    }
   }
   if (!closed_) {
     listener_.OnReport(*this);
@@ -272,8 +274,7 @@
   }
 }
 
-void WorkerSession::TakeActive(Instant sent,
-                               const std::vector<ActiveRun>& active) {
+void WorkerSession::TakeActive(const std::vector<ActiveRun>& active) {
   for (const ActiveRun& row : active) {
     if (closed_) {
       return;
@@ -286,7 +287,7 @@
         SendStop(row.task, row.run);
         continue;
       }
-      adopted->confirmed = sent;
+      adopted->confirmed = executor_.Now();
       Insert(std::move(*adopted));
       run = FindRun(row.task);
     }
@@ -296,7 +297,9 @@
     if (run->phase == RunPhase::kStarting ||
         run->phase == RunPhase::kUnresolved) {
       run->phase = RunPhase::kRunning;
-      run->confirmed = sent;
+      // Not when the look was sent: a later look may have been answered before
+      // the run began.
+      run->confirmed = executor_.Now();
     }
     run->progress = row.progress;
     if (!row.checkpoint.empty()) {
--- a/src/libdoorwood/cell/worker_session_test.cpp
+++ b/src/libdoorwood/cell/worker_session_test.cpp
@@ -196,6 +196,109 @@
   }
 }
 
+// Calls that the test answers, in whatever order.
+class ManualWorkers : public RunWorkers {
+ public:
+  void Hold(const WorkerLife&,
+            const HoldOrder&,
+            Callback<WorkerReport> done) override {
+    holds.push_back(std::move(done));
+  }
+  void Start(const WorkerLife&,
+             const StartOrder&,
+             Callback<int64_t> done) override {
+    starts.push_back(std::move(done));
+  }
+  void Stop(const WorkerLife&, const StopOrder&, Callback<int64_t>) override {}
+  void Pace(const WorkerLife&, const PaceOrder&, Callback<int64_t>) override {}
+
+  std::vector<Callback<WorkerReport>> holds;
+  std::vector<Callback<int64_t>> starts;
+};
+
+WorkerReport ReportOf(std::vector<ActiveRun> active) {
+  WorkerReport report;
+  report.clock = 1000;
+  report.active = std::move(active);
+  return report;
+}
+
+struct ManualFixture : public SessionFixture {
+  ManualFixture() {
+    session->Close();
+    WorkerLife life;
+    life.id = "w1";
+    session = std::make_shared<WorkerSession>(executor, manual, log, *this,
+                                              WorkerSessionOptions{}, life, 5);
+    session->Open();
+    time.Run(Millis(10));
+    manual.holds.at(0)({}, ReportOf({}));
+    SessionFixture::Start("");
+    time.Run(Millis(50));
+  }
+
+  ManualWorkers manual;
+};
+
+// A look waits at the worker; the start goes unanswered, so another look is
+// sent. The worker answers that one, begins the run late, and then answers the
+// first look, whose answer comes first.
+BOOST_FIXTURE_TEST_CASE(Look_AnswersOvertake_RunThatBeganBetweenIsNotOver,
+                        ManualFixture) {
+  BOOST_REQUIRE(manual.holds.size() == 2U);
+  manual.starts.at(0)(RunErrc::kNoAnswer, 0);
+  time.Run(Millis(50));
+  BOOST_REQUIRE(manual.holds.size() == 3U);
+  const ActiveRun listed{"t", 1, "", 0, -1};
+  manual.holds.at(1)({}, ReportOf({listed}));
+  time.Run(Millis(5));
+  manual.holds.at(2)({}, ReportOf({}));
+  time.Run(Millis(50));
+  BOOST_TEST(ends.empty());
+  BOOST_TEST(session->runs().size() == 1U);
+}
+
+// More ends wait at the worker than one report lists.
+BOOST_FIXTURE_TEST_CASE(Look_NotAllEndsListed_MissingRunIsNotOver,
+                        ManualFixture) {
+  manual.starts.at(0)({}, 1000);
+  time.Run(Millis(10));
+  manual.holds.at(1)({}, ReportOf({}));  // sent before the run began
+  time.Run(Millis(10));
+  WorkerReport report = ReportOf({});
+  report.more_ended = true;
+  manual.holds.at(2)({}, report);
+  time.Run(Millis(10));
+  BOOST_TEST(ends.empty());
+}
+
+// The order was sent twice, since its connection broke: the first one ran and
+// ended before the second came, and the worker calls that one too old.
+BOOST_FIXTURE_TEST_CASE(Start_CalledOldAfterItRan_ItsEndCounts, ManualFixture) {
+  manual.starts.at(0)(RunErrc::kOldRun, 1000);
+  time.Run(Millis(10));
+  BOOST_TEST(refused == 0);
+  WorkerReport report = ReportOf({});
+  report.ended.push_back({1, "t", 1, RunEnd::kDone, ""});
+  manual.holds.back()({}, report);
+  time.Run(Millis(10));
+  BOOST_TEST(ends == std::vector<std::string>{"t done told"},
+             boost::test_tools::per_element());
+}
+
+BOOST_FIXTURE_TEST_CASE(Start_CalledOldAndNeverRan_IsProvedOver,
+                        ManualFixture) {
+  manual.starts.at(0)(RunErrc::kOldRun, 1000);
+  time.Run(Millis(10));
+  manual.holds.back()({}, ReportOf({}));
+  time.Run(Millis(10));
+  BOOST_TEST(ends.empty());  // sent in the moment of the answer
+  manual.holds.back()({}, ReportOf({}));
+  time.Run(Millis(10));
+  BOOST_TEST(ends == std::vector<std::string>{"t lapsed proved"},
+             boost::test_tools::per_element());
+}
+
 BOOST_FIXTURE_TEST_CASE(Look_WorkerFallsSilent_LeaseIsNotProlonged,
                         SessionFixture) {
   Start("");
--- /dev/null
+++ b/src/libdoorwood/pool/wave_keeper.cpp
@@ -0,0 +1,378 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "doorwood/wave_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "doorwood/cell_journal.h"
+#include "doorwood/live_directory.h"
+
+namespace doorwood {
+namespace {
+
+// A machine that so many lists in a row did not name is gone for good.
+constexpr int kListsToBeGone = 3;
+
+std::string WaveKey(std::string_view cell, int64_t wave) {
+  return CellPrefix(cell) + "wave/" + std::to_string(wave);
+}
+
+std::set<std::string> DecodeDone(std::string_view text) {
+  const auto json = ParseJson(text);
+  return json && json->is_array() ? json->get<std::set<std::string>>()
+                                  : std::set<std::string>();
+}
+
+}  // namespace
+
+WaveKeeper::WaveKeeper(Executor& executor,
+                       RecordStore& store,
+                       MachinePlatform* platform,
+                       WaveHost& host,
+                       EventLog& log,
+                       const WaveOptions& options,
+                       std::string cell)
+    : executor_(executor),
+      store_(store),
+      platform_(platform),
+      host_(host),
+      log_(log),
+      options_(options),
+      cell_(std::move(cell)) {}
+
+void WaveKeeper::Open(std::string holder, int64_t epoch) {
+  Close();
+  open_ = true;
+  holder_ = std::move(holder);
+  epoch_ = epoch;
+  opened_ = executor_.Now();
+}
+
+void WaveKeeper::Close() {
+  open_ = false;
+  ++generation_;
+  waves_.clear();
+  reading_records_.clear();
+  machines_.clear();
+  reading_waves_ = false;
+  listing_ = false;
+  waves_read_ = Instant{};
+  listed_ = Instant{};
+}
+
+bool WaveKeeper::AnyOpen() const {
+  return std::any_of(waves_.begin(), waves_.end(), [](const auto& entry) {
+    return !entry.second.told_completed;
+  });
+}
+
+int WaveKeeper::CountIn(const Wave& wave, std::initializer_list<Stage> stages) {
+  return static_cast<int>(std::count_if(
+      wave.machines.begin(), wave.machines.end(), [&](const auto& entry) {
+        return std::find(stages.begin(), stages.end(), entry.second.stage) !=
+               stages.end();
+      }));
+}
+
+void WaveKeeper::Tick() {
+  const Instant now = executor_.Now();
+  if (!open_ || platform_ == nullptr) {
+    return;
+  }
+  if (now - waves_read_ >= options_.read_interval) {
+    ReadWaves();
+  }
+  if (!AnyOpen()) {
+    return;
+  }
+  if (now - listed_ >= options_.list_interval) {
+    ListMachines();
+  }
+  if (now - opened_ < options_.holder_lease || machines_.empty()) {
+    return;
+  }
+  for (auto& [number, wave] : waves_) {
+    if (!wave.told_completed) {
+      Advance(&wave);
+    }
+  }
+}
+
+// --- What the operators want ---
+
+void WaveKeeper::ReadWaves() {
+  if (reading_waves_) {
+    return;
+  }
+  reading_waves_ = true;
+  platform_->ListWaves(
+      [this, generation = generation_](std::error_code error,
+                                       const std::vector<UpkeepWave>& waves) {
+        if (generation != generation_) {
+          return;
+        }
+        reading_waves_ = false;
+        waves_read_ = executor_.Now();
+        if (!error) {
+          OnWaves(waves);
+        }
+      });
+}
+
+void WaveKeeper::OnWaves(const std::vector<UpkeepWave>& waves) {
+  for (const UpkeepWave& plan : waves) {
+    const auto known = waves_.find(plan.number);
+    if (known == waves_.end()) {
+      ReadRecord(plan);
+      continue;
+    }
+    Wave& wave = known->second;
+    wave.plan = plan;
+    for (const std::string& machine : plan.machines) {
+      if (wave.machines.try_emplace(machine).second) {
+        wave.told_completed = false;
+      }
+    }
+  }
+}
+
+// An earlier leader may have taken some of the machines down already.
+void WaveKeeper::ReadRecord(const UpkeepWave& plan) {
+  if (!reading_records_.insert(plan.number).second) {
+    return;
+  }
+  store_.Get(WaveKey(cell_, plan.number),
+             [this, plan, generation = generation_](std::error_code error,
+                                                    const StoreItem& item) {
+               if (generation != generation_) {
+                 return;
+               }
+               reading_records_.erase(plan.number);
+               if (error && error != make_error_code(KvErrc::kNotFound)) {
+                 return;  // read again with the next list of waves
+               }
+               const auto done = DecodeDone(error ? "" : item.value);
+               Wave& wave = waves_[plan.number];
+               wave.plan = plan;
+               for (const std::string& machine : plan.machines) {
+                 wave.machines[machine].stage =
+                     done.contains(machine) ? Stage::kDone : Stage::kWaiting;
+               }
+               log_.Write("info", "pool", "upkeep wave taken up",
+                          {{"wave", plan.number},
+                           {"machines", plan.machines.size()},
+                           {"done", done.size()},
+                           {"most_at_once", plan.most_at_once},
+                           {"duration_ms", plan.duration.count()},
+                           {"epoch", epoch_}});
+             });
+}
+
+// --- What the machines do ---
+
+void WaveKeeper::ListMachines() {
+  if (listing_) {
+    return;
+  }
+  listing_ = true;
+  platform_->ListMachines(
+      [this, generation = generation_, sent = executor_.Now()](
+          std::error_code error, const std::vector<Machine>& machines) {
+        if (generation != generation_) {
+          return;
+        }
+        listing_ = false;
+        listed_ = executor_.Now();
+        if (!error) {
+          OnMachines(machines, sent);
+        }
+      });
+}
+
+void WaveKeeper::OnMachines(const std::vector<Machine>& machines,
+                            Instant sent) {
+  machines_.clear();
+  for (const Machine& machine : machines) {
+    machines_[machine.id] = machine;
+  }
+  for (auto& [number, wave] : waves_) {
+    for (auto& [id, progress] : wave.machines) {
+      const auto listed = machines_.find(id);
+      if (listed == machines_.end()) {
+        ++progress.missed_lists;
+        continue;
+      }
+      progress.missed_lists = 0;
+      const bool up = listed->second.state == MachineState::kUp;
+      if (progress.stage == Stage::kDown && up && progress.since < sent) {
+        progress.stage = Stage::kDone;
+        log_.Write("info", "pool", "machine is back from its upkeep",
+                   {{"wave", number}, {"machine", id}});
+      }
+    }
+  }
+}
+
+void WaveKeeper::Advance(Wave* wave) {
+  if (!wave->told_running) {
+    Tell(wave, WaveState::kRunning);
+  }
+  bool all_begun = true;
+  for (auto& [machine, progress] : wave->machines) {
+    if (progress.missed_lists >= kListsToBeGone) {
+      continue;
+    }
+    if (progress.stage == Stage::kEmptying) {
+      Empty(wave, machine, &progress);
+    } else if (progress.stage == Stage::kOrdered && !progress.order_out &&
+               executor_.Now() >= progress.retry_at) {
+      Order(wave->plan.number, machine);
+    }
+    all_begun = all_begun && (progress.stage == Stage::kDown ||
+                              progress.stage == Stage::kDone);
+  }
+  StartEmptying(wave);
+  if (all_begun) {
+    Tell(wave, WaveState::kCompleted);
+  }
+}
+
+void WaveKeeper::StartEmptying(Wave* wave) {
+  // As many are emptied beside those that are down, so that the next ones are
+  // ready when these are back.
+  int room = wave->plan.most_at_once - CountIn(*wave, {Stage::kEmptying});
+  for (auto& [machine, progress] : wave->machines) {
+    const auto listed = machines_.find(machine);
+    if (room <= 0) {
+      return;
+    }
+    if (progress.stage != Stage::kWaiting || listed == machines_.end()) {
+      continue;
+    }
+    progress.stage = Stage::kEmptying;
+    progress.since = executor_.Now();
+    --room;
+    log_.Write("info", "pool", "machine is emptied for its upkeep",
+               {{"wave", wave->plan.number},
+                {"machine", machine},
+                {"worker", listed->second.worker}});
+  }
+}
+
+void WaveKeeper::Empty(Wave* wave,
+                       const std::string& machine,
+                       Progress* progress) {
+  const auto listed = machines_.find(machine);
+  if (listed == machines_.end()) {
+    return;
+  }
+  const Occupancy occupancy = host_.EmptyWorker(listed->second.worker);
+  const bool patient =
+      executor_.Now() - progress->since < options_.empty_patience;
+  const bool may_go = occupancy == Occupancy::kEmpty ||
+                      (occupancy == Occupancy::kExpendable && !patient);
+  // A machine that is down for another reason counts as one of its wave.
+  int down = CountIn(*wave, {Stage::kOrdered, Stage::kDown});
+  for (const auto& [id, other] : wave->machines) {
+    const auto seen = machines_.find(id);
+    const bool counted =
+        other.stage == Stage::kOrdered || other.stage == Stage::kDown;
+    down += !counted && seen != machines_.end() &&
+                    seen->second.state == MachineState::kUpkeep
+                ? 1
+                : 0;
+  }
+  if (may_go && down < wave->plan.most_at_once &&
+      listed->second.state == MachineState::kUp) {
+    progress->stage = Stage::kOrdered;
+    Order(wave->plan.number, machine);
+  }
+}
+
+void WaveKeeper::Order(int64_t number, const std::string& machine) {
+  waves_.at(number).machines.at(machine).order_out = true;
+  platform_->OrderUpkeep(
+      {machine, number, holder_, static_cast<uint64_t>(epoch_)},
+      [this, number, machine, generation = generation_](std::error_code error) {
+        if (generation == generation_) {
+          OnOrdered(number, machine, error);
+        }
+      });
+}
+
+void WaveKeeper::OnOrdered(int64_t number,
+                           const std::string& machine,
+                           std::error_code error) {
+  Wave& wave = waves_.at(number);
+  Progress& progress = wave.machines.at(machine);
+  progress.order_out = false;
+  log_.Write(error ? "warn" : "info", "pool", "upkeep ordered",
+             {{"wave", number},
+              {"machine", machine},
+              {"epoch", epoch_},
+              {"outcome", error ? error.message() : "begun"}});
+  if (!error) {
+    progress.stage = Stage::kDown;
+    progress.since = executor_.Now();
+    Record(wave);
+    return;
+  }
+  // Without an answer it may be down already, so it keeps its place among
+  // those that are; a refusal gives it up.
+  progress.retry_at = executor_.Now() + options_.retry_pause;
+  if (error != make_error_code(RunErrc::kNoAnswer)) {
+    progress.stage = Stage::kEmptying;
+  }
+}
+
+// --- What is kept and told ---
+
+void WaveKeeper::Record(const Wave& wave) {
+  Json done = Json::array();
+  for (const auto& [machine, progress] : wave.machines) {
+    if (progress.stage == Stage::kDown || progress.stage == Stage::kDone) {
+      done.push_back(machine);
+    }
+  }
+  StoreTransaction transaction;
+  transaction.expected.push_back({LeadKey(cell_), epoch_});
+  transaction.puts.push_back({WaveKey(cell_, wave.plan.number), done.dump()});
+  // Lost records only cost a successor's emptying: the platform takes no
+  // machine down twice for one wave.
+  store_.Commit(transaction, [this, number = wave.plan.number](
+                                 std::error_code error, const StoreCommit&) {
+    if (error) {
+      log_.Write("warn", "pool", "progress of a wave is not recorded",
+                 {{"wave", number}, {"error", error.message()}});
+    }
+  });
+}
+
+void WaveKeeper::Tell(Wave* wave, WaveState state) {
+  if (wave->telling) {
+    return;
+  }
+  wave->telling = true;
+  const int64_t number = wave->plan.number;
+  platform_->TellWave(
+      number, state,
+      [this, number, state, generation = generation_](std::error_code error) {
+        if (generation != generation_) {
+          return;
+        }
+        Wave& told = waves_.at(number);
+        told.telling = false;
+        if (error) {
+          return;  // told again with the next step
+        }
+        told.told_running = true;
+        told.told_completed = state == WaveState::kCompleted;
+        log_.Write("info", "pool", "operators told of a wave",
+                   {{"wave", number},
+                    {"state", state == WaveState::kCompleted ? "completed"
+                                                             : "running"}});
+      });
+}
+
+}  // namespace doorwood
