fix(pacing): a serving task over its target for 1.6 s stops all that fills beside it

Change: the mean of a task's figures at 0.95 of its target or above for 1.6 s stops everything beside it. Test DecidePaces_OverTargetForLong_StopsAll: without the rule nothing is slowed there, the worst figure being below 0.9 of the target's bound... by the model's word.

--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -43,6 +43,13 @@
   double tail_high = 0.9;
   /// Above this multiple of the target it all stops.
   double tail_hopeless = 2.0;
+  /// A serving task whose mean tail is at or above this share of its target
+  /// counts as over it: the figures are rough.
+  double tail_over = 0.95;
+  /// Over its target for so long, all filling work beside it stops. The
+  /// platform's bound is 4 s, of figures that tell of the last half second and
+  /// of orders that work after 0.1 s.
+  Millis over_patience{1600};
   /// Most that a pace rises in one step.
   int pace_step = 25;
   /// Share of the processors that serving tasks reserve which they are taken
--- a/src/include/doorwood/pacing.h
+++ b/src/include/doorwood/pacing.h
@@ -20,6 +20,9 @@
   std::string_view image;
   int64_t figure = 0;
   Millis target{0};
+  /// How long its tail has been at or above the target, on the mean of its
+  /// late and rough figures.
+  Millis over_for{0};
 };
 
 /// A filling task, from a report.
@@ -41,7 +44,9 @@
 /// New paces of the fills whose pace should change. Where a tail is too high,
 /// those that press most on the worst task are slowed down first, until the
 /// model expects it at the wanted share of the target; where all tails are
-/// low, those that press least are let go first, a step each.
+/// low, those that press least are let go first, a step each. Where a task has
+/// been over its target for long, everything beside it stops, whatever the
+/// model thinks.
 std::vector<PaceDecision> DecidePaces(const std::vector<PacedServing>& serving,
                                       const std::vector<PacedFill>& fills,
                                       const InterferenceModel& model,
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -64,6 +64,10 @@
   /// Of a serving task: its own strain without what fills beside it; below 0:
   /// not known yet.
   double load = -1;
+  /// Mean of the last figures; below 0: none yet.
+  double mean_figure = -1;
+  /// Since when that is over the target; zero: it isn't.
+  Instant over_since{};
   std::string checkpoint;
   /// Share of its speed that it may work at: wanted, and confirmed.
   int wanted_pace = 100;
--- a/src/libdoorwood/cell/cell_pacing.cpp
+++ b/src/libdoorwood/cell/cell_pacing.cpp
@@ -18,6 +18,26 @@
 constexpr int kCrawlPace = 20;
 constexpr Millis kCrawlToMove{900};
 constexpr double kMillis = 1000.0;
+// Weight of the newest figure in a serving task's mean.
+constexpr double kNewestFigure = 0.5;
+
+// How long the task has been over its target, with the figure just reported.
+Millis NoteFigure(Run* run, Instant now, double tail_over) {
+  const auto figure = static_cast<double>(run->figure);
+  run->mean_figure = run->mean_figure < 0
+                         ? figure
+                         : kNewestFigure * figure +
+                               (1.0 - kNewestFigure) * run->mean_figure;
+  const auto target = static_cast<double>(run->latency_target.count());
+  if (run->mean_figure < tail_over * target) {
+    run->over_since = Instant{};
+    return Millis(0);
+  }
+  if (run->over_since == Instant{}) {
+    run->over_since = now;
+  }
+  return std::chrono::duration_cast<Millis>(now - run->over_since);
+}
 
 }  // namespace
 
@@ -63,7 +83,6 @@
   std::vector<std::string> observed;
   for (const auto& [task, run] : session.runs()) {
     if (run.latency_target > Millis(0) && run.figure > 0) {
-      serving.push_back({run.image, run.figure, run.latency_target});
       observed.push_back(task);
     }
     if (run.fills && run.phase == RunPhase::kRunning) {
@@ -76,6 +95,9 @@
   }
   for (const std::string& task : observed) {
     Run* run = session.FindRun(task);
+    serving.push_back(
+        {run->image, run->figure, run->latency_target,
+         NoteFigure(run, executor_.Now(), options_.policy.tail_over)});
     run->load = interference_.Observe(run->image, run->figure,
                                       run->latency_target, loads, run->load);
   }
--- a/src/libdoorwood/policy/pacing.cpp
+++ b/src/libdoorwood/policy/pacing.cpp
@@ -48,8 +48,10 @@
               return model.Press(worst.image, a.image) * a.cores >
                      model.Press(worst.image, b.image) * b.cores;
             });
-  // Far above its target the model tells little: everything stops.
-  const bool far = ShareOfTarget(worst) > options.tail_hopeless;
+  // Far above its target, or over it for long, the model tells little:
+  // everything stops.
+  const bool far = ShareOfTarget(worst) > options.tail_hopeless ||
+                   worst.over_for >= options.over_patience;
   double excess =
       model.Strain(worst.image, worst.figure, worst.target) -
       model.StrainAt(worst.image, worst.target, options.tail_wanted);
@@ -108,6 +110,14 @@
                        [](const PacedServing& a, const PacedServing& b) {
                          return ShareOfTarget(a) < ShareOfTarget(b);
                        });
+  const auto longest =
+      std::max_element(serving.begin(), serving.end(),
+                       [](const PacedServing& a, const PacedServing& b) {
+                         return a.over_for < b.over_for;
+                       });
+  if (longest != serving.end() && longest->over_for >= options.over_patience) {
+    return SlowDown(*longest, fills, model, options);
+  }
   if (worst != serving.end() && ShareOfTarget(*worst) > options.tail_high) {
     return SlowDown(*worst, fills, model, options);
   }
--- a/src/libdoorwood/policy/pacing_test.cpp
+++ b/src/libdoorwood/policy/pacing_test.cpp
@@ -58,6 +58,19 @@
   }
 }
 
+// The model holds both fills for harmless enough, and the last figure happens
+// to be low.
+BOOST_FIXTURE_TEST_CASE(DecidePaces_OverTargetForLong_StopsAll,
+                        PacingFixture) {
+  const std::vector<PacedServing> serving{
+      {"s", 120, kTarget, options.over_patience}, {"s", 140, kTarget}};
+  const auto decisions = DecidePaces(serving, fills, model, options);
+  BOOST_TEST(decisions.size() == 2U);
+  for (const PaceDecision& decision : decisions) {
+    BOOST_TEST(decision.pace == 0);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(DecidePaces_TailLow_LetsGoInSteps, PacingFixture) {
   fills[0].pace = 0;
   fills[1].pace = 0;
