feat(cell): a leader that the store turns away hands the lead over

Change: when its renewals fail, it asks the others; one that heard the store after the first failed renewal was sent is told to take the key away, after the leader has given up. Fencing is as before. Test Store_TurnsTheLeaderAway_AnotherLeadsBeforeItsLeaseEnds fails without Resign (seen).

--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -272,6 +272,17 @@
         kWorkerDelay,
         [error, age, done = std::move(done)] { done(error, age); });
   }
+  void HandOver(const LiveInstance& instance,
+                const std::string& cell,
+                int64_t epoch) override {
+    self_.executor->Schedule(kWorkerDelay,
+                             [this, name = instance.name, cell, epoch] {
+                               const auto found = world_.instances().find(name);
+                               if (found != world_.instances().end()) {
+                                 found->second->cell->OnHandedOver(epoch);
+                               }
+                             });
+  }
 
  private:
   CellWorld& world_;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -117,6 +117,8 @@
   void OnQueueTable(std::shared_ptr<const QueueTable> table);
   /// Instances, leads or the own lease changed.
   void OnLiveChange();
+  /// The leader of that epoch has given the lead up, but can't remove its key.
+  void OnHandedOver(int64_t epoch);
 
   bool leading() const { return stage_ == Stage::kLeading; }
   int64_t epoch() const { return epoch_; }
@@ -202,6 +204,7 @@
   void Restore(const StoreItems& items);
   void StepDown(std::string_view reason);
   void GiveUpKey();
+  void Resign(const LiveInstance& successor);
   void ReadWorkers();
   void OnWorkers(std::vector<WorkerLife> lives);
   void NoteUnlisted();
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -46,7 +46,8 @@
   uint64_t nonce = 0;
 };
 
-/// Port to other instances: how long ago they last heard the store.
+/// Port to other instances: how long ago they last heard the store, and the
+/// handing over of a lead by one that no longer hears it.
 class StoreHearing {
  public:
   using Callback = std::function<void(std::error_code, Millis age)>;
@@ -54,6 +55,11 @@
   virtual ~StoreHearing() = default;
 
   virtual void Ask(const LiveInstance& instance, Callback done) = 0;
+  /// Tells the instance that the lead of this epoch is given up and may be
+  /// taken from the store. Not answered; if lost, the lead's lease runs out.
+  virtual void HandOver(const LiveInstance& instance,
+                        const std::string& cell,
+                        int64_t epoch) = 0;
 };
 
 struct LiveOptions {
@@ -71,6 +77,12 @@
   Millis ask_interval{400};
   /// How long an answer counts.
   Millis answer_counts{1500};
+  /// After this silence, and a renewal that failed, an instance is turned away
+  /// by the store if another one hears it: two renewals' time.
+  Millis turned_away_after{600};
+  /// Another instance hears the store if it did so this long after this one's
+  /// renewals began to fail: room for the way of the answer.
+  Millis hears_margin{60};
 };
 
 class LiveDirectory {
@@ -100,6 +112,14 @@
   /// Instances of every known data centre have said lately that they do not
   /// hear the store either: nobody can take a lead.
   bool IsStoreDownForAll() const;
+  /// An instance that said lately that it hears the store, while this one does
+  /// not; null: this one does, or nobody is known to.
+  const LiveInstance* FindInstanceThatHears() const;
+  void HandOver(const LiveInstance& instance,
+                const std::string& cell,
+                int64_t epoch) {
+    hearing_.HandOver(instance, cell, epoch);
+  }
   /// When the store last answered anything here.
   Instant store_heard_at() const { return store_heard_at_; }
 
@@ -127,6 +147,7 @@
   void Replace(const StoreItems& items);
   void ReturnIfGone();
   void AskOthers();
+  void Ask(const LiveInstance& instance);
 
   Executor& executor_;
   RecordStore& store_;
@@ -149,6 +170,11 @@
   /// By data centre: when an instance there last said that it does not hear
   /// the store.
   std::map<std::string, Instant> deaf_at_;
+  /// By instance: when it last said that it hears the store.
+  std::map<std::string, Instant> hears_at_;
+  /// When the first of the renewals was sent that have failed since one did
+  /// not; zero: the newest one did not fail.
+  Instant failing_since_{};
 };
 
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -316,6 +316,42 @@
   executor_.Schedule(kRetryPause, [this] { OnLiveChange(); });
 }
 
+// The store answers others, but not this leader: instead of waiting until its
+// lease runs out, it tells one of them to take the key away.
+void CellLeader::Resign(const LiveInstance& successor) {
+  const LiveInstance named = successor;
+  const int64_t epoch = epoch_;
+  log_.Write("warn", "cell", "lead handed over",
+             {{"cell", options_.cell}, {"epoch", epoch}, {"to", named.name}});
+  StepDown("the store turns this instance away");
+  live_.HandOver(named, options_.cell, epoch);
+}
+
+void CellLeader::OnHandedOver(int64_t epoch) {
+  if (stage_ != Stage::kStandby) {
+    return;
+  }
+  StoreTransaction transaction;
+  transaction.expected.push_back({LeadKey(options_.cell), epoch});
+  transaction.removes.push_back(LeadKey(options_.cell));
+  store_.Commit(transaction, [this, epoch](std::error_code error,
+                                           const StoreCommit&) {
+    log_.Write("info", "cell", "lead taken from its holder",
+               {{"cell", options_.cell},
+                {"epoch", epoch},
+                {"outcome", error ? error.message() : "removed"}});
+    const auto lead = live_.leads().find(options_.cell);
+    if (!error && lead != live_.leads().end() && lead->second.epoch == epoch) {
+      live_.DropLead(options_.cell);
+    }
+    if (!error && MayCampaign()) {
+      Campaign();
+    } else {
+      live_.Refresh();
+    }
+  });
+}
+
 void CellLeader::GiveUpKey() {
   // Where the key still stands, it would keep others from the lead for as long
   // as this process lives.
@@ -380,6 +416,10 @@
     unsure_after_pause_ = false;
   }
   last_tick_ = now;
+  if (const LiveInstance* other = live_.FindInstanceThatHears()) {
+    Resign(*other);
+    return;
+  }
   if (now - workers_read_ >= options_.list_interval) {
     ReadWorkers();
   }
--- a/src/libdoorwood/cell/cell_leader_test.cpp
+++ b/src/libdoorwood/cell/cell_leader_test.cpp
@@ -310,5 +310,28 @@
   BOOST_TEST(world.Submit(fakes::MakePlan("2222222222222222", 1, 1, "ms=100")));
 }
 
+BOOST_FIXTURE_TEST_CASE(Store_TurnsTheLeaderAway_AnotherLeadsBeforeItsLeaseEnds,
+                        CellFixture) {
+  world.Submit(fakes::MakePlan(kJob, 2, 2, "ms=800"));
+  fakes::WorldInstance* old = world.Leader();
+  old->store_faults.down = true;
+  world.Run(Millis(1500));
+  BOOST_REQUIRE(world.Leader() != nullptr);
+  BOOST_TEST(world.Leader() != old);
+  BOOST_TEST(world.Submit(fakes::MakePlan("2222222222222222", 1, 1, "ms=100")));
+  world.Run(Millis(6000));
+  BOOST_TEST(State() == "completed");
+  BOOST_TEST(world.starts(std::string(kJob) + ".0.0.0") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(Store_OneRenewalFails_LeadStays, CellFixture) {
+  fakes::WorldInstance* leader = world.Leader();
+  leader->store_faults.down = true;
+  world.Run(Millis(300));
+  leader->store_faults.down = false;
+  world.Run(Millis(3000));
+  BOOST_TEST(world.Leader() == leader);
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -87,32 +87,66 @@
   return others && now - store_heard_at_ > options_.silence_to_ask;
 }
 
+const LiveInstance* LiveDirectory::FindInstanceThatHears() const {
+  const Instant now = executor_.Now();
+  if (failing_since_ == Instant{} ||
+      now - store_heard_at_ < options_.turned_away_after) {
+    return nullptr;
+  }
+  const LiveInstance* best = nullptr;
+  for (const auto& [name, instance] : instances_) {
+    const auto told = hears_at_.find(name);
+    const bool hears =
+        told != hears_at_.end() && now - told->second < options_.silence_to_ask;
+    if (hears && !instance.leaving &&
+        (best == nullptr || instance.cpu_share > best->cpu_share)) {
+      best = &instance;
+    }
+  }
+  return best;
+}
+
 void LiveDirectory::AskOthers() {
   if (stopped_) {
     return;
   }
   executor_.Schedule(options_.ask_interval, [this] { AskOthers(); });
-  if (executor_.Now() - store_heard_at_ < options_.silence_to_ask) {
+  if (failing_since_ == Instant{} &&
+      executor_.Now() - store_heard_at_ < options_.silence_to_ask) {
     return;
   }
   for (const auto& [name, instance] : instances_) {
-    if (instance.data_centre == self_.data_centre) {
-      continue;
+    if (name != self_.name) {
+      Ask(instance);
     }
-    hearing_.Ask(instance, [this, centre = instance.data_centre](
-                               std::error_code error, Millis age) {
-      if (error) {
-        return;
-      }
-      if (age >= options_.silence_to_ask) {
-        deaf_at_[centre] = executor_.Now();
-      } else {
-        deaf_at_.erase(centre);
-      }
-    });
   }
 }
 
+void LiveDirectory::Ask(const LiveInstance& instance) {
+  hearing_.Ask(instance,
+               [this, name = instance.name, centre = instance.data_centre](
+                   std::error_code error, Millis age) {
+                 if (error) {
+                   return;
+                 }
+                 const Instant now = executor_.Now();
+                 if (failing_since_ != Instant{} &&
+                     now - age > failing_since_ + options_.hears_margin) {
+                   hears_at_[name] = now;
+                 } else {
+                   hears_at_.erase(name);
+                 }
+                 if (centre == self_.data_centre) {
+                   return;
+                 }
+                 if (age >= options_.silence_to_ask) {
+                   deaf_at_[centre] = executor_.Now();
+                 } else {
+                   deaf_at_.erase(centre);
+                 }
+               });
+}
+
 // --- The own lease ---
 
 void LiveDirectory::Grant() {
@@ -130,6 +164,7 @@
           return;
         }
         lease_ = lease;
+        failing_since_ = Instant{};
         store_heard_at_ = executor_.Now();
         lease_sure_until_ = sent + options_.lifetime;
         log_.Write("info", "live", "lease granted", {{"lease", lease}});
@@ -171,7 +206,11 @@
       Lose("the store does not know the lease");
       return;
     }
+    if (error && failing_since_ == Instant{}) {
+      failing_since_ = sent;
+    }
     if (!error) {
+      failing_since_ = Instant{};
       store_heard_at_ = executor_.Now();
       lease_sure_until_ = sent + options_.lifetime;
     }
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -22,6 +22,7 @@
      {CoreErrc::kNoRoom, 429}}};
 constexpr int kOk = 200;
 constexpr char kHearingPath[] = "/store-heard";
+constexpr std::string_view kHandOverPath = "/hand-over/";
 constexpr int kBadRequest = 400;
 
 constexpr std::array<JobPhase, 5> kStates = {
@@ -169,6 +170,37 @@
       });
 }
 
+void HttpPeers::HandOver(const LiveInstance& instance,
+                         const std::string& cell,
+                         int64_t epoch) {
+  HttpCall call;
+  call.address = instance.address;
+  call.method = "POST";
+  call.target = std::string(kHandOverPath) + cell + "/" + std::to_string(epoch);
+  call.timeout = kSummaryPatience;
+  client_.Send(std::move(call), [](std::error_code, const HttpReply&) {});
+}
+
+bool PeerService::HandOver(std::string_view rest) {
+  const size_t slash = rest.find('/');
+  if (slash == std::string_view::npos) {
+    return false;
+  }
+  const std::string_view digits = rest.substr(slash + 1);
+  int64_t epoch = 0;
+  const auto read =
+      std::from_chars(digits.data(), digits.data() + digits.size(), epoch);
+  if (read.ec != std::errc()) {
+    return false;
+  }
+  for (CellLeader* leader : cells_) {
+    if (leader->cell() == rest.substr(0, slash)) {
+      leader->OnHandedOver(epoch);
+    }
+  }
+  return true;
+}
+
 CellLeader* PeerService::Find(const std::string& cell) const {
   for (CellLeader* leader : cells_) {
     if (leader->cell() == cell && leader->leading()) {
@@ -194,6 +226,12 @@
     answer({}, std::to_string(age.count()));
     return;
   }
+  if (request.path.starts_with(kHandOverPath)) {
+    const bool read =
+        HandOver(std::string_view(request.path).substr(kHandOverPath.size()));
+    answer(read ? std::error_code() : CoreErrc::kInvalid, "");
+    return;
+  }
   if (!request.path.starts_with(kPrefix)) {
     answer(CoreErrc::kInvalid, "");
     return;
--- a/src/loop.adapter/http_peers.h
+++ b/src/loop.adapter/http_peers.h
@@ -31,6 +31,9 @@
              StateCallback done) override;
   void Summary(const CellLead& lead, SummaryCallback done) override;
   void Ask(const LiveInstance& instance, Callback done) override;
+  void HandOver(const LiveInstance& instance,
+                const std::string& cell,
+                int64_t epoch) override;
 
  private:
   HttpClient& client_;
@@ -48,6 +51,8 @@
 
  private:
   CellLeader* Find(const std::string& cell) const;
+  /// `rest` is "CELL/EPOCH"; false if it is not.
+  bool HandOver(std::string_view rest);
 
   Executor& executor_;
   const LiveDirectory& live_;
