feat(ingress): an instance that does not reach the leader says so at once

A cut instance held a job until the call to the leader ran out of time (0.5 to 2.4 s) and called itself ready until it had not heard the store for 6 s, so callers kept coming. Change: the leader is asked how it is every 0.6 s anyway; after 1.5 s without an answer callers are refused at once, and the instance calls itself unready. A new leader is tried before it has been asked.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -142,7 +142,7 @@
 bool EntryDaemon::IsReady() const {
   const bool store_heard =
       executor_.Now() - live_.store_heard_at() < kStoreSilence;
-  return !leaving_ && config_.table() != nullptr && ingress_.HasCells() &&
+  return !leaving_ && config_.table() != nullptr && ingress_.ReachesACell() &&
          (store_heard || cell_.leading());
 }
 
--- a/src/include/doorwood/ingress.h
+++ b/src/include/doorwood/ingress.h
@@ -56,6 +56,10 @@
   /// Other cells get a job only if they have this much less work a processor
   /// waiting, in seconds.
   double home_bonus = 0.8;
+  /// A leader that has not answered for so long, since it was first asked, gets
+  /// nothing from here: callers are refused at once and go to an instance that
+  /// reaches it. Two asks and an answer's time.
+  Millis leader_silence{1500};
   /// Jobs whose cell is remembered.
   size_t remembered_jobs = 20'000;
 };
@@ -84,18 +88,25 @@
   void State(const std::string& job, StateCallback done);
   /// Jobs of a queue none of whose tasks has begun, in all cells.
   int Pending(const std::string& queue) const;
-  /// Some cell has a leader that this instance knows.
-  bool HasCells() const;
+  /// Some cell has a leader that this instance reaches.
+  bool ReachesACell() const;
 
  private:
   struct KnownCell {
     CellSummary summary;
     /// Work sent there since the summary, in core-seconds.
     double sent_since = 0;
+    /// The lead that was asked last, since when, and when it last answered.
+    int64_t asked_epoch = 0;
+    Instant asked_since{};
+    Instant heard_at{};
   };
   using CellCallback = std::function<void(std::error_code, std::string)>;
 
   CellLeader* Local(const std::string& cell) const;
+  /// Another instance that leads the cell and answers; null: there is none.
+  const CellLead* ReachedLead(const std::string& cell) const;
+  void OnSummary(const std::string& cell, const CellSummary& summary);
   std::vector<std::string> CellsByLoad() const;
   double Load(const std::string& cell) const;
   void TrySubmit(std::shared_ptr<JobPlan> plan,
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -35,8 +35,29 @@
   return nullptr;
 }
 
-bool Ingress::HasCells() const {
-  return !live_.leads().empty();
+const CellLead* Ingress::ReachedLead(const std::string& cell) const {
+  const auto lead = live_.leads().find(cell);
+  if (lead == live_.leads().end() ||
+      lead->second.instance == live_.self().name) {
+    return nullptr;
+  }
+  const auto known = cells_.find(cell);
+  if (known == cells_.end() ||
+      known->second.asked_epoch != lead->second.epoch) {
+    return &lead->second;  // a new leader: not asked yet
+  }
+  const Instant last =
+      std::max(known->second.asked_since, known->second.heard_at);
+  const bool silent = executor_.Now() - last >= options_.leader_silence;
+  return silent ? nullptr : &lead->second;
+}
+
+bool Ingress::ReachesACell() const {
+  return std::any_of(live_.leads().begin(), live_.leads().end(),
+                     [this](const auto& entry) {
+                       return Local(entry.first) != nullptr ||
+                              ReachedLead(entry.first) != nullptr;
+                     });
 }
 
 // --- Which cell ---
@@ -161,13 +182,12 @@
     leader->Submit(plan, std::move(done));
     return;
   }
-  const auto lead = live_.leads().find(cell);
-  if (lead == live_.leads().end() ||
-      lead->second.instance == live_.self().name) {
+  const CellLead* lead = ReachedLead(cell);
+  if (lead == nullptr) {
     done(CoreErrc::kNoOwner, {});
     return;
   }
-  peers_.Submit(lead->second, plan, std::move(done));
+  peers_.Submit(*lead, plan, std::move(done));
 }
 
 // --- Known jobs ---
@@ -195,12 +215,12 @@
       leader->Cancel(job, std::move(finish));
       return;
     }
-    const auto lead = live_.leads().find(cell);
-    if (lead == live_.leads().end()) {
+    const CellLead* lead = ReachedLead(cell);
+    if (lead == nullptr) {
       done(CoreErrc::kNoOwner);
       return;
     }
-    peers_.Cancel(lead->second, job, std::move(finish));
+    peers_.Cancel(*lead, job, std::move(finish));
   });
 }
 
@@ -217,15 +237,14 @@
            state.value_or(JobPhase::kQueued));
       return;
     }
-    const auto lead = live_.leads().find(cell);
-    if (lead == live_.leads().end()) {
+    const CellLead* lead = ReachedLead(cell);
+    if (lead == nullptr) {
       done(CoreErrc::kNoOwner, {});
       return;
     }
-    peers_.State(
-        lead->second, job, [done](std::error_code result, JobPhase state) {
-          done(result ? make_error_code(CoreErrc::kNoOwner) : result, state);
-        });
+    peers_.State(*lead, job, [done](std::error_code result, JobPhase state) {
+      done(result ? make_error_code(CoreErrc::kNoOwner) : result, state);
+    });
   });
 }
 
@@ -241,19 +260,31 @@
   return pending;
 }
 
+void Ingress::OnSummary(const std::string& cell, const CellSummary& summary) {
+  KnownCell& known = cells_[cell];
+  known.summary = summary;
+  known.sent_since = 0;
+  known.heard_at = executor_.Now();
+}
+
 void Ingress::PollSummaries() {
   for (const auto& [cell, lead] : live_.leads()) {
     if (CellLeader* leader = Local(cell)) {
-      cells_[cell] = {leader->Summary(), 0};
+      OnSummary(cell, leader->Summary());
       continue;
     }
     if (lead.instance == live_.self().name) {
       continue;
     }
+    KnownCell& known = cells_[cell];
+    if (known.asked_epoch != lead.epoch) {
+      known.asked_epoch = lead.epoch;
+      known.asked_since = executor_.Now();
+    }
     peers_.Summary(lead, [this, cell = cell](std::error_code error,
                                              const CellSummary& summary) {
       if (!error) {
-        cells_[cell] = {summary, 0};
+        OnSummary(cell, summary);
       }
     });
   }
