fix(live_directory, ingress): what was told of an earlier failure or leader is dropped

Neither was seen to happen; both only cost a needless handover or a call that runs out of time. No test: both need two failures within a second.

--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -281,12 +281,15 @@
       known.asked_epoch = lead.epoch;
       known.asked_since = executor_.Now();
     }
-    peers_.Summary(lead, [this, cell = cell](std::error_code error,
-                                             const CellSummary& summary) {
-      if (!error) {
-        OnSummary(cell, summary);
-      }
-    });
+    peers_.Summary(lead,
+                   [this, cell = cell, epoch = lead.epoch](
+                       std::error_code error, const CellSummary& summary) {
+                     // An earlier leader's late answer says nothing of the
+                     // present one.
+                     if (!error && cells_[cell].asked_epoch == epoch) {
+                       OnSummary(cell, summary);
+                     }
+                   });
   }
   executor_.Schedule(options_.summary_interval, [this] { PollSummaries(); });
 }
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -211,6 +211,7 @@
     }
     if (!error) {
       failing_since_ = Instant{};
+      hears_at_.clear();  // told during a failure that is over
       store_heard_at_ = executor_.Now();
       lease_sure_until_ = sent + options_.lifetime;
     }
