feat(policy): steps are ranked by learned run times, not by bare guesses

Change: RunTimeModel fits, for each queue, log time over log guess, from runs at full speed; what a step's own ended tasks took stands above it. 'unchanged' is a reason of its own in the line about a step that waits (it was told as 'closed').

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -226,6 +226,9 @@
                 uint32_t run,
                 RunEnd end,
                 const std::string& checkpoint);
+  void LearnRunTime(Task* task, const Run& run);
+  /// What a task of each step is expected to take.
+  std::vector<Millis> ExpectRunTimes(const Job& job, int time) const;
   void OnJobOver(Job* job);
   void StopRunsOf(const Job& job);
   void StopRunsOfTask(const std::string& task);
@@ -316,6 +319,7 @@
   CellJournal journal_;
   WorkerTrust trust_;
   InterferenceModel interference_;
+  RunTimeModel run_times_;
   HopelessFits hopeless_;
   /// Counts scheduling passes.
   uint64_t pass_ = 0;
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -19,6 +19,7 @@
 #include "doorwood/interference.h"
 #include "doorwood/job_table.h"
 #include "doorwood/queue_table.h"
+#include "doorwood/run_times.h"
 
 namespace doorwood {
 
@@ -60,6 +61,7 @@
   /// as long as lasting work stays. From trials on the grown days.
   double lasting_share = 0.9;
   InterferenceOptions interference;
+  RunTimeOptions run_times;
 };
 
 /// Whether a job that reserves `asked` processors for as long as it lasts may
@@ -84,17 +86,19 @@
   friend auto operator<=>(const StepRank&, const StepRank&) = default;
 };
 
-/// `remaining_chain`: estimated time from the step's start to the job's end.
+/// `run_times`: what a task of each step is expected to take.
 StepRank RankStep(const JobPlan& plan,
                   const Queue& queue,
-                  bool lasting,
+                  int step,
                   int64_t due_at,
-                  Millis remaining_chain,
+                  std::span<const Millis> run_times,
                   int64_t now,
                   const PolicyOptions& options);
 
-/// Estimated time from the start of `step` to the end of the job.
-Millis RemainingChain(const JobPlan& plan, int step);
+/// Expected time from the start of `step` to the end of the job.
+Millis RemainingChain(const JobPlan& plan,
+                      int step,
+                      std::span<const Millis> run_times);
 
 /// A serving image on a worker: the strain of its worst task there, with what
 /// was started too lately to show in it, and the strain wanted at most.
@@ -148,6 +152,9 @@
   kNoAccelerators,
   /// What fills would disturb what serves there.
   kDisturbs,
+  /// It had no place for something no larger of the same sort, and has not
+  /// changed since.
+  kUnchanged,
 };
 
 std::string_view ToString(PlaceProblem problem);
--- a/src/include/doorwood/job_plan.h
+++ b/src/include/doorwood/job_plan.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -80,8 +81,9 @@
 /// A sentence that names the field at fault, or nothing if the plan is good.
 std::optional<std::string> FindProblem(const JobPlan& plan);
 
-/// Longest chain of estimated work through the steps.
-Millis LongestChain(const JobPlan& plan);
+/// Longest chain of work through the steps, with `run_times[i]` for a task of
+/// step `i`.
+Millis LongestChain(const JobPlan& plan, std::span<const Millis> run_times);
 
 /// Processor time of all tasks of one repetition, in core-seconds, by the
 /// caller's estimates.
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -62,6 +62,10 @@
   int done = 0;
   /// Tasks that are neither done nor placed.
   int idle = 0;
+  /// What its tasks took that ran at full speed from their beginning: the sum,
+  /// and of how many.
+  Millis taken{0};
+  int taken_of = 0;
   /// When it was last logged that the step waits for a place.
   Instant waiting_told{};
   std::vector<Task> tasks;
--- a/src/include/doorwood/place_search.h
+++ b/src/include/doorwood/place_search.h
@@ -29,8 +29,8 @@
 /// processor time went into judging each worker for each task.
 class StepPlaces {
  public:
-  /// All of `rooms` count as closed until they are judged. The arguments must
-  /// outlive this.
+  /// All of `rooms` count as unchanged, and so as no good, until they are
+  /// judged. The arguments must outlive this.
   StepPlaces(const StepPlan& step,
              std::span<WorkerRoom* const> rooms,
              const InterferenceModel& model,
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -77,6 +77,9 @@
   bool pace_under_way = false;
   /// Since when it is held below its full speed; zero: it isn't.
   Instant paced_since{};
+  /// It began from a checkpoint, or was held below its full speed, or was
+  /// ordered by another leader: how long it takes tells little.
+  bool odd_time = false;
 };
 
 /// A run of `task` that is not ordered yet, without a checkpoint.
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -98,10 +98,35 @@
                 {"worker", session.life().id},
                 {"worker_dead", session.dead()}});
   }
+  if (end == RunEnd::kDone && !run.odd_time) {
+    LearnRunTime(task, run);
+  }
   CountEnd(task, session, run.number, end, run.checkpoint);
   WakeScheduler();
 }
 
+void CellLeader::LearnRunTime(Task* task, const Run& run) {
+  const auto taken =
+      std::chrono::duration_cast<Millis>(executor_.Now() - run.ordered);
+  const StepPlan& plan = task->plan();
+  StepState& step = task->job->times[task->time].steps[task->step];
+  step.taken += taken;
+  ++step.taken_of;
+  run_times_.Observe(task->job->plan.queue, plan.count, plan.estimate, taken);
+}
+
+std::vector<Millis> CellLeader::ExpectRunTimes(const Job& job, int time) const {
+  std::vector<Millis> expected;
+  for (size_t step = 0; step < job.plan.steps.size(); ++step) {
+    const StepState& state = job.times[time].steps[step];
+    expected.push_back(
+        state.taken_of > 0
+            ? state.taken / state.taken_of
+            : run_times_.Expect(job.plan.queue, job.plan.steps[step].estimate));
+  }
+  return expected;
+}
+
 void CellLeader::OnUnknownEnd(WorkerSession& session, const EndedRun& end) {
   Task* task = jobs_.FindTask(end.task);
   if (task == nullptr) {
@@ -140,6 +165,7 @@
   run.image = interference_.Intern(task->plan().image);
   run.phase = RunPhase::kRunning;
   run.ordered = executor_.Now();
+  run.odd_time = true;
   run.checkpoint = row.checkpoint;
   // An earlier leader may have slowed it down: the pace is told anew.
   run.pace = kUnknownPace;
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -107,9 +107,8 @@
     const Queue* queue = QueueOf(*step.job);
     if (queue != nullptr) {
       step.rank = RankStep(
-          step.job->plan, *queue, step.job->plan.steps[step.step].lasting,
-          DueAt(*step.job, step.time),
-          RemainingChain(step.job->plan, step.step), now, options_.policy);
+          step.job->plan, *queue, step.step, DueAt(*step.job, step.time),
+          ExpectRunTimes(*step.job, step.time), now, options_.policy);
     }
   }
   std::sort(ready->begin(), ready->end(),
@@ -389,6 +388,7 @@
   Run run = MakeRun(*task, number);
   run.image = interference_.Intern(task->plan().image);
   run.checkpoint = task->checkpoint;
+  run.odd_time = !task->checkpoint.empty();
   task->last_run = number;
   JobTable::SetPlaced(task, true);
   task->job->begun = true;
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -181,8 +181,11 @@
   constexpr int kFullPace = 100;
   if (percent >= kFullPace) {
     run->paced_since = Instant{};
-  } else if (run->paced_since == Instant{}) {
-    run->paced_since = executor_.Now();
+  } else {
+    run->odd_time = true;
+    if (run->paced_since == Instant{}) {
+      run->paced_since = executor_.Now();
+    }
   }
   run->wanted_pace = percent;
   SendPace(run);
--- a/src/libdoorwood/job/job_plan.cpp
+++ b/src/libdoorwood/job/job_plan.cpp
@@ -79,7 +79,7 @@
   return std::nullopt;
 }
 
-Millis LongestChain(const JobPlan& plan) {
+Millis LongestChain(const JobPlan& plan, std::span<const Millis> run_times) {
   std::vector<Millis> until(plan.steps.size(), Millis(0));
   Millis longest{0};
   for (size_t i = 0; i < plan.steps.size(); ++i) {
@@ -87,7 +87,7 @@
     for (const int earlier : plan.steps[i].depends_on) {
       begin = std::max(begin, until[earlier]);
     }
-    until[i] = begin + plan.steps[i].estimate;
+    until[i] = begin + run_times[i];
     longest = std::max(longest, until[i]);
   }
   return longest;
--- a/src/libdoorwood/job/job_plan_test.cpp
+++ b/src/libdoorwood/job/job_plan_test.cpp
@@ -80,7 +80,8 @@
 
 BOOST_AUTO_TEST_CASE(LongestChain_DependentSteps_AddsUp) {
   const JobPlan plan = fakes::MakePlan(kId, 3, 2, "");
-  BOOST_TEST(LongestChain(plan).count() == 900);
+  const std::vector<Millis> run_times{Millis(300), Millis(200), Millis(400)};
+  BOOST_TEST(LongestChain(plan, run_times).count() == 900);
   BOOST_TEST(EstimatedWork(plan) == 3 * 2 * 0.3,
              boost::test_tools::tolerance(1e-9));
 }
--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -78,18 +78,18 @@
 
 StepRank RankStep(const JobPlan& plan,
                   const Queue& queue,
-                  bool lasting,
+                  int step,
                   int64_t due_at,
-                  Millis remaining_chain,
+                  std::span<const Millis> run_times,
                   int64_t now,
                   const PolicyOptions& options) {
-  if (lasting) {
+  if (plan.steps[step].lasting) {
     return {0, queue.priority, due_at};
   }
-  const auto chain = static_cast<double>(LongestChain(plan).count());
+  const auto chain = static_cast<double>(LongestChain(plan, run_times).count());
   const double objective =
       queue.stretch * chain + static_cast<double>(queue.latency_target.count());
-  const int64_t left = remaining_chain.count();
+  const int64_t left = RemainingChain(plan, step, run_times).count();
   const int64_t on_time = due_at + static_cast<int64_t>(objective) - left;
   if (now <= on_time) {
     return {1, queue.priority, on_time};
@@ -119,12 +119,14 @@
   return cpu;
 }
 
-Millis RemainingChain(const JobPlan& plan, int step) {
+Millis RemainingChain(const JobPlan& plan,
+                      int step,
+                      std::span<const Millis> run_times) {
   // Longest path from `step` to any end, by walking later steps backwards.
   const size_t count = plan.steps.size();
   std::vector<Millis> rest(count, Millis(0));
   for (size_t i = count; i-- > 0;) {
-    rest[i] += plan.steps[i].estimate;
+    rest[i] += run_times[i];
     for (const int earlier : plan.steps[i].depends_on) {
       rest[earlier] = std::max(rest[earlier], rest[i]);
     }
@@ -133,11 +135,10 @@
 }
 
 std::string_view ToString(PlaceProblem problem) {
-  constexpr std::array<std::string_view, 10> kWords = {
-      "none",       "closed",   "other_service",
-      "step_bound", "no_label", "other_rack",
-      "no_memory",  "no_cpu",   "no_accelerators",
-      "disturbs"};
+  constexpr std::array<std::string_view, 11> kWords = {
+      "none",       "closed",    "other_service", "step_bound",      "no_label",
+      "other_rack", "no_memory", "no_cpu",        "no_accelerators", "disturbs",
+      "unchanged"};
   return kWords[static_cast<size_t>(problem)];
 }
 
--- a/src/libdoorwood/policy/cell_policy_test.cpp
+++ b/src/libdoorwood/policy/cell_policy_test.cpp
@@ -107,12 +107,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(RankStep_LateAndLater_FallsBehind) {
-  const JobPlan plan = fakes::MakePlan(kId, 2, 1, "");
+  JobPlan plan = fakes::MakePlan(kId, 2, 1, "");
+  const std::vector<Millis> run_times{Millis(300), Millis(300)};
   Queue queue = fakes::MakeQueue("queue", 3);
   const PolicyOptions options;
   // Objective: 2 * 600 + 1000 = 2200 ms; nothing is left after three times it.
   const auto rank = [&](int64_t now, bool lasting) {
-    return RankStep(plan, queue, lasting, 0, Millis(600), now, options).group;
+    plan.steps[0].lasting = lasting;
+    return RankStep(plan, queue, 0, 0, run_times, now, options).group;
   };
   BOOST_TEST(rank(0, true) == 0);
   BOOST_TEST(rank(1600, false) == 1);
@@ -123,8 +125,9 @@
 
 BOOST_AUTO_TEST_CASE(RemainingChain_MiddleStep_LeavesOutEarlierOnes) {
   const JobPlan plan = fakes::MakePlan(kId, 3, 1, "");
-  BOOST_TEST(RemainingChain(plan, 0).count() == 900);
-  BOOST_TEST(RemainingChain(plan, 2).count() == 300);
+  const std::vector<Millis> run_times{Millis(300), Millis(300), Millis(300)};
+  BOOST_TEST(RemainingChain(plan, 0, run_times).count() == 900);
+  BOOST_TEST(RemainingChain(plan, 2, run_times).count() == 300);
 }
 
 BOOST_AUTO_TEST_CASE(WorkerTrust_ThreeJobsFail_RestsThenProbes) {
--- a/src/libdoorwood/policy/place_search.cpp
+++ b/src/libdoorwood/policy/place_search.cpp
@@ -29,7 +29,7 @@
       rooms_(rooms),
       model_(model),
       options_(options),
-      problems_(rooms.size(), PlaceProblem::kClosed),
+      problems_(rooms.size(), PlaceProblem::kUnchanged),
       scores_(rooms.size(), kNoScore) {}
 
 void StepPlaces::Judge(size_t place, const TaskNeed& need, int on_worker) {
--- a/src/libdoorwood/policy/place_search_test.cpp
+++ b/src/libdoorwood/policy/place_search_test.cpp
@@ -38,6 +38,7 @@
 
 BOOST_FIXTURE_TEST_CASE(Best_NothingJudged_IsNoWorker, PlacesFixture) {
   BOOST_TEST(places.Best("") == kNoWorker);
+  BOOST_TEST(places.CountProblems().at(PlaceProblem::kUnchanged) == 3);
 }
 
 BOOST_FIXTURE_TEST_CASE(Best_FullestThatFits_ComesFirst, PlacesFixture) {
--- /dev/null
+++ b/src/libdoorwood/policy/run_times_test.cpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "doorwood/run_times.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace doorwood {
+namespace {
+
+constexpr char kQueue[] = "queue";
+
+BOOST_AUTO_TEST_CASE(Expect_NothingSeen_IsTheGuess) {
+  const RunTimeModel model{RunTimeOptions{}};
+  BOOST_TEST(model.Expect(kQueue, Millis(700)).count() == 700);
+}
+
+BOOST_AUTO_TEST_CASE(Expect_GuessesTellNothing_IsTheUsualTime) {
+  RunTimeModel model{RunTimeOptions{}};
+  const int64_t guesses[] = {100, 300, 1000, 3000, 9000};
+  for (int i = 0; i < 200; ++i) {
+    model.Observe(kQueue, 1, Millis(guesses[i % 5]), Millis(1500));
+  }
+  BOOST_TEST(model.Expect(kQueue, Millis(100)).count() > 1200);
+  BOOST_TEST(model.Expect(kQueue, Millis(9000)).count() < 1900);
+}
+
+BOOST_AUTO_TEST_CASE(Expect_GuessesHalfTheTime_DoublesThem) {
+  RunTimeModel model{RunTimeOptions{}};
+  for (int i = 0; i < 200; ++i) {
+    const Millis guess(100 + 150 * (i % 20));
+    model.Observe(kQueue, 1, guess, 2 * guess);
+  }
+  const auto expected = model.Expect(kQueue, Millis(1000)).count();
+  BOOST_TEST(expected > 1900);
+  BOOST_TEST(expected < 2100);
+}
+
+BOOST_AUTO_TEST_CASE(Expect_OtherQueue_LearnsNothing) {
+  RunTimeModel model{RunTimeOptions{}};
+  model.Observe(kQueue, 1, Millis(100), Millis(5000));
+  BOOST_TEST(model.Expect("other", Millis(100)).count() == 100);
+}
+
+BOOST_AUTO_TEST_CASE(Observe_ManyTasksOfAStep_CountAsOne) {
+  RunTimeModel wide{RunTimeOptions{}};
+  RunTimeModel single{RunTimeOptions{}};
+  for (int i = 0; i < 20; ++i) {
+    wide.Observe(kQueue, 20, Millis(1000), Millis(3000));
+  }
+  single.Observe(kQueue, 1, Millis(1000), Millis(3000));
+  const auto apart =
+      wide.Expect(kQueue, Millis(1000)) - single.Expect(kQueue, Millis(1000));
+  BOOST_TEST(std::abs(apart.count()) < 20);
+}
+
+}  // namespace
+}  // namespace doorwood
