--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -51,6 +51,8 @@
   Millis keep_finished{150'000};
   /// Pause before a candidate tries again, a step of its rank.
   Millis campaign_step{120};
+  /// How often a candidate, or a reader of the records, tries again.
+  Millis retry_pause{150};
   /// How long a leader goes on after its lease may have run out, where others
   /// may hear the store and take the lead. A successor waits this long, and a
   /// run's lease, before it starts what an unheard worker may still run.
@@ -195,8 +197,8 @@
     int step = 0;
   };
 
-  // cell_leader.cpp: leading and giving it up; cell_members.cpp: its workers;
-  // cell_calls.cpp: callers
+  // cell_campaign.cpp: becoming the leader; cell_leader.cpp: leading and giving
+  // it up; cell_members.cpp: its workers; cell_calls.cpp: callers
   void Campaign();
   Millis CampaignDelay() const;
   bool MayCampaign() const;
@@ -260,6 +262,12 @@
                   size_t place,
                   int planned,
                   StepPlaces* places) const;
+  /// Judges all that have changed after a pass.
+  void JudgeChanged(const ReadyStep& ready,
+                    const TaskNeed& need,
+                    const std::vector<WorkerRoom*>& rooms,
+                    uint64_t pass,
+                    StepPlaces* places) const;
   void TellWaiting(const Task& task,
                    const StepRank& rank,
                    const ProblemCounts& problems);
--- /dev/null
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -0,0 +1,210 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Becoming a cell's leader: the campaign for its key, and reading what earlier
+// leaders recorded.
+
+#include <algorithm>
+#include <utility>
+
+#include "doorwood/cell_leader.h"
+
+namespace doorwood {
+namespace {
+
+// Run numbers after a takeover begin this far above the highest one known, so
+// that no run that nobody recorded has the same number.
+constexpr uint32_t kRunsBetweenLeaders = 16;
+
+}  // namespace
+
+bool CellLeader::MayCampaign() const {
+  return stage_ == Stage::kStandby && table_ && live_.known() &&
+         live_.IsLeaseSure() && !live_.self().leaving &&
+         IsOfCell(live_.self().data_centre) &&
+         !live_.leads().contains(options_.cell);
+}
+
+bool CellLeader::IsOfCell(std::string_view data_centre) const {
+  return options_.data_centre.empty() || options_.data_centre == data_centre;
+}
+
+Millis CellLeader::CampaignDelay() const {
+  // Strong machines first; equal ones in order of names.
+  int rank = 0;
+  const LiveInstance& self = live_.self();
+  for (const auto& [name, other] : live_.instances()) {
+    if (!IsOfCell(other.data_centre) || other.leaving || name == self.name) {
+      continue;
+    }
+    const bool stronger = other.cpu_share > self.cpu_share;
+    const bool equal = other.cpu_share == self.cpu_share;
+    rank += (stronger || (equal && name < self.name)) ? 1 : 0;
+  }
+  return options_.campaign_step * rank;
+}
+
+void CellLeader::OnLiveChange() {
+  const auto lead = live_.leads().find(options_.cell);
+  const bool led = stage_ == Stage::kLeading || stage_ == Stage::kReading;
+  if (led && lead != live_.leads().end() && lead->second.epoch > epoch_) {
+    StepDown("another instance leads");
+    return;
+  }
+  if (led && live_.known() && lead == live_.leads().end()) {
+    StepDown("the lead key is gone");
+  }
+  const bool own_key = stage_ == Stage::kStandby && campaign_nonce_ != 0 &&
+                       lead != live_.leads().end() &&
+                       lead->second.nonce == campaign_nonce_;
+  if (own_key && lead->second.epoch > epoch_) {
+    OnWon(lead->second.epoch);  // the winning try was not answered
+    return;
+  }
+  if (own_key) {
+    GiveUpKey();  // left behind by a lead that is given up
+    return;
+  }
+  if (!MayCampaign() || campaign_scheduled_) {
+    return;
+  }
+  campaign_scheduled_ = true;
+  executor_.Schedule(CampaignDelay(), [this] {
+    campaign_scheduled_ = false;
+    if (MayCampaign()) {
+      Campaign();
+    }
+  });
+}
+
+void CellLeader::Campaign() {
+  stage_ = Stage::kCampaigning;
+  const uint64_t generation = ++generation_;
+  StoreTransaction transaction;
+  const std::string key = LeadKey(options_.cell);
+  transaction.expected.push_back({key, 0});
+  campaign_nonce_ = executor_.Random();
+  const Json value{{"instance", live_.self().name},
+                   {"address", live_.self().address},
+                   {"nonce", campaign_nonce_}};
+  transaction.puts.push_back({key, value.dump(), *live_.lease()});
+  store_.Commit(transaction, [this, generation](std::error_code error,
+                                                const StoreCommit& commit) {
+    if (generation != generation_) {
+      return;
+    }
+    if (!error) {
+      OnWon(commit.revision);
+      return;
+    }
+    // After an unanswered try the key may be ours; the directory tells.
+    stage_ = Stage::kStandby;
+    live_.Refresh();
+    executor_.Schedule(options_.retry_pause, [this] { OnLiveChange(); });
+  });
+}
+
+void CellLeader::OnWon(int64_t epoch) {
+  stage_ = Stage::kReading;
+  epoch_ = epoch;
+  ++counters_.takeovers;
+  live_.SetLead({options_.cell, live_.self().name, live_.self().address, epoch,
+                 campaign_nonce_});
+  log_.Write("info", "cell", "lead taken",
+             {{"cell", options_.cell}, {"epoch", epoch}});
+  ReadRecords();
+}
+
+void CellLeader::ReadRecords() {
+  const uint64_t generation = ++generation_;
+  store_.List(
+      CellPrefix(options_.cell),
+      [this, generation](std::error_code error, const StoreItems& items) {
+        if (generation != generation_) {
+          return;
+        }
+        if (error) {
+          executor_.Schedule(options_.retry_pause, [this, generation] {
+            if (generation == generation_) {
+              ReadRecords();
+            }
+          });
+          return;
+        }
+        Restore(items);
+      });
+}
+
+void CellLeader::Restore(const StoreItems& items) {
+  const std::string plans = PlanKey(options_.cell, "");
+  const std::string states = StateKey(options_.cell, "");
+  uint64_t sequence = 0;
+  int64_t chain_revision = 0;
+  std::vector<KnownWorker> known;
+  jobs_.Clear();
+  for (const StoreItem& item : items.items) {
+    if (item.key == ChainKey(options_.cell)) {
+      sequence = DecodeSequence(item.value);
+      chain_revision = item.revision;
+    } else if (item.key == WorkersKey(options_.cell)) {
+      known = DecodeWorkers(item.value);
+    } else if (item.key.starts_with(plans)) {
+      auto plan = ParsePlan(item.value);
+      if (plan) {
+        jobs_.Add(std::move(*plan));
+      } else {
+        log_.Write("error", "cell", "a plan can't be read",
+                   {{"key", item.key}});
+      }
+    }
+  }
+  for (const StoreItem& item : items.items) {
+    if (!item.key.starts_with(states)) {
+      continue;
+    }
+    Job* job = jobs_.Find(item.key.substr(states.size()));
+    if (job == nullptr || !DecodeJobState(item.value, job)) {
+      log_.Write("error", "cell", "a job's state can't be read",
+                 {{"key", item.key}});
+    }
+  }
+  int open = 0;
+  for (const auto& [id, job] : jobs_.jobs()) {
+    if (job->outcome != JobOutcome::kOpen) {
+      continue;
+    }
+    ++open;
+    ForEachTask(job.get(), [this](Task* task) {
+      task->last_run += kRunsBetweenLeaders;
+      task->unaccounted = !task->done;
+      task->ready_since = executor_.Now();
+    });
+  }
+  stage_ = Stage::kLeading;
+  accounted_ = false;
+  led_since_ = executor_.Now();
+  last_tick_ = led_since_;
+  unsure_after_pause_ = false;
+  workers_read_ = Instant{};
+  summarized_ = Instant{};
+  ++generation_;
+  log_.Write("info", "cell", "records read",
+             {{"cell", options_.cell},
+              {"epoch", epoch_},
+              {"jobs", jobs_.jobs().size()},
+              {"open", open},
+              {"sequence", sequence},
+              {"workers", known.size()}});
+  journal_.Open(epoch_, chain_revision, sequence);
+  for (const KnownWorker& worker : known) {
+    WorkerLife life;
+    life.id = worker.id;
+    life.address = worker.address;
+    // Not yet known to be there still: nothing new goes there.
+    life.draining = true;
+    AddMember(life, /*from_takeover=*/true);
+  }
+  waves_.Open(live_.self().name, epoch_);
+  Tick();
+}
+
+}  // namespace doorwood
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -222,6 +222,18 @@
   }
 }
 
+void CellLeader::JudgeChanged(const ReadyStep& ready,
+                              const TaskNeed& need,
+                              const std::vector<WorkerRoom*>& rooms,
+                              uint64_t pass,
+                              StepPlaces* places) const {
+  for (size_t place = 0; place < rooms.size(); ++place) {
+    if (rooms[place]->changed_in > pass) {
+      JudgePlace(ready, need, *rooms[place], place, /*planned=*/0, places);
+    }
+  }
+}
+
 void CellLeader::TellWaiting(const Task& task,
                              const StepRank& rank,
                              const ProblemCounts& problems) {
@@ -284,17 +296,9 @@
       advised ? PointersTo(&permitted) : *rooms;
   std::string rack =
       plan.same_rack ? RackOfStep(*ready.job, ready.time, ready.step) : "";
-  const ImageId image = interference_.Intern(plan.image);
+  TaskNeed need{queue->service, interference_.Intern(plan.image), rack};
   StepPlaces places(plan, seen, interference_, options_.policy);
-  const auto judge_all = [&](uint64_t changed_after) {
-    for (size_t place = 0; place < seen.size(); ++place) {
-      if (seen[place]->changed_in > changed_after) {
-        JudgePlace(ready, {queue->service, image, rack}, *seen[place], place,
-                   /*planned=*/0, &places);
-      }
-    }
-  };
-  judge_all(tried);
+  JudgeChanged(ready, need, seen, tried, &places);
   const std::string step = StepName(*ready.job, ready.time, ready.step);
   for (Task& task : tasks) {
     if (!IsReady(task)) {
@@ -316,10 +320,10 @@
     }
     if (plan.same_rack && rack.empty()) {
       rack = room->rack;
-      judge_all(/*changed_after=*/0);
+      need.rack = rack;
+      JudgeChanged(ready, need, seen, /*pass=*/0, &places);
     }
-    JudgePlace(ready, {queue->service, image, rack}, *room, place,
-               /*planned=*/0, &places);
+    JudgePlace(ready, need, *room, place, /*planned=*/0, &places);
   }
 }
 
@@ -342,12 +346,11 @@
   const std::vector<WorkerRoom*> seen = PointersTo(&trial);
   const std::string rack =
       plan.same_rack ? RackOfStep(*ready.job, ready.time, ready.step) : "";
-  const ImageId image = interference_.Intern(plan.image);
+  const TaskNeed need{queue->service, interference_.Intern(plan.image), rack};
   StepPlaces places(plan, seen, interference_, options_.policy);
   std::vector<int> planned(trial.size(), 0);
   const auto judge = [&](size_t place) {
-    JudgePlace(ready, {queue->service, image, rack}, trial[place], place,
-               planned[place], &places);
+    JudgePlace(ready, need, trial[place], place, planned[place], &places);
   };
   for (size_t place = 0; place < trial.size(); ++place) {
     judge(place);
