fix(cell_leader): who takes a leader's key away leaves the lead to the strongest

Cause, from the log of a bad play: at 22.26 s the leader, turned away by the store, handed over to edge-azrou-hall-3, a machine of 0.12 processors and 10 Mbit/s, which took the key away and led at once, out of turn; it never read the records of 949 jobs in the 17 s that its lead lasted ('lead taken' without 'records read'), so nothing was started or confirmed. Change: it campaigns in its turn, as all do, so the strongest that hears the store leads. The new row fails on the code before (the weak one leads) and passes now. Open: why the leader's renewals failed in one play of five there, and that a leader which can't read the records keeps its key.

--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -22,7 +22,8 @@
 }
 
 WorldInstance& CellWorld::AddInstance(const std::string& name,
-                                      const std::string& data_centre) {
+                                      const std::string& data_centre,
+                                      double cpu_share) {
   auto instance = std::make_unique<WorldInstance>();
   WorldInstance& self = *instance;
   self.name = name;
@@ -38,6 +39,7 @@
   live.name = name;
   live.data_centre = data_centre;
   live.address = name;
+  live.cpu_share = cpu_share;
   self.live = std::make_unique<LiveDirectory>(*self.executor, *self.store,
                                               *self.hearing, *self.log,
                                               LiveOptions{}, live);
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -82,7 +82,8 @@
   ~CellWorld();
 
   WorldInstance& AddInstance(const std::string& name,
-                             const std::string& data_centre);
+                             const std::string& data_centre,
+                             double cpu_share = 1.0);
   WorldWorker& AddWorker(const std::string& id, int64_t cpu_millis);
   /// Ends a process at once; its name may be added again.
   void Kill(const std::string& name);
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -155,10 +155,11 @@
     if (!error && lead != live_.leads().end() && lead->second.epoch == epoch) {
       live_.DropLead(options_.cell);
     }
-    if (!error && MayCampaign()) {
-      Campaign();
-    } else {
+    if (error) {
       live_.Refresh();
+    } else {
+      // In its turn: the strongest that hears the store is to lead.
+      OnLiveChange();
     }
   });
 }
--- a/src/libdoorwood/cell/cell_leader_test.cpp
+++ b/src/libdoorwood/cell/cell_leader_test.cpp
@@ -291,6 +291,21 @@
   BOOST_TEST(world.starts(std::string(kJob) + ".0.0.0") == 1);
 }
 
+// The one that is told to take the key away may be the weakest that hears the
+// store: too weak to read the records of a large cell.
+BOOST_FIXTURE_TEST_CASE(OnHandedOver_StrongerOnesHearTheStore_LeavesThemTheLead,
+                        CellFixture) {
+  fakes::WorldInstance& weak = world.AddInstance("weak", "plaka", 0.1);
+  world.Run(Millis(1000));
+  fakes::WorldInstance& leader = *world.Leader();
+  leader.store_faults.down = true;
+  weak.cell->OnHandedOver(leader.cell->epoch());
+  world.Run(Millis(1500));
+  BOOST_TEST(leader.name == "b1");
+  BOOST_TEST(!weak.cell->leading());
+  BOOST_TEST(world.instances().at("a1")->cell->leading());
+}
+
 BOOST_FIXTURE_TEST_CASE(Submit_LastingWorkHasItsShare_IsRefusedAtOnce,
                         CellFixture) {
   // Three workers of eight processors: lasting work may reserve 19.2.
