--- a/src/include/doorwood/interference.h
+++ b/src/include/doorwood/interference.h
@@ -30,8 +30,8 @@
   /// From a trial day: the median pair adds 0.01 to 0.03.
   double unknown_press = 0.025;
   /// Share of an error that one report corrects. What a pair adds is constant
-  /// over hours; reports scatter by a tenth. 27 days of three sites: callers
-  /// got 1% more in all at 0.15 than at 0.25, on each of the sites.
+  /// over hours; reports scatter by a tenth. 27 days of three sites, played
+  /// twice: callers got 0.9% and 0.8% more in all at 0.15 than at 0.25.
   double learning_rate = 0.15;
   /// Bounds of a pair's factor, strain a core. From trial days: 0.00 to 0.02
   /// for most pairs, 0.03 to 0.11 for those that disturb.
