--- a/src/include/doorwood/place_search.h
+++ b/src/include/doorwood/place_search.h
@@ -74,9 +74,10 @@
     uint64_t pass = 0;
   };
 
-  static bool Covers(const Fit& fit,
-                     const StepPlan& step,
-                     std::string_view service);
+  /// A place for one of the two depends on size alone.
+  static bool IsSameSort(const Fit& fit,
+                         const StepPlan& step,
+                         std::string_view service);
 
   std::vector<Fit> fits_;
 };
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -183,12 +183,12 @@
   ++pass_;
   NoteReadySince(ready);
   RankReady(&ready);
-  std::vector<WorkerRoom*> rooms = CollectRooms();
+  const std::vector<WorkerRoom*> rooms = CollectRooms();
   for (const ReadyStep& step : ready) {
     if (step.job->plan.steps[step.step].gang) {
-      PlaceGang(step, &rooms);
+      PlaceGang(step, rooms);
     } else {
-      PlaceStep(step, &rooms);
+      PlaceStep(step, rooms);
     }
   }
 }
@@ -279,7 +279,7 @@
 }
 
 void CellLeader::PlaceStep(const ReadyStep& ready,
-                           std::vector<WorkerRoom*>* rooms) {
+                           const std::vector<WorkerRoom*>& rooms) {
   const Queue* queue = QueueOf(*ready.job);
   const StepPlan& plan = ready.job->plan.steps[ready.step];
   auto& tasks = ready.job->times[ready.time].steps[ready.step].tasks;
@@ -290,10 +290,10 @@
   const uint64_t tried = advised ? 0 : hopeless_.TriedIn(plan, queue->service);
   std::vector<WorkerRoom> permitted;
   if (advised) {
-    permitted = PermittedRooms(ready, *rooms);
+    permitted = PermittedRooms(ready, rooms);
   }
-  const std::vector<WorkerRoom*> seen =
-      advised ? PointersTo(&permitted) : *rooms;
+  const std::vector<WorkerRoom*> ticketed = PointersTo(&permitted);
+  const std::vector<WorkerRoom*>& seen = advised ? ticketed : rooms;
   std::string rack =
       plan.same_rack ? RackOfStep(*ready.job, ready.time, ready.step) : "";
   TaskNeed need{queue->service, interference_.Intern(plan.image), rack};
@@ -312,7 +312,7 @@
       }
       return;  // the step's other tasks are of the same size
     }
-    WorkerRoom* room = (*rooms)[place];
+    WorkerRoom* room = rooms[place];
     StartTask(&task, task.last_run + 1, room,
               advised ? tickets_.Find(step, std::string(room->id)) : "");
     if (advised) {
@@ -328,7 +328,7 @@
 }
 
 void CellLeader::PlaceGang(const ReadyStep& ready,
-                           std::vector<WorkerRoom*>* rooms) {
+                           const std::vector<WorkerRoom*>& rooms) {
   const Queue* queue = QueueOf(*ready.job);
   const StepPlan& plan = ready.job->plan.steps[ready.step];
   auto& tasks = ready.job->times[ready.time].steps[ready.step].tasks;
@@ -342,7 +342,7 @@
   // those of the whole gang.
   const bool advised = queue->advice.has_value();
   std::vector<WorkerRoom> trial =
-      advised ? PermittedRooms(ready, *rooms) : Copies(*rooms);
+      advised ? PermittedRooms(ready, rooms) : Copies(rooms);
   const std::vector<WorkerRoom*> seen = PointersTo(&trial);
   const std::string rack =
       plan.same_rack ? RackOfStep(*ready.job, ready.time, ready.step) : "";
@@ -376,7 +376,7 @@
   const std::string step = StepName(*ready.job, ready.time, ready.step);
   for (size_t i = 0; i < tasks.size(); ++i) {
     tasks[i].checkpoint = checkpoint;
-    WorkerRoom* room = (*rooms)[chosen[i]];
+    WorkerRoom* room = rooms[chosen[i]];
     StartTask(&tasks[i], run + 1, room,
               advised ? tickets_.Find(step, std::string(room->id)) : "");
   }
--- a/src/libdoorwood/policy/place_search.cpp
+++ b/src/libdoorwood/policy/place_search.cpp
@@ -72,19 +72,19 @@
   return counts;
 }
 
-bool HopelessFits::Covers(const Fit& fit,
-                          const StepPlan& step,
-                          std::string_view service) {
+bool HopelessFits::IsSameSort(const Fit& fit,
+                              const StepPlan& step,
+                              std::string_view service) {
   return fit.service == service && fit.fills == step.fills &&
-         (!fit.fills || fit.image == step.image) &&
-         IsAtLeast(step.size, fit.size);
+         (!fit.fills || fit.image == step.image);
 }
 
 uint64_t HopelessFits::TriedIn(const StepPlan& step,
                                std::string_view service) const {
   uint64_t newest = 0;
   for (const Fit& fit : fits_) {
-    if (fit.pass > newest && Covers(fit, step, service)) {
+    if (fit.pass > newest && IsSameSort(fit, step, service) &&
+        IsAtLeast(step.size, fit.size)) {
       newest = fit.pass;
     }
   }
@@ -99,19 +99,17 @@
   if (constrained) {
     return;
   }
-  Fit fit{std::string(service), step.fills, step.image, step.size, pass};
   // What is no smaller was tried no later, so it tells nothing more.
   std::erase_if(fits_, [&](const Fit& older) {
-    return older.service == fit.service && older.fills == fit.fills &&
-           (!fit.fills || older.image == fit.image) &&
-           IsAtLeast(older.size, fit.size);
+    return IsSameSort(older, step, service) && IsAtLeast(older.size, step.size);
   });
   if (fits_.size() >= kMostFits) {
     fits_.erase(std::min_element(
         fits_.begin(), fits_.end(),
         [](const Fit& a, const Fit& b) { return a.pass < b.pass; }));
   }
-  fits_.push_back(std::move(fit));
+  fits_.push_back(
+      {std::string(service), step.fills, step.image, step.size, pass});
 }
 
 }  // namespace doorwood
