feat(cell_journal): batches go on lanes, so that records keep pace with a slow store

Cause: one batch of 32 entries was under way at a time. At 364 ms an answer that is 80 entries a second, while 40 new jobs and 250 changing ones a second need some 1,000; new jobs waited up to 2 s and were then told "cannot be written" or "not known whether", states and ends starved behind them, and one lost answer stopped all others for a second.

Change: up to 12 lanes, each with its own chain key; a key that one lane carries waits there until that batch's outcome is known, so a late write still can't undo a newer one. A further batch goes 30 ms after the one before, so a store that answers in milliseconds gets one at a time, as before. Cancels go first, states keep a quarter of each batch while new jobs pour in. A job that could not be recorded within 1.2 s, or while the store is silent, is refused at once as not run (commit_flow, pure).

--- a/src/build-scripts/compare-days.sh
+++ b/src/build-scripts/compare-days.sh
@@ -38,8 +38,9 @@
 done
 for day in $days; do
   for seed in $seeds; do
-    echo "$before before $day $seed $*"
-    echo "$after after $day $seed $*"
+    # No blank at the end: xargs would join such a line with the next one.
+    echo "$before before $day $seed${*:+ $*}"
+    echo "$after after $day $seed${*:+ $*}"
   done
 done | xargs -P "${JOBS:-4}" -L1 bash -c 'play "$@"' play
 
--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -5,11 +5,15 @@
 /// this process still leads, chained so that a late write can never undo a
 /// newer one.
 ///
-/// Each batch expects the lead key and the chain key at the revisions last
-/// seen and puts the chain key with the next sequence number. A batch without
-/// an answer is sent again unchanged: either it takes effect now, and then the
-/// earlier one never will, or the chain key carries its number, and then the
-/// earlier one did.
+/// Batches go on lanes, each with a chain key of its own. A batch expects the
+/// lead key and its lane's chain key at the revisions last seen and puts the
+/// chain key with the next sequence number. A batch without an answer is sent
+/// again unchanged: either it takes effect now, and then the earlier one never
+/// will, or the chain key carries its number, and then the earlier one did.
+///
+/// Until a batch's outcome is known, no other lane carries a key of it. A store
+/// that answers in milliseconds gets one batch at a time; one that answers
+/// slowly, or loses answers, gets several (commit_flow.h).
 
 #ifndef DOORWOOD_CELL_JOURNAL_H_
 #define DOORWOOD_CELL_JOURNAL_H_
@@ -24,6 +28,7 @@
 #include <string_view>
 #include <vector>
 
+#include "doorwood/commit_flow.h"
 #include "doorwood/event_log.h"
 #include "doorwood/executor.h"
 #include "doorwood/job_plan.h"
@@ -34,7 +39,11 @@
 
 /// "doorwood/cell/CELL/"
 std::string CellPrefix(std::string_view cell);
-std::string ChainKey(std::string_view cell);
+/// The key of a lane's chain.
+std::string ChainKey(std::string_view cell, size_t lane);
+/// The lane whose chain key this is.
+std::optional<size_t> LaneOfChainKey(std::string_view cell,
+                                     std::string_view key);
 std::string WorkersKey(std::string_view cell);
 std::string PlanKey(std::string_view cell, std::string_view job);
 std::string StateKey(std::string_view cell, std::string_view job);
@@ -47,7 +56,13 @@
   std::string address;
 };
 
-/// What lies under the chain key: the number of the newest batch.
+/// A chain key as it stands.
+struct ChainLink {
+  int64_t revision = 0;
+  uint64_t sequence = 0;
+};
+
+/// What lies under a chain key: the number of its lane's newest batch.
 std::string EncodeSequence(uint64_t sequence);
 /// 0 if the text is not of that form.
 uint64_t DecodeSequence(std::string_view text);
@@ -63,6 +78,7 @@
   Millis retry_pause{120};
   /// Longest wait of a caller for its job to be recorded.
   Millis patience{2000};
+  CommitFlowOptions flow;
 };
 
 /// The cell, as the journal needs it.
@@ -98,12 +114,14 @@
               const JournalOptions& options,
               std::string cell);
 
-  /// Begins with the lead key's revision, the chain key's, and the number under
-  /// the chain key.
-  void Open(int64_t lead_revision, int64_t chain_revision, uint64_t sequence);
+  /// Begins with the lead key's revision and the chain keys that stand, by
+  /// lane.
+  void Open(int64_t lead_revision, const std::map<size_t, ChainLink>& chains);
   /// Answers all that wait; sends nothing more.
   void Close();
 
+  /// Refused at once, as surely not accepted, where the store does not take
+  /// batches, is silent, or would have the job later than callers wait for.
   void Accept(JobPlan plan, AcceptCallback done);
   void MarkDirty(const std::string& job, bool urgent);
   /// Replaces the workers under the workers' key.
@@ -111,13 +129,14 @@
   /// Removes all keys of a job that is long over.
   void Forget(const std::string& job);
 
-  /// The store does not take writes just now.
-  bool refusing() const { return refusing_; }
   /// The job is being recorded; it may stand in the store already.
   bool IsRecording(std::string_view job) const;
   /// Every change is in the store.
   bool idle() const;
   uint64_t commits() const { return commits_; }
+  /// Records that wait to be sent: new jobs and states.
+  size_t waiting() const { return accepts_.size() + dirty_.size(); }
+  const CommitFlow& flow() const { return flow_; }
 
  private:
   struct PendingAccept {
@@ -128,38 +147,60 @@
   };
   struct Batch {
     uint64_t sequence = 0;
+    /// Counts all batches built, on any lane.
+    uint64_t number = 0;
     /// Set where the batch records the workers.
     std::optional<std::vector<KnownWorker>> workers;
     std::vector<PendingAccept> accepts;
     std::vector<std::string> states;
     std::vector<std::string> forgotten;
     StoreTransaction transaction;
+    Instant sent{};
     /// An earlier sending was not answered.
     bool unanswered = false;
   };
+  struct Lane {
+    ChainLink chain;
+    std::optional<Batch> batch;
+    /// The next batch goes even if it carries nothing: a sending of an earlier
+    /// one may still be on its way, and ends with it.
+    bool probing = false;
+  };
 
   /// Ends that workers had listed at one moment, and the jobs that they changed
-  /// whose new state is not recorded yet.
+  /// whose new state is not recorded yet, each with the number of the first
+  /// batch that has that state.
   struct EndsToRecord {
     std::map<std::string, uint64_t> ends;
-    std::set<std::string> jobs;
+    std::map<std::string, uint64_t> jobs;
   };
 
   void Wake(Millis delay);
   void Send();
-  Batch Build();
+  std::optional<size_t> LaneToSend() const;
+  bool HasSomethingToSend() const;
+  /// Nothing if there is only what other lanes carry already.
+  std::optional<Batch> Build(size_t lane);
+  void NoteEnds();
+  void AddWorkers(Batch* batch);
+  void AddUrgent(Batch* batch);
   void AddAccepts(Batch* batch);
   void AddStates(Batch* batch);
+  void AddState(const std::string& job, Batch* batch);
   void AddForgotten(Batch* batch);
-  void NoteRecorded(const std::vector<std::string>& jobs);
-  void Submit();
-  void OnAnswer(std::error_code error, const StoreCommit& commit);
-  void OnConflict(const StoreCommit& commit);
-  void OnRefused();
-  void Succeed(int64_t revision);
+  void NoteRecorded(const Batch& batch);
+  void Submit(size_t lane);
+  void OnAnswer(size_t lane, std::error_code error, const StoreCommit& commit);
+  void OnUnanswered(size_t lane);
+  void OnConflict(size_t lane, const StoreCommit& commit);
+  void OnRefused(size_t lane);
+  void Succeed(size_t lane, int64_t revision);
+  /// Takes a batch whose outcome is known off its lane.
+  Batch Settle(size_t lane);
   /// Puts everything of the batch back that is not answered.
   void TakeBack(Batch batch);
   void AnswerOverdue();
+  void RefuseWaiting();
   static void Answer(PendingAccept* accept,
                      std::error_code error,
                      AcceptOutcome outcome);
@@ -175,20 +216,29 @@
   /// Rises with each opening, so that answers to earlier ones are dropped.
   uint64_t generation_ = 0;
   int64_t lead_revision_ = 0;
-  int64_t chain_revision_ = 0;
-  uint64_t sequence_ = 0;
+  std::vector<Lane> lanes_;
+  CommitFlow flow_;
+  uint64_t batches_ = 0;
   std::vector<KnownWorker> workers_;
   bool workers_changed_ = false;
-  /// The next batch carries something even if nothing else changed.
+  /// A lane carries the workers.
+  bool workers_under_way_ = false;
+  /// The next batch goes even if it carries nothing, to hear whether the store
+  /// takes batches again.
   bool probing_ = false;
   std::deque<PendingAccept> accepts_;
   /// Jobs whose state is to be recorded, and the order in which they changed.
   std::set<std::string> dirty_;
   std::deque<std::string> dirty_order_;
+  /// Those of them that somebody waits for.
+  std::set<std::string> urgent_;
+  /// Jobs that a lane carries a key of.
+  std::set<std::string> under_way_;
   std::set<std::string> to_forget_;
   std::optional<EndsToRecord> ends_;
-  std::optional<Batch> batch_;
+  /// The newest answer says that the store does not take batches.
   bool refusing_ = false;
+  Instant last_success_{};
   uint64_t commits_ = 0;
   Executor::TimerId timer_ = 0;
   Instant timer_at_{};
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -137,14 +137,12 @@
 void CellLeader::Restore(const StoreItems& items) {
   const std::string plans = PlanKey(options_.cell, "");
   const std::string states = StateKey(options_.cell, "");
-  uint64_t sequence = 0;
-  int64_t chain_revision = 0;
+  std::map<size_t, ChainLink> chains;
   std::vector<KnownWorker> known;
   jobs_.Clear();
   for (const StoreItem& item : items.items) {
-    if (item.key == ChainKey(options_.cell)) {
-      sequence = DecodeSequence(item.value);
-      chain_revision = item.revision;
+    if (const auto lane = LaneOfChainKey(options_.cell, item.key)) {
+      chains[*lane] = {item.revision, DecodeSequence(item.value)};
     } else if (item.key == WorkersKey(options_.cell)) {
       known = DecodeWorkers(item.value);
     } else if (item.key.starts_with(plans)) {
@@ -192,9 +190,9 @@
               {"epoch", epoch_},
               {"jobs", jobs_.jobs().size()},
               {"open", open},
-              {"sequence", sequence},
+              {"chains", chains.size()},
               {"workers", known.size()}});
-  journal_.Open(epoch_, chain_revision, sequence);
+  journal_.Open(epoch_, chains);
   for (const KnownWorker& worker : known) {
     WorkerLife life;
     life.id = worker.id;
--- a/src/libdoorwood/cell/cell_journal_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_test.cpp
@@ -84,7 +84,7 @@
     StoreCommit won;
     store.model.Commit(lead, &won);
     lead_revision = won.revision;
-    journal.Open(lead_revision, 0, 0);
+    journal.Open(lead_revision, {});
   }
 
   std::string EncodeState(const std::string&) override { return state; }
--- /dev/null
+++ b/src/libdoorwood/cell/commit_flow_test.cpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "doorwood/commit_flow.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace doorwood {
+namespace {
+
+struct FlowFixture {
+  CommitFlowOptions options;
+  CommitFlow flow{options};
+  Instant now{std::chrono::hours(1)};
+
+  void Pass(int millis) { now += Millis(millis); }
+  // One commit that takes so long.
+  void Answered(int millis) {
+    flow.OnSent(0, now);
+    Pass(millis);
+    flow.OnAnswered(0, now);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(MaySend_NothingUnderWay_AtOnce, FlowFixture) {
+  BOOST_TEST(flow.MaySend(now));
+  Answered(4);
+  BOOST_TEST(flow.MaySend(now));
+}
+
+BOOST_FIXTURE_TEST_CASE(MaySend_OneUnderWay_AfterTheSpread, FlowFixture) {
+  flow.OnSent(0, now);
+  Pass(29);
+  BOOST_TEST(!flow.MaySend(now));
+  BOOST_TEST(flow.SendPause(now).count() == 1);
+  Pass(1);
+  BOOST_TEST(flow.MaySend(now));
+}
+
+BOOST_FIXTURE_TEST_CASE(MaySend_QuickStoreFallsSilent_FewAreSent, FlowFixture) {
+  Answered(4);
+  size_t lane = 0;
+  for (int i = 0; i < 100; ++i, Pass(10)) {
+    if (flow.MaySend(now)) {
+      flow.OnSent(lane++, now);
+    }
+  }
+  BOOST_TEST(lane == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(MaySend_SlowStore_ManyAreSent, FlowFixture) {
+  Answered(364);
+  size_t lane = 0;
+  for (int i = 0; i < 34; ++i, Pass(10)) {
+    if (flow.MaySend(now)) {
+      flow.OnSent(lane++, now);
+    }
+  }
+  BOOST_TEST(lane == options.most_lanes);
+}
+
+BOOST_FIXTURE_TEST_CASE(IsSilent_AnswersByTurns_OnlyWithoutAny, FlowFixture) {
+  flow.OnSent(0, now);
+  Pass(600);
+  flow.OnSent(1, now);
+  Pass(99);
+  BOOST_TEST(!flow.IsSilent(now));
+  Pass(1);
+  BOOST_TEST(flow.IsSilent(now));
+  flow.OnSentAgain(0, now);  // a new sending is no answer
+  BOOST_TEST(flow.IsSilent(now));
+  flow.OnAnswered(1, now);
+  BOOST_TEST(!flow.IsSilent(now));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnswerTime_SlowerAndFaster_RisesAtOnceFallsSlowly,
+                        FlowFixture) {
+  Answered(4);
+  Answered(400);
+  BOOST_TEST(flow.answer_time().count() == 400);
+  Answered(100);
+  BOOST_TEST(flow.answer_time().count() == 310);
+}
+
+BOOST_AUTO_TEST_CASE(ExpectedWait_Table) {
+  struct Row {
+    int answer_ms;
+    size_t ahead;
+    int64_t wait;
+    bool in_time;
+  };
+  const Row rows[] = {
+      {4, 0, 4, true},       {4, 80, 44, true},      {100, 80, 400, true},
+      {364, 0, 364, true},   {364, 80, 664, true},   {364, 240, 1264, false},
+      {900, 16, 1050, true}, {900, 40, 1275, false}, {1300, 0, 1300, false},
+  };
+  for (const Row& row : rows) {
+    FlowFixture fixture;
+    fixture.Answered(row.answer_ms);
+    BOOST_TEST_CONTEXT(row.answer_ms << " ms, " << row.ahead << " ahead") {
+      BOOST_TEST(fixture.flow.ExpectedWait(row.ahead).count() == row.wait);
+      BOOST_TEST(fixture.flow.IsInTime(row.ahead) == row.in_time);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace doorwood
