feat(ingress): the only leader is asked for a job's state before the store

Cause: an instance that did not know a job's cell read it from the store first, for each state and cancel.

Ruled out: remembering more jobs (callers ask all 97 instances in turn), telling all instances of each job (traffic for jobs nobody asks about).

Change: where there is one leader, it is asked first; a state or a cancel that it knows is answered by it. If it does not know the job, the store decides as before: "no such job" stays the store's word alone.

Tests: ingress_test State_StoreAway and Cancel_StoreAwayFromHere failed before; a table holds what is said of jobs that the leader does not know.

One store read a first question is saved as well.

--- a/src/include/doorwood/ingress.h
+++ b/src/include/doorwood/ingress.h
@@ -115,6 +115,14 @@
   void SubmitTo(const std::string& cell,
                 const JobPlan& plan,
                 SubmitCallback done);
+  /// The only leader there is, where this instance does not know the job's
+  /// cell: it most likely has the job, and answers while the store is slow or
+  /// away. Null: look the cell up.
+  const CellLead* LeadToAskFirst(const std::string& job) const;
+  void CancelWhereRecorded(const std::string& job, CancelCallback done);
+  void StateWhereRecorded(const std::string& job, StateCallback done);
+  /// What a leader's answer to a cancel means where the store has the job.
+  static std::error_code CancelResult(std::error_code error);
   /// The cell that has the job; CoreErrc::kNotFound if the store says that
   /// there is none.
   void FindCell(const std::string& job, CellCallback done);
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -192,7 +192,47 @@
 
 // --- Known jobs ---
 
+const CellLead* Ingress::LeadToAskFirst(const std::string& job) const {
+  if (live_.leads().size() != 1 || cell_of_job_.contains(job)) {
+    return nullptr;
+  }
+  return ReachedLead(live_.leads().begin()->first);
+}
+
 void Ingress::Cancel(const std::string& job, CancelCallback done) {
+  const CellLead* lead = LeadToAskFirst(job);
+  if (lead == nullptr) {
+    CancelWhereRecorded(job, std::move(done));
+    return;
+  }
+  peers_.Cancel(*lead, job,
+                [this, job, cell = lead->cell,
+                 done = std::move(done)](std::error_code error) {
+                  if (error == make_error_code(CoreErrc::kNotFound)) {
+                    CancelWhereRecorded(job, done);
+                    return;
+                  }
+                  if (!error) {
+                    Remember(job, cell);
+                  }
+                  done(CancelResult(error));
+                });
+}
+
+std::error_code Ingress::CancelResult(std::error_code error) {
+  // The store has the job, so a leader that does not know it yet can't say that
+  // it does not exist.
+  if (error == make_error_code(CoreErrc::kNotFound) ||
+      error == make_error_code(PeerErrc::kNotSent)) {
+    return CoreErrc::kNoOwner;
+  }
+  if (error == make_error_code(PeerErrc::kNoAnswer)) {
+    return CoreErrc::kOutcomeUnknown;
+  }
+  return error;
+}
+
+void Ingress::CancelWhereRecorded(const std::string& job, CancelCallback done) {
   FindCell(job, [this, job, done = std::move(done)](std::error_code error,
                                                     const std::string& cell) {
     if (error) {
@@ -200,16 +240,7 @@
       return;
     }
     auto finish = [done](std::error_code result) {
-      // The store has the job, so a leader that does not know it yet can't
-      // say that it does not exist.
-      const bool unsure = result == make_error_code(CoreErrc::kNotFound) ||
-                          result == make_error_code(PeerErrc::kNotSent);
-      if (unsure) {
-        result = CoreErrc::kNoOwner;
-      } else if (result == make_error_code(PeerErrc::kNoAnswer)) {
-        result = CoreErrc::kOutcomeUnknown;
-      }
-      done(result);
+      done(CancelResult(result));
     };
     if (CellLeader* leader = Local(cell)) {
       leader->Cancel(job, std::move(finish));
@@ -225,6 +256,27 @@
 }
 
 void Ingress::State(const std::string& job, StateCallback done) {
+  const CellLead* lead = LeadToAskFirst(job);
+  if (lead == nullptr) {
+    StateWhereRecorded(job, std::move(done));
+    return;
+  }
+  peers_.State(*lead, job,
+               [this, job, cell = lead->cell, done = std::move(done)](
+                   std::error_code error, JobPhase state) {
+                 if (error == make_error_code(CoreErrc::kNotFound)) {
+                   StateWhereRecorded(job, done);
+                   return;
+                 }
+                 if (!error) {
+                   Remember(job, cell);
+                 }
+                 done(error ? make_error_code(CoreErrc::kNoOwner) : error,
+                      state);
+               });
+}
+
+void Ingress::StateWhereRecorded(const std::string& job, StateCallback done) {
   FindCell(job, [this, job, done = std::move(done)](std::error_code error,
                                                     const std::string& cell) {
     if (error) {
--- a/src/libdoorwood/ingress/ingress_test.cpp
+++ b/src/libdoorwood/ingress/ingress_test.cpp
@@ -27,10 +27,12 @@
   void Cancel(const CellLead&,
               const std::string&,
               CancelCallback done) override {
-    Answer(std::move(done));
+    ++asked;
+    AnswerAbout(std::move(done));
   }
   void State(const CellLead&, const std::string&, StateCallback done) override {
-    Answer([done = std::move(done)](std::error_code error) {
+    ++asked;
+    AnswerAbout([done = std::move(done)](std::error_code error) {
       done(error, JobPhase::kRunning);
     });
   }
@@ -41,9 +43,17 @@
   }
 
   bool cut = false;
+  /// The leader has the job that it is asked about.
+  bool knows = true;
   int submits = 0;
+  int asked = 0;
 
  private:
+  void AnswerAbout(std::function<void(std::error_code)> done) {
+    Answer([this, done = std::move(done)](std::error_code error) {
+      done(error || knows ? error : make_error_code(CoreErrc::kNotFound));
+    });
+  }
   void Answer(std::function<void(std::error_code)> done) {
     const std::error_code error =
         cut ? make_error_code(PeerErrc::kNoAnswer) : std::error_code();
@@ -79,6 +89,29 @@
                     });
   }
 
+  void AskState() {
+    answered = false;
+    ingress->State(kJob, [this](std::error_code error, JobPhase) {
+      answered = true;
+      answer = error;
+    });
+  }
+
+  void Cancel() {
+    answered = false;
+    ingress->Cancel(kJob, [this](std::error_code error) {
+      answered = true;
+      answer = error;
+    });
+  }
+
+  void Record() {
+    StoreTransaction transaction;
+    transaction.puts.push_back({JobIdKey(kJob), "all", 0});
+    StoreCommit ignored;
+    world.store().Commit(transaction, &ignored);
+  }
+
   fakes::CellWorld world;
   fakes::WorldInstance* self = nullptr;
   std::unique_ptr<FakePeers> peers;
@@ -121,5 +154,68 @@
   BOOST_TEST(peers->submits == 1);
 }
 
+// The store is away or slow: what the leader knows is told all the same.
+BOOST_FIXTURE_TEST_CASE(State_StoreAway_TheOnlyLeaderTellsIt, IngressFixture) {
+  self->store_faults.down = true;
+  AskState();
+  world.Run(Millis(50));
+  BOOST_TEST(answered);
+  BOOST_TEST(!answer);
+}
+
+BOOST_FIXTURE_TEST_CASE(Cancel_StoreAwayFromHere_TheOnlyLeaderTakesIt,
+                        IngressFixture) {
+  self->store_faults.down = true;
+  Cancel();
+  world.Run(Millis(50));
+  BOOST_TEST(answered);
+  BOOST_TEST(!answer);
+}
+
+// "No such job" is said on the store's word alone.
+BOOST_AUTO_TEST_CASE(StateAndCancel_LeaderDoesNotKnowTheJob_StoreDecides) {
+  struct Row {
+    const char* name;
+    bool recorded;
+    bool store_away;
+    std::error_code answer;
+  };
+  const Row rows[] = {
+      {"nowhere", false, false, CoreErrc::kNotFound},
+      {"recorded", true, false, CoreErrc::kNoOwner},
+      {"store away", true, true, CoreErrc::kStoreUnavailable},
+  };
+  for (const Row& row : rows) {
+    for (const bool cancels : {false, true}) {
+      IngressFixture fixture;
+      fixture.peers->knows = false;
+      if (row.recorded) {
+        fixture.Record();
+      }
+      fixture.self->store_faults.down = row.store_away;
+      if (cancels) {
+        fixture.Cancel();
+      } else {
+        fixture.AskState();
+      }
+      fixture.world.Run(Millis(100));
+      BOOST_TEST_CONTEXT(row.name << (cancels ? ", cancel" : ", state")) {
+        BOOST_TEST(fixture.answered);
+        BOOST_TEST(fixture.answer == row.answer);
+      }
+    }
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(State_AskedAgain_GoesToTheRememberedCell,
+                        IngressFixture) {
+  AskState();
+  world.Run(Millis(50));
+  AskState();
+  world.Run(Millis(50));
+  BOOST_TEST(answered);
+  BOOST_TEST(peers->asked == 2);
+}
+
 }  // namespace
 }  // namespace doorwood
