fix(cell_journal): the same job again is not called refused while it may still land

Cause, found in reading: a job that comes again while a lane carries its first sending waits in the queue; when the store then refuses, all that wait were told "surely not accepted", though the first sending could still take effect. The single lane had the same gap. Callers of jobs that may not be repeated must be able to believe a refusal.

Change: a refusal looks at the lanes; a job that is under way there is answered "not known".

Test: Accept_SameIdMayStillLand_IsNotCalledRefused failed before.

--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -201,6 +201,9 @@
   void TakeBack(Batch batch);
   void AnswerOverdue();
   void RefuseWaiting();
+  void Refuse(PendingAccept* accept);
+  /// A lane carries the job: it may take effect yet.
+  bool IsUnderWay(std::string_view job) const;
   static void Answer(PendingAccept* accept,
                      std::error_code error,
                      AcceptOutcome outcome);
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -12,25 +12,6 @@
 constexpr std::string_view kCellFolder = "doorwood/cell/";
 constexpr std::string_view kJobFolder = "doorwood/job/";
 constexpr std::string_view kChain = "chain";
-// Jobs whose keys go in one batch; three keys each.
-constexpr size_t kForgottenAtOnce = 4;
-// Entries that accepting one job takes: one expectation, two puts.
-constexpr size_t kEntriesOfAccept = 3;
-constexpr size_t kEntriesOfForgotten = 3;
-// Entries of a batch that new jobs leave to states that wait, so that ends are
-// recorded while jobs pour in.
-constexpr size_t kEntriesForStates = 8;
-
-const StoreItem* FindItem(const StoreCommit& commit, std::string_view key) {
-  const auto found =
-      std::find_if(commit.current.begin(), commit.current.end(),
-                   [key](const StoreItem& item) { return item.key == key; });
-  return found == commit.current.end() ? nullptr : &*found;
-}
-
-int64_t RevisionOf(const StoreItem* item) {
-  return item == nullptr || item->gone ? 0 : item->revision;
-}
 
 }  // namespace
 
@@ -170,14 +151,20 @@
 }
 
 bool CellJournal::IsRecording(std::string_view job) const {
+  return IsUnderWay(job) || std::any_of(accepts_.begin(), accepts_.end(),
+                                        [job](const PendingAccept& accept) {
+                                          return accept.plan.id == job;
+                                        });
+}
+
+bool CellJournal::IsUnderWay(std::string_view job) const {
   const auto is_it = [job](const PendingAccept& accept) {
     return accept.plan.id == job;
   };
-  return std::any_of(accepts_.begin(), accepts_.end(), is_it) ||
-         std::any_of(lanes_.begin(), lanes_.end(), [&](const Lane& lane) {
-           return lane.batch && std::any_of(lane.batch->accepts.begin(),
-                                            lane.batch->accepts.end(), is_it);
-         });
+  return std::any_of(lanes_.begin(), lanes_.end(), [&](const Lane& lane) {
+    return lane.batch && std::any_of(lane.batch->accepts.begin(),
+                                     lane.batch->accepts.end(), is_it);
+  });
 }
 
 bool CellJournal::idle() const {
@@ -296,10 +283,9 @@
   }
   const auto lane = LaneToSend();
   if (!lane) {
+    // An answer leads on; without one, callers are still told in time.
     const Millis pause = flow_.SendPause(executor_.Now());
-    if (pause > Millis(0)) {
-      Wake(pause);  // otherwise an answer leads on
-    }
+    Wake(pause > Millis(0) ? pause : options_.flow.doubt_after);
     return;
   }
   lanes_[*lane].batch = Build(*lane);
@@ -308,142 +294,6 @@
   }
 }
 
-std::optional<CellJournal::Batch> CellJournal::Build(size_t lane) {
-  Batch batch;
-  batch.number = ++batches_;
-  batch.sequence = lanes_[lane].chain.sequence + 1;
-  StoreTransaction& transaction = batch.transaction;
-  transaction.expected.push_back({LeadKey(cell_), lead_revision_});
-  transaction.expected.push_back(
-      {ChainKey(cell_, lane), lanes_[lane].chain.revision});
-  transaction.puts.push_back(
-      {ChainKey(cell_, lane), EncodeSequence(batch.sequence)});
-  const size_t bare = transaction.entries();
-  NoteEnds();
-  AddWorkers(&batch);
-  AddUrgent(&batch);
-  AddAccepts(&batch);
-  AddStates(&batch);
-  AddForgotten(&batch);
-  if (transaction.entries() == bare && !probing_ && !lanes_[lane].probing) {
-    return std::nullopt;
-  }
-  probing_ = false;
-  lanes_[lane].probing = false;
-  lanes_[lane].chain.sequence = batch.sequence;
-  return batch;
-}
-
-void CellJournal::NoteEnds() {
-  if (ends_) {
-    return;
-  }
-  ends_ = EndsToRecord{owner_.ListedEnds(), {}};
-  for (const std::string& job : under_way_) {
-    ends_->jobs[job] = 0;
-  }
-  for (const std::string& job : dirty_) {
-    ends_->jobs[job] = batches_;
-  }
-}
-
-void CellJournal::AddWorkers(Batch* batch) {
-  if (!workers_changed_ || workers_under_way_) {
-    return;
-  }
-  workers_changed_ = false;
-  workers_under_way_ = true;
-  batch->workers = workers_;
-  batch->transaction.puts.push_back(
-      {WorkersKey(cell_), EncodeWorkers(workers_)});
-}
-
-void CellJournal::AddForgotten(Batch* batch) {
-  StoreTransaction& transaction = batch->transaction;
-  for (auto it = to_forget_.begin();
-       it != to_forget_.end() && batch->forgotten.size() < kForgottenAtOnce &&
-       transaction.entries() + kEntriesOfForgotten <=
-           kMostTransactionEntries;) {
-    if (!under_way_.insert(*it).second) {
-      ++it;
-      continue;
-    }
-    batch->forgotten.push_back(*it);
-    transaction.removes.push_back(JobIdKey(*it));
-    transaction.removes.push_back(PlanKey(cell_, *it));
-    transaction.removes.push_back(StateKey(cell_, *it));
-    it = to_forget_.erase(it);
-  }
-}
-
-void CellJournal::AddAccepts(Batch* batch) {
-  StoreTransaction& transaction = batch->transaction;
-  const size_t left_to_states = std::min(kEntriesForStates, dirty_.size());
-  const size_t most = kMostTransactionEntries - left_to_states;
-  while (!accepts_.empty() &&
-         transaction.entries() + kEntriesOfAccept <= most) {
-    PendingAccept accept = std::move(accepts_.front());
-    accepts_.pop_front();
-    const std::string& id = accept.plan.id;
-    const auto twin = std::find_if(
-        batch->accepts.begin(), batch->accepts.end(),
-        [&id](const PendingAccept& other) { return other.plan.id == id; });
-    if (twin != batch->accepts.end()) {
-      // The same job twice at once: the second shares the first one's fate.
-      auto both = [first = std::move(twin->done), second = accept.done](
-                      std::error_code error, AcceptOutcome outcome) {
-        first(error, outcome);
-        second(error, outcome);
-      };
-      twin->done = std::move(both);
-      continue;
-    }
-    transaction.expected.push_back({JobIdKey(id), 0});
-    transaction.puts.push_back({JobIdKey(id), cell_});
-    transaction.puts.push_back({PlanKey(cell_, id), Json(accept.plan).dump()});
-    batch->accepts.push_back(std::move(accept));
-  }
-}
-
-void CellJournal::AddState(const std::string& job, Batch* batch) {
-  dirty_.erase(job);
-  urgent_.erase(job);
-  under_way_.insert(job);
-  batch->transaction.puts.push_back(
-      {StateKey(cell_, job), owner_.EncodeState(job)});
-  batch->states.push_back(job);
-}
-
-void CellJournal::AddUrgent(Batch* batch) {
-  const std::set<std::string> urgent = urgent_;
-  for (const std::string& job : urgent) {
-    if (batch->transaction.entries() >= kMostTransactionEntries) {
-      return;
-    }
-    if (!under_way_.contains(job)) {
-      AddState(job, batch);
-    }
-  }
-}
-
-void CellJournal::AddStates(Batch* batch) {
-  std::deque<std::string> later;
-  while (!dirty_order_.empty() &&
-         batch->transaction.entries() < kMostTransactionEntries) {
-    const std::string job = std::move(dirty_order_.front());
-    dirty_order_.pop_front();
-    if (!dirty_.contains(job)) {
-      continue;  // went as an urgent one
-    }
-    if (under_way_.contains(job)) {
-      later.push_back(job);
-    } else {
-      AddState(job, batch);
-    }
-  }
-  dirty_order_.insert(dirty_order_.begin(), later.begin(), later.end());
-}
-
 void CellJournal::Submit(size_t lane) {
   ++commits_;
   Batch& batch = *lanes_[lane].batch;
@@ -466,210 +316,4 @@
                             : options_.flow.silent_after);
 }
 
-// --- Answers ---
-
-void CellJournal::OnAnswer(size_t lane,
-                           std::error_code error,
-                           const StoreCommit& commit) {
-  if (!error) {
-    Succeed(lane, commit.revision);
-    return;
-  }
-  if (error == make_error_code(KvErrc::kConflict)) {
-    OnConflict(lane, commit);
-    return;
-  }
-  const bool unknown = error == make_error_code(KvErrc::kUnknown);
-  Batch& batch = *lanes_[lane].batch;
-  // An answer that was lost while others came says nothing of the store.
-  const bool silent = last_success_ < batch.sent;
-  if (!refusing_ && (!unknown || silent)) {
-    log_.Write("warn", "journal", "the store does not take a batch",
-               {{"cell", cell_},
-                {"lane", lane},
-                {"sequence", batch.sequence},
-                {"waiting", waiting()},
-                {"answer_ms", flow_.answer_time().count()},
-                {"error", error.message()}});
-    refusing_ = true;
-  }
-  batch.unanswered = batch.unanswered || unknown;
-  if (batch.unanswered) {
-    OnUnanswered(lane);
-  } else {
-    OnRefused(lane);
-  }
-}
-
-void CellJournal::OnUnanswered(size_t lane) {
-  AnswerOverdue();
-  executor_.Schedule(options_.retry_pause,
-                     [this, lane, generation = generation_] {
-                       if (generation == generation_ && lanes_[lane].batch) {
-                         Submit(lane);
-                       }
-                     });
-}
-
-void CellJournal::OnRefused(size_t lane) {
-  // Surely nothing was done. New jobs are told so at once; what has happened
-  // already is kept for the next batch.
-  Batch batch = Settle(lane);
-  for (PendingAccept& accept : batch.accepts) {
-    Answer(&accept, CoreErrc::kStoreUnavailable, {});
-  }
-  batch.accepts.clear();
-  RefuseWaiting();
-  probing_ = true;  // keeps on asking until the store takes batches again
-  TakeBack(std::move(batch));
-  Wake(options_.retry_pause);
-}
-
-CellJournal::Batch CellJournal::Settle(size_t lane) {
-  Batch batch = std::move(*lanes_[lane].batch);
-  lanes_[lane].batch.reset();
-  flow_.OnAnswered(lane, executor_.Now());
-  if (batch.workers) {
-    workers_under_way_ = false;
-  }
-  for (const std::string& job : batch.states) {
-    under_way_.erase(job);
-  }
-  for (const std::string& job : batch.forgotten) {
-    under_way_.erase(job);
-  }
-  return batch;
-}
-
-void CellJournal::TakeBack(Batch batch) {
-  workers_changed_ = workers_changed_ || batch.workers.has_value();
-  for (const std::string& job : batch.states) {
-    if (dirty_.insert(job).second) {
-      dirty_order_.push_front(job);
-    }
-  }
-  for (const std::string& job : batch.forgotten) {
-    to_forget_.insert(job);
-  }
-  for (PendingAccept& accept : batch.accepts) {
-    if (!accept.answered) {
-      accepts_.push_front(std::move(accept));
-    }
-  }
-}
-
-void CellJournal::OnConflict(size_t lane, const StoreCommit& commit) {
-  refusing_ = false;
-  const StoreItem* lead = FindItem(commit, LeadKey(cell_));
-  if (RevisionOf(lead) != lead_revision_) {
-    owner_.OnLeadLost("another revision of the lead key stands");
-    return;
-  }
-  const StoreItem* chain = FindItem(commit, ChainKey(cell_, lane));
-  const int64_t chain_revision = RevisionOf(chain);
-  if (chain_revision != lanes_[lane].chain.revision) {
-    const uint64_t stands =
-        DecodeSequence(chain == nullptr ? "" : chain->value);
-    if (stands == lanes_[lane].batch->sequence) {
-      // The sending without an answer took effect.
-      Succeed(lane, chain_revision);
-      return;
-    }
-    owner_.OnLeadLost("the chain key was written by someone else");
-    return;
-  }
-  // Some of the jobs are known already, here or in another cell.
-  Batch batch = Settle(lane);
-  std::vector<PendingAccept> fresh;
-  for (PendingAccept& accept : batch.accepts) {
-    if (RevisionOf(FindItem(commit, JobIdKey(accept.plan.id))) != 0) {
-      Answer(&accept, {}, AcceptOutcome::kKnownAlready);
-    } else {
-      fresh.push_back(std::move(accept));
-    }
-  }
-  batch.accepts = std::move(fresh);
-  lanes_[lane].probing = true;
-  TakeBack(std::move(batch));
-  Wake(Millis(0));
-}
-
-void CellJournal::Succeed(size_t lane, int64_t revision) {
-  last_success_ = executor_.Now();
-  if (refusing_) {
-    refusing_ = false;
-    log_.Write("info", "journal", "the store takes batches again",
-               {{"cell", cell_}, {"lane", lane}, {"revision", revision}});
-  }
-  lanes_[lane].chain.revision = revision;
-  Batch batch = Settle(lane);
-  for (PendingAccept& accept : batch.accepts) {
-    owner_.OnAccepted(accept.plan);
-    Answer(&accept, {}, AcceptOutcome::kAccepted);
-  }
-  for (const std::string& job : batch.states) {
-    if (!dirty_.contains(job)) {
-      owner_.OnStateRecorded(job);
-    }
-  }
-  NoteRecorded(batch);
-  if (batch.workers) {
-    owner_.OnWorkersRecorded(*batch.workers);
-  }
-  // What did not fit goes at once; otherwise changes are gathered again.
-  const bool was_full = batch.transaction.entries() >= kMostTransactionEntries;
-  if (!accepts_.empty() || workers_changed_ || !urgent_.empty() ||
-      (was_full && !dirty_.empty())) {
-    Wake(Millis(0));
-  } else if (!dirty_.empty() || !to_forget_.empty()) {
-    Wake(options_.delay);
-  }
-}
-
-void CellJournal::NoteRecorded(const Batch& batch) {
-  if (!ends_) {
-    return;
-  }
-  for (const std::string& job : batch.states) {
-    const auto waited_for = ends_->jobs.find(job);
-    if (waited_for != ends_->jobs.end() && batch.number >= waited_for->second) {
-      ends_->jobs.erase(waited_for);
-    }
-  }
-  if (ends_->jobs.empty()) {
-    owner_.OnEndsRecorded(ends_->ends);
-    ends_.reset();
-  }
-}
-
-void CellJournal::AnswerOverdue() {
-  const Instant now = executor_.Now();
-  for (Lane& lane : lanes_) {
-    if (!lane.batch) {
-      continue;
-    }
-    for (PendingAccept& accept : lane.batch->accepts) {
-      if (accept.until <= now) {
-        Answer(&accept, CoreErrc::kOutcomeUnknown, {});
-      }
-    }
-  }
-  if (refusing_ || flow_.IsSilent(now)) {
-    RefuseWaiting();
-  }
-  while (!accepts_.empty() && accepts_.front().until <= now) {
-    Answer(&accepts_.front(), CoreErrc::kStoreUnavailable, {});
-    accepts_.pop_front();
-  }
-}
-
-void CellJournal::RefuseWaiting() {
-  // Never sent: these are surely not accepted.
-  auto waiting = std::move(accepts_);
-  accepts_.clear();
-  for (PendingAccept& accept : waiting) {
-    Answer(&accept, CoreErrc::kStoreUnavailable, {});
-  }
-}
-
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_journal_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_test.cpp
@@ -204,6 +204,22 @@
   BOOST_TEST(answer == std::error_code());
 }
 
+// The same job again while the first sending of it may still land: "not run"
+// would not be true.
+BOOST_FIXTURE_TEST_CASE(Accept_SameIdMayStillLand_IsNotCalledRefused,
+                        JournalFixture) {
+  store.script = {Step::kDelay};
+  store.script.insert(store.script.end(), 20, Step::kRefuse);
+  Accept();
+  time.Run(Millis(20));
+  Accept();
+  time.Run(Millis(100));
+  BOOST_TEST(answers == 1);
+  BOOST_TEST(answer == make_error_code(CoreErrc::kOutcomeUnknown));
+  time.Run(Millis(6000));
+  BOOST_TEST(accepted.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(Accept_IdOfAnotherCell_IsKnownAlready, JournalFixture) {
   StoreTransaction other;
   other.puts.push_back({JobIdKey(kJob), "other", 0});
