--- a/src/include/doorwood/commit_flow.h
+++ b/src/include/doorwood/commit_flow.h
@@ -6,10 +6,10 @@
 ///
 /// It answers two patterns. A store that answers slowly but steadily: with one
 /// commit at a time of 32 entries, answers of 0.4 s carry 80 entries a second,
-/// a third of what 40 new jobs and 300 changing ones a second need; several
-/// commits on keys that do not meet carry it. A store that falls silent: what
-/// is sent then has an unknown outcome, so little is sent, and what has not
-/// been sent is refused while that is still true and early.
+/// a tenth of what 40 new jobs a second and 250 that keep changing need;
+/// several commits on keys that do not meet carry it. A store that falls
+/// silent: what is sent then has an unknown outcome, so little is sent, and
+/// what has not been sent is refused while that is still true and early.
 
 #ifndef DOORWOOD_COMMIT_FLOW_H_
 #define DOORWOOD_COMMIT_FLOW_H_
@@ -38,8 +38,8 @@
   /// Without an answer for so long the store is taken to be silent. Slow stores
   /// answer within 0.4 s.
   Millis silent_after{700};
-  /// A record that would take longer is refused rather than waited for: half of
-  /// what a caller has, so that it can still be taken at another try.
+  /// A record that would take longer is refused rather than waited for: callers
+  /// have 3 s in all, so that another try can still succeed.
   Millis record_within{1200};
   /// Records of new jobs that one commit carries.
   size_t records_at_once = 8;
