fix(worker_session): silence proves a run over only while the lead is sure

Cause: a leader that is cut off goes on past its sure lease.

Ruled out: the successor's side, which waits for what its predecessor may have promised; late orders; a wrong clock.

Change: a session concludes from silence, or from another life's answer, only while nobody else can have led: until the moment up to which the lease is sure. What it hears meanwhile counts once the lease turns out to have been kept. A successor, too, ends its wait by time only while its own lease is sure.

Tests, failing before: a worker that falls silent 0 to 6 s before its leader is cut off (broken at 1.5 to 3 s), a worker that crashes 0 to 6 s after it, both in virtual time; a session's proofs while the lead is not sure.

--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -57,6 +57,8 @@
   int machine_answers_lost = 0;
   /// Workers that it can't reach.
   std::set<std::string> cut_from;
+  /// It and the other instances don't reach each other.
+  bool cut_from_peers = false;
   bool alive = true;
 };
 
--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -259,8 +259,9 @@
 
   void Ask(const LiveInstance& instance, Callback done) override {
     const auto found = world_.instances().find(instance.name);
-    const bool there =
-        found != world_.instances().end() && found->second->alive;
+    const bool there = found != world_.instances().end() &&
+                       found->second->alive && !self_.cut_from_peers &&
+                       !found->second->cut_from_peers;
     Millis age{0};
     if (there) {
       age = std::chrono::duration_cast<Millis>(
@@ -275,13 +276,14 @@
   void HandOver(const LiveInstance& instance,
                 const std::string& cell,
                 int64_t epoch) override {
-    self_.executor->Schedule(kWorkerDelay,
-                             [this, name = instance.name, cell, epoch] {
-                               const auto found = world_.instances().find(name);
-                               if (found != world_.instances().end()) {
-                                 found->second->cell->OnHandedOver(epoch);
-                               }
-                             });
+    self_.executor->Schedule(
+        kWorkerDelay, [this, name = instance.name, cell, epoch] {
+          const auto found = world_.instances().find(name);
+          if (found != world_.instances().end() && !self_.cut_from_peers &&
+              !found->second->cut_from_peers) {
+            found->second->cell->OnHandedOver(epoch);
+          }
+        });
   }
 
  private:
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -162,6 +162,10 @@
   void SetShortWait(Millis wait) { short_wait_ = wait; }
   /// False: the leader is not sure to lead and prolongs nothing.
   void SetMayExtend(bool may_extend) { may_extend_ = may_extend; }
+  /// Until then nobody else can have prolonged what runs there, so that silence
+  /// and another life's answer prove runs over. Later they prove nothing: a
+  /// successor may have adopted the runs, kept them, or started them again.
+  void SetSureUntil(Instant until) { sure_until_ = until; }
   /// Lists what has ended up to here; only these may be forgotten.
   void MarkRecorded(uint64_t end_number);
   /// Newer word from the directory; `life.id` stays.
@@ -214,6 +218,7 @@
   void TakeClock(int64_t clock);
   int64_t LeaseUntil();
   bool HasLapsed() const;
+  bool MayConclude() const;
   Millis NextWait() const;
   /// Adds (1) or takes off (-1) what the run reserves.
   void Count(const Run& run, int sign);
@@ -232,6 +237,7 @@
 
   Millis short_wait_;
   bool may_extend_ = true;
+  Instant sure_until_{};
   bool closed_ = false;
   bool dead_ = false;
   bool fenced_ = false;
--- /dev/null
+++ b/src/libdoorwood/cell/cell_doubt_test.cpp
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Two leaders at once, of which one is cut off: who may conclude what from a
+// worker's silence. All in virtual time, on both sides of each bound.
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "fakes/cell_world.h"
+
+namespace doorwood {
+namespace {
+
+constexpr char kJob[] = "00112233aabbccdd";
+
+// Two workers: "shared" runs the task; "near" is reached by the old leader
+// only once it is cut off.
+struct CutLeaderFixture {
+  CutLeaderFixture() : world(7) {
+    world.SetTable({fakes::MakeQueue("queue", 4)});
+    world.AddWorker("shared", 8000);
+    world.AddInstance("a1", "plaka");
+    world.AddInstance("b1", "kerameikos");
+    world.AddInstance("c1", "pireas");
+    world.WaitForLeader();
+    world.Run(Millis(1000));
+    old = world.Leader();
+    BOOST_REQUIRE(world.Submit(Plan()));
+    world.Run(Millis(500));
+    world.AddWorker("near", 8000);
+    world.Run(Millis(1500));
+  }
+
+  static JobPlan Plan() {
+    JobPlan plan = fakes::MakePlan(kJob, 1, 2, "");
+    plan.steps[0].lasting = true;
+    return plan;
+  }
+
+  void CutOldLeader() const {
+    old->store_faults.silent = true;
+    old->cut_from_peers = true;
+    for (const auto& [name, instance] : world.instances()) {
+      if (instance != old) {
+        instance->cut_from.insert("near");
+      }
+    }
+  }
+
+  void Heal() const {
+    for (const auto& [name, instance] : world.instances()) {
+      instance->store_faults = {};
+      instance->cut_from_peers = false;
+      instance->cut_from.clear();
+    }
+  }
+
+  bool Runs(const std::string& task) const {
+    const auto& workers = world.workers();
+    return std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
+      return entry.second->model.Runs(task);
+    });
+  }
+
+  void ExpectNothingBroken(const std::string& context) const {
+    for (const std::string& rule : world.broken()) {
+      BOOST_ERROR(context + ": " + rule);
+    }
+  }
+
+  mutable fakes::CellWorld world;
+  fakes::WorldInstance* old = nullptr;
+};
+
+// The worker falls silent to the old leader 0 to 6 s before that one is cut
+// off; the successor reaches it, adopts what runs there and prolongs it.
+BOOST_AUTO_TEST_CASE(CutLeader_SilentWorkerIsHeldByItsSuccessor_StartsNothing) {
+  for (int before = 0; before <= 6000; before += 500) {
+    CutLeaderFixture fixture;
+    fixture.old->cut_from.insert("shared");
+    fixture.world.Run(Millis(before));
+    fixture.CutOldLeader();
+    fixture.world.Run(Millis(14'000));
+    fixture.ExpectNothingBroken("silent for " + std::to_string(before));
+    fixture.Heal();
+    fixture.world.Run(Millis(8000));
+    fixture.ExpectNothingBroken("healed, " + std::to_string(before));
+    for (const char* task : {".0.0.0", ".0.0.1"}) {
+      BOOST_TEST(fixture.Runs(kJob + std::string(task)));
+    }
+  }
+}
+
+// A worker crashes 0 to 6 s after the cut. Both leaders hear its next life;
+// only the successor, which had adopted what ran there, may start it again.
+BOOST_AUTO_TEST_CASE(CutLeader_SharedWorkerCrashes_OneLeaderStartsAgain) {
+  for (int after = 0; after <= 6000; after += 250) {
+    CutLeaderFixture fixture;
+    fixture.CutOldLeader();
+    fixture.old->cut_from.insert("shared");
+    fixture.world.AddWorker("far", 8000);
+    fixture.old->cut_from.insert("far");
+    fixture.world.Run(Millis(after));
+    fixture.world.CrashWorker("shared");
+    fixture.world.Run(Millis(14'000));
+    fixture.ExpectNothingBroken("crash after " + std::to_string(after));
+  }
+}
+
+// While its lease is sure a leader still concludes from silence.
+BOOST_FIXTURE_TEST_CASE(SureLeader_WorkerSilentForItsLease_StartsElsewhere,
+                        CutLeaderFixture) {
+  for (const auto& [name, instance] : world.instances()) {
+    instance->cut_from.insert("shared");
+  }
+  world.Run(Millis(9000));
+  BOOST_TEST(
+      world.workers().at("near")->model.Runs(std::string(kJob) + ".0.0.0"));
+  ExpectNothingBroken("sure leader");
+}
+
+// An outage of the store for all: silence proves nothing meanwhile, and counts
+// at once when the lease turns out to have been kept.
+BOOST_FIXTURE_TEST_CASE(Store_DownForAllAndWorkerCrashes_WorkReturnsWithIt,
+                        CutLeaderFixture) {
+  for (const auto& [name, instance] : world.instances()) {
+    instance->store_faults.down = true;
+  }
+  world.Run(Millis(1000));
+  world.CrashWorker("shared");
+  world.Run(Millis(6000));
+  for (const auto& [name, instance] : world.instances()) {
+    instance->store_faults.down = false;
+  }
+  world.Run(Millis(6000));
+  BOOST_TEST(
+      world.workers().at("near")->model.Runs(std::string(kJob) + ".0.0.0"));
+  ExpectNothingBroken("store down");
+}
+
+}  // namespace
+}  // namespace doorwood
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -254,6 +254,7 @@
       return;
     }
     session->SetMayExtend(may_extend);
+    session->SetSureUntil(live_.lease_sure_until());
     session->SetShortWait(watching_wait);
     session->Tick();
   }
@@ -285,6 +286,9 @@
   if (accounted_) {
     return;
   }
+  if (!live_.IsLeaseSure()) {
+    return;  // a further leader may have adopted what is waited for
+  }
   const Millis lease = LongestOnOurClock(options_.sessions.run_lease);
   const bool lapsed = executor_.Now() > led_since_ + lease +
                                             options_.unsure_patience +
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -80,6 +80,7 @@
   // but only if that leader was of this cell.
   member.from_takeover = from_takeover;
   const auto session = member.session;
+  session->SetSureUntil(live_.lease_sure_until());
   members_.emplace(life.id, std::move(member));
   session->Open();
 }
--- a/src/libdoorwood/cell/cell_walk_test.cpp
+++ b/src/libdoorwood/cell/cell_walk_test.cpp
@@ -170,6 +170,7 @@
       instance->store_faults = {};
       instance->late_orders = 0;
       instance->cut_from.clear();
+      instance->cut_from_peers = false;
     }
   }
 
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -128,6 +128,10 @@
   return executor_.Now() > clock_at_ + LongestOnOurClock(left) + kLapseMargin;
 }
 
+bool WorkerSession::MayConclude() const {
+  return executor_.Now() < sure_until_;
+}
+
 // --- Looks ---
 
 Millis WorkerSession::NextWait() const {
@@ -348,9 +352,12 @@
     return;
   }
   dead_ = true;
+  const bool proved = MayConclude();
   log_.Write("warn", "worker", "another life answers; all runs there are over",
-             {{"worker", life_.id}, {"runs", runs_.size()}});
-  EndAll();
+             {{"worker", life_.id}, {"runs", runs_.size()}, {"sure", proved}});
+  if (proved) {
+    EndAll();
+  }
 }
 
 void WorkerSession::EndAll() {
@@ -361,7 +368,13 @@
 }
 
 void WorkerSession::Tick() {
-  if (closed_ || dead_) {
+  if (closed_) {
+    return;
+  }
+  if (dead_) {
+    if (MayConclude()) {
+      EndAll();  // heard of while that proved nothing
+    }
     return;
   }
   const Instant now = executor_.Now();
@@ -370,7 +383,7 @@
     log_.Write("warn", "worker", "a worker does not answer",
                {{"worker", life_.id}, {"runs", runs_.size()}});
   }
-  if (!runs_.empty() && HasLapsed()) {
+  if (!runs_.empty() && HasLapsed() && MayConclude()) {
     log_.Write("warn", "worker", "the lease of a silent worker is surely over",
                {{"worker", life_.id}, {"runs", runs_.size()}});
     EndAll();
--- a/src/libdoorwood/cell/worker_session_test.cpp
+++ b/src/libdoorwood/cell/worker_session_test.cpp
@@ -106,6 +106,7 @@
     life.capacity = {32'000, 1000, 0};
     session = std::make_shared<WorkerSession>(executor, workers, log, *this,
                                               WorkerSessionOptions{}, life, 5);
+    session->SetSureUntil(Instant::max());
     session->Open();
     Pass(Millis(500));
   }
@@ -230,6 +231,7 @@
     life.id = "w1";
     session = std::make_shared<WorkerSession>(executor, manual, log, *this,
                                               WorkerSessionOptions{}, life, 5);
+    session->SetSureUntil(Instant::max());
     session->Open();
     time.Run(Millis(10));
     manual.holds.at(0)({}, ReportOf({}));
@@ -367,5 +369,24 @@
   BOOST_TEST(ends[0] == "t lapsed told");
 }
 
+// Whoever may have a successor concludes nothing; what it has heard meanwhile
+// counts once it turns out that nobody else led.
+BOOST_FIXTURE_TEST_CASE(Proofs_LeadIsNotSure_WaitUntilItIs, SessionFixture) {
+  for (const Fate fate : {Fate::kSilent, Fate::kOtherLife}) {
+    SessionFixture fixture;
+    fixture.Start("");
+    fixture.Pass(Millis(1000));
+    fixture.session->SetSureUntil(Instant{});
+    fixture.workers.hold_fate = fate;
+    fixture.workers.stop_fate = fate;
+    fixture.Pass(Millis(12'000));
+    BOOST_TEST(fixture.ends.empty());
+    BOOST_TEST(fixture.session->runs().size() == 1U);
+    fixture.session->SetSureUntil(Instant::max());
+    fixture.Pass(Millis(200));
+    BOOST_TEST(fixture.ends.size() == 1U);
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
