fix(cell_leader): a failure that nobody recorded may have used up an attempt

Cause: a run fails, the store is away, and the task is started again. The failure stands in no record; its worker still lists it.

Change: runs between the last recorded end and the adopted one count as failures until their workers have told, or until all earlier runs are accounted for. Only a task that could be at its last attempt waits.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -260,6 +260,7 @@
   std::vector<WorkerRoom*> CollectRooms();
   void RefreshRoom(const std::string& id, Member* member);
   bool IsReady(const Task& task) const;
+  bool MayBeAtLastAttempt(const Task& task) const;
   void PlaceStep(const ReadyStep& ready, const std::vector<WorkerRoom*>& rooms);
   void PlaceGang(const ReadyStep& ready, const std::vector<WorkerRoom*>& rooms);
   /// Judges a worker for a step, with `planned` tasks of it placed there but
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -48,11 +48,20 @@
   bool placed = false;
   /// Set at takeover while an unheard worker may still run the task.
   bool unaccounted = false;
+  /// After a takeover: the run that was adopted (0: none), the one up to which
+  /// records tell all ends, and those between whose ends workers have told.
+  /// Each other one between may have failed on a worker that is not heard yet.
+  uint32_t adopted_run = 0;
+  uint32_t recorded_run = 0;
+  std::vector<uint32_t> told_runs;
   /// Worker where it failed last; another one is tried first.
   std::string failed_on;
   /// When the task last became ready, for waiting times.
   Instant ready_since{};
 
+  /// How many runs before the adopted one may have failed unheard of.
+  uint32_t UnheardEnds() const;
+
   const StepPlan& plan() const;
   /// "JOB.TIME.STEP.INDEX"
   std::string name() const;
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -201,6 +201,7 @@
     ForEachTask(job.get(), [this](Task* task) {
       task->last_run += kRunsBetweenLeaders;
       task->unaccounted = !task->done;
+      task->recorded_run = task->counted_run;
       task->ready_since = executor_.Now();
     });
   }
--- a/src/libdoorwood/cell/cell_doubt_test.cpp
+++ b/src/libdoorwood/cell/cell_doubt_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <vector>
 
 #include "fakes/cell_world.h"
 
@@ -139,5 +140,86 @@
   ExpectNothingBroken("store down");
 }
 
+// Runs 1 and 2 fail while the store is away, or only the second does, so that
+// one or both failures stand in no record; the worker of one is cut off from
+// the successor. Four attempts are four also then.
+struct UnheardFailure {
+  int recorded;
+  int cut_run;
+  int cut_for;
+};
+
+std::vector<UnheardFailure> UnheardFailures() {
+  std::vector<UnheardFailure> rows;
+  for (int cut_for = 1000; cut_for <= 8000; cut_for += 1000) {
+    rows.push_back({1, 2, cut_for});
+    rows.push_back({0, 2, cut_for});
+    rows.push_back({0, 1, cut_for});
+  }
+  return rows;
+}
+
+BOOST_AUTO_TEST_CASE(Successor_FailureUnheardOf_AttemptsAreNotExceeded) {
+  for (const auto& [recorded, cut_run, cut_for] : UnheardFailures()) {
+    fakes::CellWorld world(3);
+    world.SetTable({fakes::MakeQueue("queue", 4)});
+    for (const char* id : {"w1", "w2", "w3", "w4", "w5", "w6"}) {
+      world.AddWorker(id, 8000);
+    }
+    world.AddInstance("a1", "plaka");
+    world.AddInstance("b1", "kerameikos");
+    world.AddInstance("c1", "pireas");
+    world.WaitForLeader();
+    world.Run(Millis(1000));
+    fakes::WorldInstance* old = world.Leader();
+    const std::string task = std::string(kJob) + ".0.0.0";
+    BOOST_REQUIRE(
+        world.Submit(fakes::MakePlan(kJob, 1, 1, "ms=1200 fails=999999")));
+    const auto runner = [&] {
+      for (const auto& [id, worker] : world.workers()) {
+        if (worker->model.Runs(task)) {
+          return id;
+        }
+      }
+      return std::string();
+    };
+    const auto run_until = [&](int starts) {
+      for (int i = 0; i < 100 && world.starts(task) < starts; ++i) {
+        world.Run(Millis(50));
+      }
+    };
+    std::string silent;
+    for (int run = 1; run <= 2; ++run) {
+      run_until(run);
+      world.Run(Millis(300));
+      silent = run == cut_run ? runner() : silent;
+      for (const auto& [name, instance] : world.instances()) {
+        instance->store_faults.down = run > recorded;
+      }
+    }
+    run_until(3);
+    world.Run(Millis(100));
+    old->cut_from_peers = true;
+    for (const auto& [name, instance] : world.instances()) {
+      if (instance != old) {
+        instance->store_faults.down = false;
+        instance->cut_from.insert(silent);
+      }
+    }
+    world.Kill(old->name);
+    world.Run(Millis(cut_for));
+    for (const auto& [name, instance] : world.instances()) {
+      instance->cut_from.clear();
+    }
+    world.Run(Millis(16'000));
+    BOOST_TEST_CONTEXT("recorded " << recorded << ", cut run " << cut_run
+                                   << " for " << cut_for) {
+      BOOST_TEST(world.starts(task) == 4);
+      const auto state = world.StateOf(kJob);
+      BOOST_TEST((state ? ToString(*state) : "not known") == "failed");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -133,6 +133,11 @@
     return;
   }
   CountEnd(task, session, end.run, end.end, end.checkpoint);
+  const auto told =
+      std::find(task->told_runs.begin(), task->told_runs.end(), end.run);
+  if (!accounted_ && told == task->told_runs.end()) {
+    task->told_runs.push_back(end.run);
+  }
   if (task->done && task->placed) {
     StopRunsOfTask(end.task);  // an earlier run had done the work already
   }
@@ -156,6 +161,7 @@
   }
   JobTable::SetPlaced(task, true);
   task->unaccounted = false;
+  task->adopted_run = accounted_ ? 0 : row.run;
   task->last_run = std::max(task->last_run, row.run);
   if (!task->job->begun) {
     task->job->begun = true;
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -76,7 +76,24 @@
 }
 
 bool CellLeader::IsReady(const Task& task) const {
-  return !task.done && !task.placed && !task.unaccounted;
+  return !task.done && !task.placed && !task.unaccounted &&
+         !MayBeAtLastAttempt(task);
+}
+
+// Failures that the earlier leader heard of, but could not record, are listed
+// by workers that a successor may not reach yet: until it has heard them, or
+// their leases are over, each such run counts as a failure.
+bool CellLeader::MayBeAtLastAttempt(const Task& task) const {
+  const uint32_t unheard = accounted_ ? 0 : task.UnheardEnds();
+  if (unheard == 0 || task.plan().lasting) {
+    return false;
+  }
+  const Task& counter =
+      task.plan().gang
+          ? task.job->times[task.time].steps[task.step].tasks.front()
+          : task;
+  return counter.failed_runs.size() + unheard >=
+         static_cast<size_t>(MaxAttempts(*task.job));
 }
 
 std::vector<CellLeader::ReadyStep> CellLeader::CollectReady() {
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -13,6 +13,16 @@
   return job->plan.steps[step];
 }
 
+uint32_t Task::UnheardEnds() const {
+  if (adopted_run <= recorded_run) {
+    return 0;
+  }
+  const auto told = std::count_if(
+      told_runs.begin(), told_runs.end(),
+      [this](uint32_t run) { return run > recorded_run && run < adopted_run; });
+  return adopted_run - recorded_run - 1 - static_cast<uint32_t>(told);
+}
+
 std::string Task::name() const {
   return StepName(*job, time, step) + "." + std::to_string(index);
 }
