feat(cell_policy): serving work fills up worker after worker

Cause: serving tasks went first to workers that had only their own image, so with 10 images and some 250 tasks nearly each of 350 workers had some, and filling work, which is kept off by the worst of them, found no worker to itself.

--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -189,9 +189,11 @@
       ShareUsed(worker.reserved.cpu_millis, worker.capacity.cpu_millis);
   const double filled = ShareUsed(worker.fill_cpu, worker.capacity.cpu_millis);
   if (step.latency_target > Millis(0)) {
-    // Tasks of one image stay together: then more kinds of filling work find
-    // a worker where they disturb nobody.
-    score += kMatters * ShareOfImage(worker, need.image);
+    // Worker after worker is filled up, so that whole ones stay free for what
+    // fills; among equals tasks of one image stay together, so that more kinds
+    // of filling work find a worker where they disturb nobody.
+    score += kMatters * reserved;
+    score += ShareOfImage(worker, need.image);
     score -= filled;
     score += reserved / kMatters;
   } else if (step.fills) {
