feat(lasting_room): what other work needs decides how much lasting work is taken

Cause: lasting work might reserve 0.8 of a service's processors, a constant that was tuned on other work. On the shifted work it takes that within seconds, stays for a minute, and other work asks for 1.7 times what is left (measured: 0.3 at the start, 0.92 after 11 s, 1.68 after 26 s; 0.55 to 0.8 on grown sax).

What it costs elsewhere: callers of lasting work are refused more often. The share that is right can't be known before the load: no share is right on both.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -239,6 +239,8 @@
   void AnswerCancels();
   bool HasRoomToLast(const JobPlan& plan);
   CellSummary Summarize() const;
+  /// What other work asks of each service beside lasting work.
+  void ObserveLoads();
 
   // cell_ends.cpp: what becomes of runs
   void CountEnd(Task* task,
@@ -363,6 +365,7 @@
   InterferenceModel interference_;
   RunTimeModel run_times_;
   HopelessFits hopeless_;
+  std::map<std::string, LastingRoom> lasting_rooms_;
   /// Counts scheduling passes.
   uint64_t pass_ = 0;
   /// Steps of this pass that found no place; more urgent ones count first.
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -18,6 +18,7 @@
 
 #include "doorwood/interference.h"
 #include "doorwood/job_table.h"
+#include "doorwood/lasting_room.h"
 #include "doorwood/queue_table.h"
 #include "doorwood/run_times.h"
 
@@ -56,26 +57,11 @@
   /// Share of the processors that serving tasks reserve which they are taken
   /// to use. From a trial day: 0.48 on the mean.
   double serving_use = 0.45;
-  /// Lasting work may reserve this share of a service's processors; a job that
-  /// would take it further is refused at once, so that other work keeps room
-  /// for as long as lasting work stays. Chosen for the worth of all that
-  /// callers get, a refused job counted as nothing got: over 27 days of three
-  /// sites 20.1 thousand at 0.9, 20.7 at 0.85, 21.0 at 0.8, 20.9 at 0.7, 20.6
-  /// at 0.6. The share of what is owed for accepted work alone still rises
-  /// below 0.8: by refusing more, not by serving more.
-  double lasting_share = 0.8;
+  LastingRoomOptions lasting_room;
   InterferenceOptions interference;
   RunTimeOptions run_times;
 };
 
-/// Whether a job that reserves `asked` processors for as long as it lasts may
-/// be taken beside `reserved` ones of its sort, in thousandths. A service whose
-/// workers are not known yet takes it.
-bool HasLastingRoom(int64_t asked,
-                    int64_t reserved,
-                    int64_t capacity,
-                    const PolicyOptions& options);
-
 /// Processors that the lasting steps of a plan reserve, in thousandths.
 int64_t LastingCpu(const JobPlan& plan);
 
@@ -91,7 +77,6 @@
   /// when it was due.
   int64_t order = 0;
 
-                  int64_t work_left,
   friend auto operator<=>(const StepRank&, const StepRank&) = default;
 };
 
@@ -106,6 +91,7 @@
                   int step,
                   int64_t due_at,
                   std::span<const Millis> run_times,
+                  int64_t work_left,
                   int64_t now,
                   const PolicyOptions& options);
 
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -105,6 +105,10 @@
 /// "JOB.TIME.STEP"
 std::string StepName(const Job& job, int time, int step);
 
+/// Processors, in thousandths, of the job's tasks that wait for nothing but a
+/// place and do not last. `now`: milliseconds since 1970.
+int64_t WaitingCpu(const Job& job, int64_t now);
+
 /// Calls `each` with every task of every time of the job.
 void ForEachTask(Job* job, const std::function<void(Task*)>& each);
 
--- a/src/libdoorwood/cell/cell_calls.cpp
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -62,17 +62,51 @@
     const bool same = other != nullptr && other->service == service;
     reserved += same ? LastingCpu(job->plan) : 0;
   }
-  if (HasLastingRoom(asked, reserved, capacity, options_.policy)) {
+  const LastingRoom& room =
+      lasting_rooms_.try_emplace(service, options_.policy.lasting_room)
+          .first->second;
+  const Instant now = executor_.Now();
+  if (room.Allows(asked, reserved, capacity, now)) {
     return true;
   }
   log_.Write("info", "cell", "no room for a lasting job",
              {{"job", plan.id},
               {"asked_cpu", asked},
               {"lasting_cpu", reserved},
-              {"capacity_cpu", capacity}});
+              {"capacity_cpu", capacity},
+              {"use", room.use()},
+              {"proved", room.IsProved(now)}});
   return false;
 }
 
+void CellLeader::ObserveLoads() {
+  std::map<std::string, ServiceLoad> loads;
+  for (const auto& [id, member] : members_) {
+    const WorkerSession& session = *member.session;
+    if (!member.listed) {
+      continue;
+    }
+    ServiceLoad& load = loads[session.life().service];
+    const auto serving = static_cast<double>(session.serving_cpu());
+    load.left += static_cast<double>(session.life().capacity.cpu_millis) -
+                 options_.policy.serving_use * serving;
+    load.asked += static_cast<double>(session.reserved().cpu_millis +
+                                      session.fill_cpu()) -
+                  serving;
+  }
+  for (const Job* job : jobs_.OpenJobs()) {
+    const Queue* queue = QueueOf(*job);
+    if (queue != nullptr) {
+      loads[queue->service].asked +=
+          static_cast<double>(WaitingCpu(*job, unix_millis_()));
+    }
+  }
+  for (const auto& [service, load] : loads) {
+    lasting_rooms_.try_emplace(service, options_.policy.lasting_room)
+        .first->second.Observe(load, executor_.Now());
+  }
+}
+
 void CellLeader::OnAccepted(const JobPlan& plan) {
   Job* job = jobs_.Add(plan);
   if (job == nullptr) {
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -212,6 +212,7 @@
   unsure_after_pause_ = false;
   workers_read_ = Instant{};
   closed_read_ = Instant{};
+  lasting_rooms_.clear();
   reading_closed_ = false;
   summarized_ = Instant{};
   ++generation_;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -277,6 +277,7 @@
   if (now - summarized_ >= kSummaryAge) {
     summarized_ = now;
     summary_ = Summarize();
+    ObserveLoads();
   }
   WakeScheduler();
   tick_timer_ = executor_.Schedule(options_.tick, [this] {
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -31,6 +31,24 @@
   return job.plan.id + "." + std::to_string(time) + "." + std::to_string(step);
 }
 
+int64_t WaitingCpu(const Job& job, int64_t now) {
+  int64_t cpu = 0;
+  for (int time = 0; time < job.plan.repetitions(); ++time) {
+    const int64_t due = job.plan.first_due + time * job.plan.interval.count();
+    if (job.plan.times > 0 && now < due) {
+      break;
+    }
+    for (int step = 0; step < static_cast<int>(job.plan.steps.size()); ++step) {
+      const StepPlan& plan = job.plan.steps[step];
+      const int idle = job.times[time].steps[step].idle;
+      if (idle > 0 && !plan.lasting && JobTable::IsUnblocked(job, time, step)) {
+        cpu += idle * plan.size.cpu_millis;
+      }
+    }
+  }
+  return cpu;
+}
+
 void ForEachTask(Job* job, const std::function<void(Task*)>& each) {
   for (TimeState& time : job->times) {
     for (StepState& step : time.steps) {
--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -113,15 +113,6 @@
   return {3, queue.priority, due_at};
 }
 
-bool HasLastingRoom(int64_t asked,
-                    int64_t reserved,
-                    int64_t capacity,
-                    const PolicyOptions& options) {
-  return capacity <= 0 ||
-         static_cast<double>(asked + reserved) <=
-             options.lasting_share * static_cast<double>(capacity);
-}
-
 int64_t LastingCpu(const JobPlan& plan) {
   int64_t cpu = 0;
   for (const StepPlan& step : plan.steps) {
@@ -195,7 +186,6 @@
     score += kMatters * reserved;
     score += ShareOfImage(worker, need.image);
     score -= filled;
-    score += reserved / kMatters;
   } else if (step.fills) {
     // To where it disturbs least and most processors are left.
     const double cores = static_cast<double>(step.size.cpu_millis) / kMillis;
