fix(worker_session): a worker that may be back is asked for an answer at once

Cause: a look that follows one without an answer waited for an end as any other, up to 1.2 s, and prolonged nothing.

Change: looks after a failed one do not wait.

Test, failing before: six lasting tasks on a worker that is cut off for 4 s of its 6 s are started once.

--- a/src/libdoorwood/cell/cell_leader_test.cpp
+++ b/src/libdoorwood/cell/cell_leader_test.cpp
@@ -292,6 +292,30 @@
   BOOST_TEST(world.starts(std::string(kJob) + ".0.0.0") == 1);
 }
 
+// What runs in a data centre that is cut off for most of a run's lease is heard
+// and prolonged before that is over.
+BOOST_FIXTURE_TEST_CASE(Worker_CutOffForMostOfItsLease_ItsRunsGoOn,
+                        CellFixture) {
+  JobPlan plan = fakes::MakePlan(kJob, 1, 6, "");
+  plan.steps[0].lasting = true;
+  BOOST_REQUIRE(world.Submit(plan));
+  world.Run(Millis(3000));
+  for (const auto& [id, worker] : world.workers()) {
+    for (const auto& [name, instance] : world.instances()) {
+      instance->cut_from.insert(id);
+    }
+  }
+  world.Run(Millis(4000));
+  for (const auto& [name, instance] : world.instances()) {
+    instance->cut_from.clear();
+  }
+  world.Run(Millis(4000));
+  for (int index = 0; index < 6; ++index) {
+    BOOST_TEST(
+        world.starts(std::string(kJob) + ".0.0." + std::to_string(index)) == 1);
+  }
+}
+
 // The one that is told to take the key away may be the weakest that hears the
 // store: too weak to read the records of a large cell.
 BOOST_FIXTURE_TEST_CASE(OnHandedOver_StrongerOnesHearTheStore_LeavesThemTheLead,
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -135,7 +135,9 @@
 // --- Looks ---
 
 Millis WorkerSession::NextWait() const {
-  if (has_unrecorded_ends()) {
+  // One that may be back is to answer at once: a look that waits for an end
+  // would hear it 1.2 s later, and its runs' lease may be over by then.
+  if (has_unrecorded_ends() || look_failed_) {
     return Millis(0);
   }
   const bool disturbs = serving_ > 0 && fills_ > 0;
