fix(cell_leader): silence does not count towards a worker's leaving without a word

Cause: a cut worker's entry goes, and comes back up to 1.5 s after the cut.

Change: the patience counts from when the worker answers again.

Test, failing before: a cut of 4 s, entries back 1.5 s after its end.

--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -187,6 +187,8 @@
   /// Heard of lately, or not asked.
   bool responsive() const;
   Instant heard_at() const { return heard_at_; }
+  /// Since when it answers again after a silence; zero: it was not silent.
+  Instant answers_since() const { return answers_since_; }
   /// Reserved processors, memory and accelerators. Filling work reserves no
   /// processors.
   const Resources& reserved() const { return reserved_; }
@@ -261,6 +263,7 @@
   /// When the look was sent whose report was taken in last.
   Instant report_sent_{};
   Instant heard_at_{};
+  Instant answers_since_{};
   /// The worker's clock as last told, and when that was heard.
   int64_t clock_ = 0;
   Instant clock_at_{};
--- a/src/libdoorwood/cell/cell_evacuation.cpp
+++ b/src/libdoorwood/cell/cell_evacuation.cpp
@@ -47,10 +47,13 @@
 
 // Some workers leave without a word: their entry goes, and they serve on for
 // a while. How long is not told, so whatever can go on elsewhere goes at once.
+// A worker that was cut off comes back to the list only after it has answered,
+// so time in which nobody could hear it does not count.
 void CellLeader::EvacuateUnlisted(const std::string& id, const Member& member) {
-  const bool gone =
-      member.unlisted_since != Instant{} &&
-      executor_.Now() - member.unlisted_since >= options_.unlisted_patience;
+  const Instant since =
+      std::max(member.unlisted_since, member.session->answers_since());
+  const bool gone = member.unlisted_since != Instant{} &&
+                    executor_.Now() - since >= options_.unlisted_patience;
   if (!gone || !member.session->responsive()) {
     return;
   }
--- a/src/libdoorwood/cell/cell_leader_test.cpp
+++ b/src/libdoorwood/cell/cell_leader_test.cpp
@@ -316,6 +316,38 @@
   }
 }
 
+// A data centre is cut off for 4 s: its workers' entries lapse and are back 1.5
+// s after its end, while the leader reaches the workers at once.
+BOOST_FIXTURE_TEST_CASE(Worker_CutOffAndEntryBackLater_NothingMoves,
+                        CellFixture) {
+  JobPlan plan = fakes::MakePlan(kJob, 1, 6, "");
+  plan.steps[0].lasting = true;
+  BOOST_REQUIRE(world.Submit(plan));
+  world.Run(Millis(500));
+  for (const auto& [id, worker] : world.workers()) {
+    for (const auto& [name, instance] : world.instances()) {
+      instance->cut_from.insert(id);
+    }
+  }
+  world.Run(Millis(1500));
+  for (const auto& [id, worker] : world.workers()) {
+    worker->listed = false;
+  }
+  world.Run(Millis(2500));
+  for (const auto& [name, instance] : world.instances()) {
+    instance->cut_from.clear();
+  }
+  world.Run(Millis(1500));
+  for (const auto& [id, worker] : world.workers()) {
+    worker->listed = true;
+  }
+  world.Run(Millis(3000));
+  for (int index = 0; index < 6; ++index) {
+    BOOST_TEST(
+        world.starts(std::string(kJob) + ".0.0." + std::to_string(index)) == 1);
+  }
+}
+
 // The one that is told to take the key away may be the weakest that hears the
 // store: too weak to read the records of a large cell.
 BOOST_FIXTURE_TEST_CASE(OnHandedOver_StrongerOnesHearTheStore_LeavesThemTheLead,
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -100,6 +100,7 @@
   heard_at_ = executor_.Now();
   if (silent_told_) {
     silent_told_ = false;
+    answers_since_ = heard_at_;
     log_.Write("info", "worker", "a worker answers again",
                {{"worker", life_.id}});
   }
