fix(cell_leader): a wait for unheard workers is not served again by the next leader

Cause: a successor holds back whatever an unheard worker may still run until that worker's lease is surely over (9.6 s, 12.2 s with longer leases).

Ruled out: clock times in the record (clocks jump); a shorter wait (the earlier leader may go on for as long).

Change: the workers' key says for how long leaders have led without hearing each worker, renewed every second of the wait; the next one counts from there. A worker that is heard at last gets nothing prolonged and nothing new before the record says so. A worker that is heard by one leader counts anew for the next.

Tests: two takeovers, with a worker gone for good (failed before: back 3 s later); a worker heard after 1 to 5.5 s, prolonged, silent again, its leader lost or gone in order, the store away or not: nothing runs twice. Prolonging in spite of the record is not seen by these rows: the 3.5 s that a successor adds for its predecessor hide it.

Not mended: one takeover alone still waits up to 12.2 s.

--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -54,6 +54,10 @@
 struct KnownWorker {
   std::string id;
   std::string address;
+  /// For how long the leaders since the last one that heard it have led without
+  /// hearing it. None of them prolonged anything there, so that a successor
+  /// need not wait for this time once more.
+  Millis unheard{0};
 };
 
 /// A chain key as it stands.
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -65,6 +65,8 @@
   /// may hear the store and take the lead. A successor waits this long, and a
   /// run's lease, before it starts what an unheard worker may still run.
   Millis unsure_patience{3000};
+  /// While workers are unheard after a takeover, how often that is recorded.
+  Millis unheard_interval{1000};
   /// Most looks a second that watching what disturbs what may take: a large
   /// cell looks less often. A look costs a leader some 60 us.
   int watching_looks = 700;
@@ -187,6 +189,13 @@
     /// A successor has to account for what runs there before it starts
     /// anything that may run there.
     bool from_takeover = false;
+    /// How long earlier leaders had waited for it unheard.
+    Millis unheard_before{0};
+    /// The record may say that it is unheard: nothing is prolonged there before
+    /// it says otherwise, since a successor counts on that.
+    bool told_unheard = false;
+    /// It is heard, and that is about to be recorded.
+    bool heard_recorded = false;
     /// After a refusal it gets nothing new until then.
     Instant rests_until{};
     /// What placement was told last, of which version and when.
@@ -230,6 +239,10 @@
   void NoteUnlisted();
   void AddMember(const WorkerLife& life, bool from_takeover);
   void RecordMembers();
+  /// Nothing of this leader has reached it, nor will before it is heard.
+  bool IsUnheard(const Member& member) const;
+  Millis LedFor() const;
+  void RecordUnheard();
   void DropMembers();
   bool MayOrder() const;
   Millis WatchingWait() const;
@@ -331,6 +344,8 @@
   /// Written with the lead key, to know an unanswered win by.
   uint64_t campaign_nonce_ = 0;
   Instant led_since_{};
+  /// When it was last recorded for how long workers are unheard.
+  Instant unheard_recorded_{};
   Instant last_tick_{};
   /// The process stood still: its lead must be confirmed before it orders.
   bool unsure_after_pause_ = false;
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -209,6 +209,7 @@
   accounted_ = false;
   led_since_ = executor_.Now();
   last_tick_ = led_since_;
+  unheard_recorded_ = led_since_;
   unsure_after_pause_ = false;
   workers_read_ = Instant{};
   closed_read_ = Instant{};
@@ -231,6 +232,10 @@
     // Not yet known to be there still: nothing new goes there.
     life.draining = true;
     AddMember(life, /*from_takeover=*/true);
+    Member& member = members_.at(worker.id);
+    member.unheard_before = worker.unheard;
+    member.told_unheard = worker.unheard > Millis(0);
+    member.session->SetMayExtend(!member.told_unheard);
   }
   waves_.Open(live_.self().name, epoch_);
   Tick();
--- a/src/libdoorwood/cell/cell_doubt_test.cpp
+++ b/src/libdoorwood/cell/cell_doubt_test.cpp
@@ -140,6 +140,99 @@
   ExpectNothingBroken("store down");
 }
 
+// Two takeovers, with a worker that is gone for good and whose runs stand in
+// the way: the second leader goes on with the first one's wait.
+BOOST_FIXTURE_TEST_CASE(Successor_WorkerIsGoneForTwoLeaders_WaitIsServedOnce,
+                        CutLeaderFixture) {
+  world.AddInstance("d1", "plaka");
+  world.AddInstance("e1", "pireas");
+  world.Run(Millis(1000));
+  for (const auto& [name, instance] : world.instances()) {
+    instance->cut_from.insert("shared");
+  }
+  world.workers().at("shared")->listed = false;
+  world.Kill(old->name);
+  BOOST_REQUIRE(world.WaitForLeader() != nullptr);
+  world.Run(Millis(6000));
+  world.Kill(world.Leader()->name);
+  BOOST_REQUIRE(world.WaitForLeader() != nullptr);
+  world.Run(Millis(5000));
+  for (const char* task : {".0.0.0", ".0.0.1"}) {
+    BOOST_TEST(
+        world.workers().at("near")->model.Runs(kJob + std::string(task)));
+  }
+  ExpectNothingBroken("served once");
+}
+
+// The first successor hears the worker after 1 to 5.5 s, prolongs what runs
+// there for 0.1 to 2.1 s, and is gone; the worker is silent again. What it was
+// told counts, not what the record said before. With the store away when the
+// worker is heard, nothing is prolonged. Leaders that leave in order are
+// followed at once, which leaves the least time.
+struct HeardAndLost {
+  int unheard;
+  int heard;
+  bool leaves;
+  bool store_away;
+};
+
+std::vector<HeardAndLost> HeardAndLostRows() {
+  std::vector<HeardAndLost> rows;
+  for (int unheard = 1000; unheard <= 5500; unheard += 500) {
+    for (int heard = 100; heard <= 2100; heard += 400) {
+      rows.push_back({unheard, heard, false, false});
+      rows.push_back({unheard, heard, false, true});
+      rows.push_back({unheard, heard, true, false});
+      rows.push_back({unheard, heard, true, true});
+    }
+  }
+  return rows;
+}
+
+BOOST_AUTO_TEST_CASE(Successor_UnheardWorkerIsHeardAndLost_NothingRunsTwice) {
+  for (const HeardAndLost& row : HeardAndLostRows()) {
+    CutLeaderFixture fixture;
+    fakes::CellWorld& world = fixture.world;
+    world.AddInstance("d1", "plaka");
+    world.AddInstance("e1", "pireas");
+    world.Run(Millis(1000));
+    const auto end = [&](fakes::WorldInstance* leader) {
+      if (row.leaves && !leader->store_faults.silent) {
+        leader->live->AnnounceLeaving();
+        leader->cell->Leave([] {});
+        world.Run(Millis(300));
+      } else if (world.instances().contains(leader->name)) {
+        world.Kill(leader->name);
+      }
+    };
+    const auto cut = [&] {
+      for (const auto& [name, instance] : world.instances()) {
+        instance->cut_from.insert("shared");
+      }
+    };
+    cut();
+    end(fixture.old);
+    BOOST_REQUIRE(world.WaitForLeader() != nullptr);
+    fakes::WorldInstance* first = world.Leader();
+    world.Run(Millis(row.unheard));
+    first->store_faults.silent = row.store_away;
+    first->cut_from.clear();
+    world.Run(Millis(row.heard));
+    cut();
+    end(first);
+    world.Run(Millis(16'000));
+    for (const auto& [name, instance] : world.instances()) {
+      instance->cut_from.clear();
+    }
+    world.Run(Millis(3000));
+    const std::string context =
+        std::to_string(row.unheard) + " " + std::to_string(row.heard) +
+        (row.leaves ? " leaves" : "") + (row.store_away ? " store away" : "");
+    fixture.ExpectNothingBroken(context);
+    BOOST_TEST(fixture.Runs(std::string(kJob) + ".0.0.0"), context);
+  }
+}
+
 // Runs 1 and 2 fail while the store is away, or only the second does, so that
 // one or both failures stand in no record; the worker of one is cut off from
 // the successor. Four attempts are four also then.
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -204,6 +204,12 @@
 
 void CellLeader::OnReport(WorkerSession& session) {
   PaceWorker(session);
+  const auto member = members_.find(session.life().id);
+  if (member != members_.end() && member->second.told_unheard &&
+      !member->second.heard_recorded) {
+    member->second.heard_recorded = true;
+    RecordMembers();
+  }
   // Ends that change nothing need no record.
   if (journal_.idle()) {
     OnEndsRecorded(ListedEnds());
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -68,7 +68,7 @@
 std::string EncodeWorkers(const std::vector<KnownWorker>& workers) {
   Json rows = Json::array();
   for (const KnownWorker& worker : workers) {
-    rows.push_back({worker.id, worker.address});
+    rows.push_back({worker.id, worker.address, worker.unheard.count()});
   }
   return rows.dump();
 }
@@ -78,8 +78,10 @@
   const auto json = ParseJson(text);
   if (json && json->is_array()) {
     for (const Json& row : *json) {
-      workers.push_back(
-          {row.at(0).get<std::string>(), row.at(1).get<std::string>()});
+      // Earlier versions wrote no third field.
+      const int64_t unheard = row.size() > 2 ? row.at(2).get<int64_t>() : 0;
+      workers.push_back({row.at(0).get<std::string>(),
+                         row.at(1).get<std::string>(), Millis(unheard)});
     }
   }
   return workers;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -246,19 +246,20 @@
   if (now - closed_read_ >= options_.closed_interval) {
     ReadClosed();
   }
+  RecordUnheard();
+  const bool may_extend = MayOrder();
+  const Millis watching_wait = WatchingWait();
   std::vector<std::shared_ptr<WorkerSession>> sessions;
   for (const auto& [id, member] : members_) {
+    member.session->SetMayExtend(may_extend && !member.told_unheard);
+    member.session->SetSureUntil(live_.lease_sure_until());
+    member.session->SetShortWait(watching_wait);
     sessions.push_back(member.session);
   }
-  const bool may_extend = MayOrder();
-  const Millis watching_wait = WatchingWait();
   for (const auto& session : sessions) {
     if (!leading()) {
       return;
     }
-    session->SetMayExtend(may_extend);
-    session->SetSureUntil(live_.lease_sure_until());
-    session->SetShortWait(watching_wait);
     session->Tick();
   }
   if (!leading()) {
@@ -293,18 +294,19 @@
   if (!live_.IsLeaseSure()) {
     return;  // a further leader may have adopted what is waited for
   }
-  const Millis lease = LongestOnOurClock(options_.sessions.run_lease);
-  const bool lapsed = executor_.Now() > led_since_ + lease +
-                                            options_.unsure_patience +
-                                            kLastOrders;
-  const bool all_heard =
-      std::all_of(members_.begin(), members_.end(), [](const auto& entry) {
-        return !entry.second.from_takeover || entry.second.session->fenced() ||
-               entry.second.session->dead();
+  const Millis longest = LongestOnOurClock(options_.sessions.run_lease) +
+                         options_.unsure_patience + kLastOrders;
+  const bool accounted =
+      std::all_of(members_.begin(), members_.end(), [&](const auto& entry) {
+        const Member& member = entry.second;
+        return !IsUnheard(member) || member.unheard_before + LedFor() > longest;
       });
-  if (!lapsed && !(all_heard && workers_read_ != Instant{})) {
+  if (!accounted || workers_read_ == Instant{}) {
     return;
   }
+  const bool all_heard = std::none_of(
+      members_.begin(), members_.end(),
+      [this](const auto& entry) { return IsUnheard(entry.second); });
   accounted_ = true;
   for (const auto& [id, job] : jobs_.jobs()) {
     ForEachTask(job.get(), [](Task* task) { task->unaccounted = false; });
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -2,6 +2,7 @@
 
 // The workers of a cell: who is in it, and since when they may be given work.
 
+#include <algorithm>
 #include <utility>
 
 #include "doorwood/cell_leader.h"
@@ -136,18 +137,58 @@
 
 void CellLeader::RecordMembers() {
   std::vector<KnownWorker> known;
-  for (const auto& [id, member] : members_) {
-    known.push_back({id, member.session->life().address});
+  for (auto& [id, member] : members_) {
+    KnownWorker worker{id, member.session->life().address, Millis(0)};
+    if (IsUnheard(member)) {
+      worker.unheard = member.unheard_before + LedFor();
+      member.told_unheard = true;
+    }
+    known.push_back(std::move(worker));
   }
   journal_.SetWorkers(std::move(known));
 }
 
+bool CellLeader::IsUnheard(const Member& member) const {
+  return member.from_takeover && !accounted_ && !member.session->fenced() &&
+         !member.session->dead();
+}
+
+Millis CellLeader::LedFor() const {
+  return std::chrono::duration_cast<Millis>(executor_.Now() - led_since_);
+}
+
+// A wait that is served once is not served again by the next leader: with three
+// workers gone for good, two takeovers in ten seconds held all stopped lasting
+// work back for eighteen.
+void CellLeader::RecordUnheard() {
+  const Instant now = executor_.Now();
+  if (accounted_ || !live_.IsLeaseSure() ||
+      now - unheard_recorded_ < options_.unheard_interval) {
+    return;
+  }
+  unheard_recorded_ = now;
+  const bool any = std::any_of(
+      members_.begin(), members_.end(),
+      [this](const auto& entry) { return IsUnheard(entry.second); });
+  if (any) {
+    RecordMembers();
+  }
+}
+
 void CellLeader::OnWorkersRecorded(const std::vector<KnownWorker>& workers) {
   bool changed = false;
   for (const KnownWorker& worker : workers) {
     const auto found = members_.find(worker.id);
-    if (found != members_.end() && !found->second.recorded) {
-      found->second.recorded = true;
+    if (found == members_.end()) {
+      continue;
+    }
+    Member& member = found->second;
+    if (worker.unheard == Millis(0) && member.told_unheard) {
+      member.told_unheard = false;
+      changed = true;
+    }
+    if (!member.recorded) {
+      member.recorded = true;
       changed = true;
     }
   }
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -184,9 +184,9 @@
   for (auto& [id, member] : members_) {
     RefreshRoom(id, &member);
     const WorkerSession& session = *member.session;
-    const bool open = member.recorded && member.listed &&
-                      session.responsive() && !session.life().draining &&
-                      now >= member.rests_until &&
+    const bool open = member.recorded && !member.told_unheard &&
+                      member.listed && session.responsive() &&
+                      !session.life().draining && now >= member.rests_until &&
                       now >= member.emptied_until && !IsClosed(member) &&
                       trust_.Allows(id, now);
     if (open != member.room.open) {
