fix(cell_members): nothing is prolonged from the moment a worker is told unheard

Cause: the next tick, up to 100 ms later, told the session; a worker heard in between was prolonged though the record on its way called it unheard. Found in reading.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -47,7 +47,8 @@
   /// How often the list of workers is read while leading.
   Millis list_interval{450};
   /// How often it is read which data centres are closed to new work. The
-  /// platform's bound is 5 s; half of a store's longest answer is 0.2 s.
+  /// platform's bound is 5 s; with a store that takes 0.4 s to answer, what is
+  /// known is 1.1 s old at most.
   Millis closed_interval{700};
   Millis tick{100};
   /// How long a finished job can be asked for.
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -142,6 +142,7 @@
     if (IsUnheard(member)) {
       worker.unheard = member.unheard_before + LedFor();
       member.told_unheard = true;
+      member.session->SetMayExtend(false);
     }
     known.push_back(std::move(worker));
   }
