--- a/src/libdoorwood/cell/cell_doubt_test.cpp
+++ b/src/libdoorwood/cell/cell_doubt_test.cpp
@@ -9,70 +9,13 @@
 #include <vector>
 
 #include "fakes/cell_world.h"
+#include "libdoorwood/cell/cut_leader_fixture.h"
 
 namespace doorwood {
 namespace {
 
-constexpr char kJob[] = "00112233aabbccdd";
-
-// Two workers: "shared" runs the task; "near" is reached by the old leader
-// only once it is cut off.
-struct CutLeaderFixture {
-  CutLeaderFixture() : world(7) {
-    world.SetTable({fakes::MakeQueue("queue", 4)});
-    world.AddWorker("shared", 8000);
-    world.AddInstance("a1", "plaka");
-    world.AddInstance("b1", "kerameikos");
-    world.AddInstance("c1", "pireas");
-    world.WaitForLeader();
-    world.Run(Millis(1000));
-    old = world.Leader();
-    BOOST_REQUIRE(world.Submit(Plan()));
-    world.Run(Millis(500));
-    world.AddWorker("near", 8000);
-    world.Run(Millis(1500));
-  }
-
-  static JobPlan Plan() {
-    JobPlan plan = fakes::MakePlan(kJob, 1, 2, "");
-    plan.steps[0].lasting = true;
-    return plan;
-  }
-
-  void CutOldLeader() const {
-    old->store_faults.silent = true;
-    old->cut_from_peers = true;
-    for (const auto& [name, instance] : world.instances()) {
-      if (instance != old) {
-        instance->cut_from.insert("near");
-      }
-    }
-  }
-
-  void Heal() const {
-    for (const auto& [name, instance] : world.instances()) {
-      instance->store_faults = {};
-      instance->cut_from_peers = false;
-      instance->cut_from.clear();
-    }
-  }
-
-  bool Runs(const std::string& task) const {
-    const auto& workers = world.workers();
-    return std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
-      return entry.second->model.Runs(task);
-    });
-  }
-
-  void ExpectNothingBroken(const std::string& context) const {
-    for (const std::string& rule : world.broken()) {
-      BOOST_ERROR(context + ": " + rule);
-    }
-  }
-
-  mutable fakes::CellWorld world;
-  fakes::WorldInstance* old = nullptr;
-};
+using fakes::CutLeaderFixture;
+using fakes::kLastingJob;
 
 // The worker falls silent to the old leader 0 to 6 s before that one is cut
 // off; the successor reaches it, adopts what runs there and prolongs it.
@@ -88,7 +31,7 @@
     fixture.world.Run(Millis(8000));
     fixture.ExpectNothingBroken("healed, " + std::to_string(before));
     for (const char* task : {".0.0.0", ".0.0.1"}) {
-      BOOST_TEST(fixture.Runs(kJob + std::string(task)));
+      BOOST_TEST(fixture.Runs(kLastingJob + std::string(task)));
     }
   }
 }
@@ -116,8 +59,8 @@
     instance->cut_from.insert("shared");
   }
   world.Run(Millis(9000));
-  BOOST_TEST(
-      world.workers().at("near")->model.Runs(std::string(kJob) + ".0.0.0"));
+  BOOST_TEST(world.workers().at("near")->model.Runs(std::string(kLastingJob) +
+                                                    ".0.0.0"));
   ExpectNothingBroken("sure leader");
 }
 
@@ -135,8 +78,8 @@
     instance->store_faults.down = false;
   }
   world.Run(Millis(6000));
-  BOOST_TEST(
-      world.workers().at("near")->model.Runs(std::string(kJob) + ".0.0.0"));
+  BOOST_TEST(world.workers().at("near")->model.Runs(std::string(kLastingJob) +
+                                                    ".0.0.0"));
   ExpectNothingBroken("store down");
 }
 
@@ -158,8 +101,8 @@
   BOOST_REQUIRE(world.WaitForLeader() != nullptr);
   world.Run(Millis(5000));
   for (const char* task : {".0.0.0", ".0.0.1"}) {
-    BOOST_TEST(
-        world.workers().at("near")->model.Runs(kJob + std::string(task)));
+    BOOST_TEST(world.workers().at("near")->model.Runs(kLastingJob +
+                                                      std::string(task)));
   }
   ExpectNothingBroken("served once");
 }
@@ -229,7 +172,7 @@
         std::to_string(row.unheard) + " " + std::to_string(row.heard) +
         (row.leaves ? " leaves" : "") + (row.store_away ? " store away" : "");
     fixture.ExpectNothingBroken(context);
-    BOOST_TEST(fixture.Runs(std::string(kJob) + ".0.0.0"), context);
+    BOOST_TEST(fixture.Runs(std::string(kLastingJob) + ".0.0.0"), context);
   }
 }
 
@@ -265,9 +208,9 @@
     world.WaitForLeader();
     world.Run(Millis(1000));
     fakes::WorldInstance* old = world.Leader();
-    const std::string task = std::string(kJob) + ".0.0.0";
-    BOOST_REQUIRE(
-        world.Submit(fakes::MakePlan(kJob, 1, 1, "ms=1200 fails=999999")));
+    const std::string task = std::string(kLastingJob) + ".0.0.0";
+    BOOST_REQUIRE(world.Submit(
+        fakes::MakePlan(kLastingJob, 1, 1, "ms=1200 fails=999999")));
     const auto runner = [&] {
       for (const auto& [id, worker] : world.workers()) {
         if (worker->model.Runs(task)) {
@@ -308,7 +251,7 @@
     BOOST_TEST_CONTEXT("recorded " << recorded << ", cut run " << cut_run
                                    << " for " << cut_for) {
       BOOST_TEST(world.starts(task) == 4);
-      const auto state = world.StateOf(kJob);
+      const auto state = world.StateOf(kLastingJob);
       BOOST_TEST((state ? ToString(*state) : "not known") == "failed");
     }
   }
--- /dev/null
+++ b/src/libdoorwood/cell/cut_leader_fixture.h
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// A leader and its successor, between which cuts can be made; for tests of
+/// who may conclude what.
+
+#ifndef DOORWOOD_CUT_LEADER_FIXTURE_H_
+#define DOORWOOD_CUT_LEADER_FIXTURE_H_
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "fakes/cell_world.h"
+
+namespace doorwood::fakes {
+
+inline constexpr char kLastingJob[] = "00112233aabbccdd";
+
+/// Two workers: "shared" runs the task; "near" is reached by the old leader
+/// only once it is cut off.
+struct CutLeaderFixture {
+  CutLeaderFixture() : world(7) {
+    world.SetTable({MakeQueue("queue", 4)});
+    world.AddWorker("shared", 8000);
+    world.AddInstance("a1", "plaka");
+    world.AddInstance("b1", "kerameikos");
+    world.AddInstance("c1", "pireas");
+    world.WaitForLeader();
+    world.Run(Millis(1000));
+    old = world.Leader();
+    BOOST_REQUIRE(world.Submit(Plan()));
+    world.Run(Millis(500));
+    world.AddWorker("near", 8000);
+    world.Run(Millis(1500));
+  }
+
+  static JobPlan Plan() {
+    JobPlan plan = MakePlan(kLastingJob, 1, 2, "");
+    plan.steps[0].lasting = true;
+    return plan;
+  }
+
+  void CutOldLeader() const {
+    old->store_faults.silent = true;
+    old->cut_from_peers = true;
+    for (const auto& [name, instance] : world.instances()) {
+      if (instance != old) {
+        instance->cut_from.insert("near");
+      }
+    }
+  }
+
+  void Heal() const {
+    for (const auto& [name, instance] : world.instances()) {
+      instance->store_faults = {};
+      instance->cut_from_peers = false;
+      instance->cut_from.clear();
+    }
+  }
+
+  bool Runs(const std::string& task) const {
+    const auto& workers = world.workers();
+    return std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
+      return entry.second->model.Runs(task);
+    });
+  }
+
+  void ExpectNothingBroken(const std::string& context) const {
+    for (const std::string& rule : world.broken()) {
+      BOOST_ERROR(context + ": " + rule);
+    }
+  }
+
+  mutable CellWorld world;
+  WorldInstance* old = nullptr;
+};
+
+}  // namespace doorwood::fakes
+
+#endif  // DOORWOOD_CUT_LEADER_FIXTURE_H_
