feat(live_directory, worker_session): logs tell by which lease a leader is sure

Cause: nothing told whether a leader that concluded from silence was still sure by the lease that its lead was taken with, or by a later one, so two of the hypotheses of the incident looked alike. Change: 'lease granted' and 'lease lost' name the lease and how many leads are held to be one's own; 'lead taken' names the lease; 'the lease of a silent worker is surely over' says how long the worker was not heard and how long the leader is sure for.

--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -151,6 +151,8 @@
   void ReturnIfGone();
   void AskOthers();
   void Ask(const LiveInstance& instance);
+  /// Leads that are taken to be this instance's.
+  size_t CountOwnLeads() const;
 
   Executor& executor_;
   RecordStore& store_;
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -137,7 +137,9 @@
   live_.SetLead({options_.cell, live_.self().name, live_.self().address, epoch,
                  campaign_nonce_});
   log_.Write("info", "cell", "lead taken",
-             {{"cell", options_.cell}, {"epoch", epoch}});
+             {{"cell", options_.cell},
+              {"epoch", epoch},
+              {"lease", live_.lease().value_or(0)}});
   ReadRecords();
 }
 
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -11,6 +11,10 @@
 // Added to the proof that a lease is over, for rounding and timer lateness.
 constexpr Millis kLapseMargin{300};
 
+int64_t MillisBetween(Instant from, Instant to) {
+  return std::chrono::duration_cast<Millis>(to - from).count();
+}
+
 bool IsListed(const std::vector<ActiveRun>& active, const Run& run) {
   return std::any_of(active.begin(), active.end(), [&](const ActiveRun& row) {
     return row.task == run.task && row.run == run.number;
@@ -388,7 +392,10 @@
   }
   if (!runs_.empty() && HasLapsed() && MayConclude()) {
     log_.Write("warn", "worker", "the lease of a silent worker is surely over",
-               {{"worker", life_.id}, {"runs", runs_.size()}});
+               {{"worker", life_.id},
+                {"runs", runs_.size()},
+                {"heard_ms_ago", MillisBetween(heard_at_, now)},
+                {"sure_for_ms", MillisBetween(now, sure_until_)}});
     EndAll();
     return;
   }
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -167,7 +167,8 @@
         failing_since_ = Instant{};
         store_heard_at_ = executor_.Now();
         lease_sure_until_ = sent + options_.lifetime;
-        log_.Write("info", "live", "lease granted", {{"lease", lease}});
+        log_.Write("info", "live", "lease granted",
+                   {{"lease", lease}, {"own_leads", CountOwnLeads()}});
         Register();
         executor_.Schedule(options_.keep_interval, [this] { Keep(); });
         on_change_();
@@ -230,7 +231,10 @@
 }
 
 void LiveDirectory::Lose(std::string_view reason) {
-  log_.Write("warn", "live", "lease lost", {{"reason", reason}});
+  log_.Write("warn", "live", "lease lost",
+             {{"reason", reason},
+              {"lease", lease_.value_or(0)},
+              {"own_leads", CountOwnLeads()}});
   lease_.reset();
   registered_since_.reset();
   on_change_();
@@ -361,6 +365,12 @@
   }
 }
 
+size_t LiveDirectory::CountOwnLeads() const {
+  return std::count_if(leads_.begin(), leads_.end(), [this](const auto& lead) {
+    return lead.second.instance == self_.name;
+  });
+}
+
 void LiveDirectory::SetLead(const CellLead& lead) {
   leads_[lead.cell] = lead;
 }
