fix(cell_leader): a lead is proved by its key; silence is believed only after it

Cause: a leader was sure to lead for 2 s after the store had last granted or renewed a lease to its process. A lease that is lost is replaced at once, and the lead's key, which went with the lost one, is missed only by the next watch or list: until then the old leader was sure of a lead that another instance had. The store may also take the key away and go on renewing the lease. A worker's lease that ran out, or another life at its address, ends runs only if the key was seen to stand later than that; orders and prolonging go on for 3 s after it, as a moment that each order is checked against and that bounds its lease end, not as a flag set by the last tick. A process that stood still needs nobody to tell it. Leads are forgotten with their lease.

--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -99,6 +99,8 @@
   virtual void OnStateRecorded(const std::string& job) = 0;
   virtual void OnEndsRecorded(const std::map<std::string, uint64_t>& ends) = 0;
   virtual void OnWorkersRecorded(const std::vector<KnownWorker>& workers) = 0;
+  /// A batch that was sent then has met the lead key as it is expected.
+  virtual void OnLeadShown(Instant sent) = 0;
   /// Another instance leads, or nobody.
   virtual void OnLeadLost(std::string_view reason) = 0;
 };
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -23,6 +23,7 @@
 #include "doorwood/event_log.h"
 #include "doorwood/executor.h"
 #include "doorwood/job_table.h"
+#include "doorwood/lead_proof.h"
 #include "doorwood/live_directory.h"
 #include "doorwood/machine_platform.h"
 #include "doorwood/pacing.h"
@@ -42,6 +43,7 @@
   std::string data_centre;
   WorkerSessionOptions sessions;
   JournalOptions journal;
+  LeadProofOptions proof;
   PolicyOptions policy;
   WaveOptions waves;
   /// How often the list of workers is read while leading.
@@ -62,10 +64,17 @@
   Millis campaign_settle{300};
   /// How often a candidate, or a reader of the records, tries again.
   Millis retry_pause{150};
-  /// How long a leader goes on after its lease may have run out, where others
-  /// may hear the store and take the lead. A successor waits this long, and a
-  /// run's lease, before it starts what an unheard worker may still run.
+  /// How long after its key was last seen to stand a leader is sure enough to
+  /// give orders that nothing fences.
+  Millis sure_for{2000};
+  /// How long after its key was last seen to stand a leader goes on giving
+  /// orders, where others may hear the store and take the lead. A successor
+  /// waits this long, and a run's lease, before it starts what an unheard
+  /// worker may still run.
   Millis unsure_patience{3000};
+  /// While the store is down for all, how long orders may be given and leases
+  /// prolonged without asking the others once more.
+  Millis outage_patience{500};
   /// While workers are unheard after a takeover, how often that is recorded.
   Millis unheard_interval{1000};
   /// Most looks a second that watching what disturbs what may take: a large
@@ -107,6 +116,7 @@
 
 class CellLeader : public WorkerSessionListener,
                    public JournalOwner,
+                   public LeadProofListener,
                    public WaveHost {
  public:
   using SubmitCallback = CellJournal::AcceptCallback;
@@ -171,8 +181,13 @@
   void OnStateRecorded(const std::string& job) override;
   void OnEndsRecorded(const std::map<std::string, uint64_t>& ends) override;
   void OnWorkersRecorded(const std::vector<KnownWorker>& workers) override;
+  void OnLeadShown(Instant sent) override;
   void OnLeadLost(std::string_view reason) override;
 
+  // LeadProofListener
+  void OnLeadProved() override;
+  void OnLeadDisproved(std::string_view reason) override;
+
   // WaveHost
   Occupancy EmptyWorker(const std::string& worker) override;
 
@@ -245,7 +260,12 @@
   Millis LedFor() const;
   void RecordUnheard();
   void DropMembers();
+  /// Until when orders may be given and leases prolonged.
+  Instant OrdersUntil() const;
   bool MayOrder() const;
+  /// The key was seen to stand lately.
+  bool IsSure() const;
+  void TellSession(const Member& member) const;
   Millis WatchingWait() const;
   void Tick();
   void ForgetOldJobs();
@@ -378,6 +398,7 @@
   std::map<std::string, Queue> known_queues_;
   JobTable jobs_;
   CellJournal journal_;
+  LeadProof proof_;
   WorkerTrust trust_;
   InterferenceModel interference_;
   RunTimeModel run_times_;
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -107,8 +107,6 @@
   std::optional<int64_t> lease() const { return lease_; }
   /// The store has confirmed the lease so lately that it can't have run out.
   bool IsLeaseSure() const;
-  /// When the lease was last sure.
-  Instant lease_sure_until() const { return lease_sure_until_; }
   /// Since when the store has had this instance's key, as far as it has said;
   /// nothing while it has not.
   std::optional<Instant> registered_since() const { return registered_since_; }
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -160,12 +160,19 @@
 
   /// Longest wait of a look that watches what disturbs what, from now on.
   void SetShortWait(Millis wait) { short_wait_ = wait; }
-  /// False: the leader is not sure to lead and prolongs nothing.
-  void SetMayExtend(bool may_extend) { may_extend_ = may_extend; }
-  /// Until then nobody else can have prolonged what runs there, so that silence
-  /// and another life's answer prove runs over. Later they prove nothing: a
-  /// successor may have adopted the runs, kept them, or started them again.
-  void SetSureUntil(Instant until) { sure_until_ = until; }
+  /// Nothing is prolonged from then on, and no order carries a later lease end
+  /// than one that is sent then: a successor counts on it. A moment and not a
+  /// flag, so that a process that stood still needs nobody to tell it.
+  void SetExtendUntil(Instant until) { extend_until_ = until; }
+  /// Nobody else can have prolonged anything there before then, so that a lease
+  /// that ran out earlier, or another life that answered earlier, proves runs
+  /// over. What comes later proves nothing yet: a successor may have adopted
+  /// the runs, kept them, or started them again.
+  void SetLedUntil(Instant until) { led_until_ = until; }
+  /// Something is over if this leader still leads.
+  bool awaits_proof() const { return OverSince().has_value(); }
+  /// Ends what the lead's proof allows to be called over.
+  void Conclude();
   /// Lists what has ended up to here; only these may be forgotten.
   void MarkRecorded(uint64_t end_number);
   /// Newer word from the directory; `life.id` stays.
@@ -218,9 +225,13 @@
   void SendPace(Run* run);
   void Die();
   void TakeClock(int64_t clock);
-  int64_t LeaseUntil();
-  bool HasLapsed() const;
-  bool MayConclude() const;
+  /// The lease end that an order of that moment carries, on the worker's clock.
+  int64_t LeaseEnd(Instant at);
+  /// When, on this clock, all leases there are over if nobody else prolongs
+  /// them; nothing: the worker's clock is not known.
+  std::optional<Instant> LapsedAt() const;
+  /// Since when all that runs there is over if this leader still leads.
+  std::optional<Instant> OverSince() const;
   Millis NextWait() const;
   /// Adds (1) or takes off (-1) what the run reserves.
   void Count(const Run& run, int sign);
@@ -238,10 +249,12 @@
   const uint64_t token_;
 
   Millis short_wait_;
-  bool may_extend_ = true;
-  Instant sure_until_{};
+  Instant extend_until_{};
+  Instant led_until_{};
   bool closed_ = false;
   bool dead_ = false;
+  /// When another life was heard of.
+  Instant died_at_{};
   bool fenced_ = false;
   bool fence_told_ = false;
   bool silent_told_ = false;
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -140,6 +140,7 @@
              {{"cell", options_.cell},
               {"epoch", epoch},
               {"lease", live_.lease().value_or(0)}});
+  proof_.Open(epoch);
   ReadRecords();
 }
 
--- a/src/libdoorwood/cell/cell_journal_answers.cpp
+++ b/src/libdoorwood/cell/cell_journal_answers.cpp
@@ -27,7 +27,9 @@
                            std::error_code error,
                            const StoreCommit& commit) {
   if (!error) {
+    const Instant sent = lanes_[lane].batch->sent;
     Succeed(lane, commit.revision);
+    owner_.OnLeadShown(sent);
     return;
   }
   if (error == make_error_code(KvErrc::kConflict)) {
--- a/src/libdoorwood/cell/cell_journal_load_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_load_test.cpp
@@ -94,6 +94,7 @@
     recorded_end = ends.at("w");
   }
   void OnWorkersRecorded(const std::vector<KnownWorker>&) override {}
+  void OnLeadShown(Instant) override {}
   void OnLeadLost(std::string_view) override { lost = true; }
 
   Millis Since(Instant instant) {
--- a/src/libdoorwood/cell/cell_journal_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_test.cpp
@@ -79,6 +79,7 @@
     ends_recorded = ends;
   }
   void OnWorkersRecorded(const std::vector<KnownWorker>&) override {}
+  void OnLeadShown(Instant) override {}
   void OnLeadLost(std::string_view) override {
     lost = true;
     journal.Close();
--- a/src/libdoorwood/cell/cell_lead_proof_test.cpp
+++ b/src/libdoorwood/cell/cell_lead_proof_test.cpp
@@ -2,16 +2,16 @@
 
 // Seen: tasks that ran in one data centre were started a second time in the
 // leader's own, nineteen of them at once, and the second runs were stopped
-// when the leader heard of the first ones.
+// when somebody heard of the first ones.
 // How: the leader had lost the store, and with it the lead. Its successor had
 // adopted the runs and kept them. The old leader reached the store again, was
 // granted a new lease, and took it for proof that it still led; its own
 // promises to workers that it could not hear were over, so it took their runs
-// for over. Cause: what proves a lead is the lead's key, not that the store
-// renews or grants a lease to the same instance. Proof: with the lead bound to
-// the lease that its key goes with, and silence believed only after the key was
-// seen to stand later than the worker's lease ran out, no case below starts
-// anything; without either, the cases fail.
+// for over.
+// Cause: a lead is proved by its key, not by what the store grants or renews.
+// Proof: the leader's log names the lease that its lead was taken with, and a
+// later one granted just before it called the runs over. With silence believed
+// only after a later look at the key nothing below starts twice.
 
 #include <boost/test/unit_test.hpp>
 #include <string>
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -43,6 +43,7 @@
       unix_millis_(std::move(unix_millis)),
       options_(options),
       journal_(executor, store, log, *this, options.journal, options.cell),
+      proof_(executor, store, *this, options.proof, LeadKey(options.cell)),
       trust_(options.policy),
       interference_(options.policy.interference),
       run_times_(options.policy.run_times),
@@ -83,6 +84,10 @@
   StepDown(reason);
 }
 
+void CellLeader::OnLeadDisproved(std::string_view reason) {
+  StepDown(reason);
+}
+
 void CellLeader::OnFenced(WorkerSession& session) {
   log_.Write("warn", "cell", "a worker has seen a newer leader",
              {{"worker", session.life().id}, {"epoch", epoch_}});
@@ -110,6 +115,7 @@
     tick_timer_ = 0;
   }
   journal_.Close();
+  proof_.Close();
   tickets_.Clear();
   waves_.Close();
   auto cancels = std::move(cancels_);
@@ -202,13 +208,48 @@
 
 // --- Time ---
 
-bool CellLeader::MayOrder() const {
+Instant CellLeader::OrdersUntil() const {
   if (!leading() || unsure_after_pause_) {
-    return false;
+    return Instant{};
+  }
+  const Instant proved = proof_.stood_at() + options_.unsure_patience;
+  return live_.IsStoreDownForAll()
+             ? std::max(proved, executor_.Now() + options_.outage_patience)
+             : proved;
+}
+
+bool CellLeader::MayOrder() const {
+  return executor_.Now() < OrdersUntil();
+}
+
+bool CellLeader::IsSure() const {
+  return executor_.Now() < proof_.stood_at() + options_.sure_for;
+}
+
+void CellLeader::TellSession(const Member& member) const {
+  member.session->SetExtendUntil(member.told_unheard ? Instant{}
+                                                     : OrdersUntil());
+  member.session->SetLedUntil(proof_.stood_at());
+}
+
+void CellLeader::OnLeadShown(Instant sent) {
+  proof_.NoteShown(sent);
+}
+
+void CellLeader::OnLeadProved() {
+  if (!leading()) {
+    return;
+  }
+  std::vector<std::shared_ptr<WorkerSession>> waiting;
+  for (const auto& [id, member] : members_) {
+    TellSession(member);
+    if (member.session->awaits_proof()) {
+      waiting.push_back(member.session);
+    }
+  }
+  for (const auto& session : waiting) {
+    session->Conclude();
   }
-  return executor_.Now() <
-             live_.lease_sure_until() + options_.unsure_patience ||
-         live_.IsStoreDownForAll();
 }
 
 Millis CellLeader::WatchingWait() const {
@@ -224,15 +265,14 @@
     return;
   }
   const Instant now = executor_.Now();
-  if (now - last_tick_ > options_.tick + kPauseNoticed &&
-      !live_.IsLeaseSure()) {
+  if (now - last_tick_ > options_.tick + kPauseNoticed && !IsSure()) {
     unsure_after_pause_ = true;
     log_.Write("warn", "cell",
                "this process stood still; no orders until the "
                "lead is confirmed",
                {{"cell", options_.cell}});
   }
-  if (live_.IsLeaseSure()) {
+  if (IsSure()) {
     unsure_after_pause_ = false;
   }
   last_tick_ = now;
@@ -247,15 +287,19 @@
     ReadClosed();
   }
   RecordUnheard();
-  const bool may_extend = MayOrder();
   const Millis watching_wait = WatchingWait();
   std::vector<std::shared_ptr<WorkerSession>> sessions;
+  bool awaits_proof = false;
   for (const auto& [id, member] : members_) {
-    member.session->SetMayExtend(may_extend && !member.told_unheard);
-    member.session->SetSureUntil(live_.lease_sure_until());
+    TellSession(member);
     member.session->SetShortWait(watching_wait);
+    awaits_proof = awaits_proof || member.session->awaits_proof();
     sessions.push_back(member.session);
   }
+  if (awaits_proof) {
+    proof_.Demand();
+  }
+  proof_.Tick();
   for (const auto& session : sessions) {
     if (!leading()) {
       return;
@@ -267,7 +311,7 @@
   }
   interference_.Relax(options_.tick);
   CheckTakeover();
-  if (accounted_ && live_.IsLeaseSure()) {
+  if (accounted_ && IsSure()) {
     waves_.Tick();
   }
   AnswerCancels();
@@ -291,15 +335,15 @@
   if (accounted_) {
     return;
   }
-  if (!live_.IsLeaseSure()) {
-    return;  // a further leader may have adopted what is waited for
-  }
+  // A further leader may have adopted what was waited for since the proof.
+  const auto proved =
+      std::chrono::duration_cast<Millis>(proof_.stood_at() - led_since_);
   const Millis longest = LongestOnOurClock(options_.sessions.run_lease) +
                          options_.unsure_patience + kLastOrders;
   const bool accounted =
       std::all_of(members_.begin(), members_.end(), [&](const auto& entry) {
         const Member& member = entry.second;
-        return !IsUnheard(member) || member.unheard_before + LedFor() > longest;
+        return !IsUnheard(member) || member.unheard_before + proved > longest;
       });
   if (!accounted || workers_read_ == Instant{}) {
     return;
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -129,6 +129,7 @@
   // leader ordered: the workers' key names it before any order goes there,
   // but only if that leader was of this cell.
   member.from_takeover = from_takeover;
+  TellSession(member);
   const auto session = member.session;
   members_.emplace(life.id, std::move(member));
   session->Open();
@@ -141,7 +142,7 @@
     if (IsUnheard(member)) {
       worker.unheard = member.unheard_before + LedFor();
       member.told_unheard = true;
-      member.session->SetMayExtend(false);
+      member.session->SetExtendUntil(Instant{});
     }
     known.push_back(std::move(worker));
   }
@@ -162,7 +163,7 @@
 // work back for eighteen.
 void CellLeader::RecordUnheard() {
   const Instant now = executor_.Now();
-  if (accounted_ || !live_.IsLeaseSure() ||
+  if (accounted_ || !IsSure() ||
       now - unheard_recorded_ < options_.unheard_interval) {
     return;
   }
--- /dev/null
+++ b/src/libdoorwood/cell/lead_proof.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "doorwood/lead_proof.h"
+
+#include <utility>
+
+namespace doorwood {
+
+LeadProof::LeadProof(Executor& executor,
+                     RecordStore& store,
+                     LeadProofListener& listener,
+                     const LeadProofOptions& options,
+                     std::string key)
+    : executor_(executor),
+      store_(store),
+      listener_(listener),
+      options_(options),
+      key_(std::move(key)) {}
+
+void LeadProof::Open(int64_t epoch) {
+  ++generation_;
+  open_ = true;
+  epoch_ = epoch;
+  stood_at_ = Instant{};
+  reading_ = false;
+  demanded_ = false;
+  Read();
+}
+
+void LeadProof::Close() {
+  ++generation_;
+  open_ = false;
+  stood_at_ = Instant{};
+}
+
+void LeadProof::NoteShown(Instant sent) {
+  if (open_ && sent > stood_at_) {
+    stood_at_ = sent;
+    listener_.OnLeadProved();
+  }
+}
+
+void LeadProof::Demand() {
+  demanded_ = true;
+  if (open_ && !reading_) {
+    Read();
+  }
+}
+
+void LeadProof::Tick() {
+  if (open_ && !reading_ && executor_.Now() - stood_at_ >= options_.interval) {
+    Read();
+  }
+}
+
+void LeadProof::Read() {
+  reading_ = true;
+  demanded_ = false;
+  const Instant sent = executor_.Now();
+  store_.Get(key_, [this, sent, generation = generation_](
+                       std::error_code error, const StoreItem& item) {
+    if (generation == generation_) {
+      OnRead(sent, error, item);
+    }
+  });
+}
+
+void LeadProof::OnRead(Instant sent,
+                       std::error_code error,
+                       const StoreItem& item) {
+  reading_ = false;
+  if (error == make_error_code(KvErrc::kNotFound)) {
+    listener_.OnLeadDisproved("the lead key is gone");
+    return;
+  }
+  if (!error && item.created != epoch_) {
+    listener_.OnLeadDisproved("another instance holds the lead key");
+    return;
+  }
+  // A read that failed is made again by the next tick.
+  if (!error) {
+    const uint64_t generation = generation_;
+    NoteShown(sent);
+    if (generation == generation_ && demanded_ && !reading_) {
+      Read();
+    }
+  }
+}
+
+}  // namespace doorwood
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -2,6 +2,7 @@
 
 // Orders to one life of a worker, and what their answers, or none, mean.
 
+#include <algorithm>
 #include <utility>
 
 #include "doorwood/worker_session.h"
@@ -57,13 +58,14 @@
   order.run = run.number;
   order.payload = std::move(payload);
   order.checkpoint = run.checkpoint;
-  order.until = LeaseUntil();
+  const Instant now = executor_.Now();
+  order.until = LeaseEnd(std::min(now, extend_until_));
   order.ticket = std::move(ticket);
   if (runs_.empty()) {
-    heard_at_ = executor_.Now();
+    heard_at_ = now;
   }
   const uint32_t number = run.number;
-  run.ordered = executor_.Now();
+  run.ordered = now;
   Insert(std::move(run));
   workers_.Start(life_, order,
                  [self = shared_from_this(), task = order.task, number](
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -114,27 +114,22 @@
   }
 }
 
-int64_t WorkerSession::LeaseUntil() {
+int64_t WorkerSession::LeaseEnd(Instant at) {
   if (clock_ == 0) {
     return 0;
   }
-  const auto age =
-      std::chrono::duration_cast<Millis>(executor_.Now() - clock_at_);
+  const auto age = std::chrono::duration_cast<Millis>(at - clock_at_);
   const int64_t until = clock_ + (age + options_.run_lease).count();
   longest_until_ = std::max(longest_until_, until);
   return until;
 }
 
-bool WorkerSession::HasLapsed() const {
+std::optional<Instant> WorkerSession::LapsedAt() const {
   if (clock_ == 0) {
-    return false;
+    return std::nullopt;
   }
   const Millis left(longest_until_ - clock_);
-  return executor_.Now() > clock_at_ + LongestOnOurClock(left) + kLapseMargin;
-}
-
-bool WorkerSession::MayConclude() const {
-  return executor_.Now() < sure_until_;
+  return clock_at_ + LongestOnOurClock(left) + kLapseMargin;
 }
 
 // --- Looks ---
@@ -172,8 +167,8 @@
   order.token = token_;
   order.last_seen = recorded_end_;
   // A silent worker is promised nothing more, so that its lease surely ends.
-  const bool extend = !runs_.empty() && may_extend_ && !look_failed_;
-  order.until = extend ? LeaseUntil() : 0;
+  const bool extend = !runs_.empty() && sent < extend_until_ && !look_failed_;
+  order.until = extend ? LeaseEnd(sent) : 0;
   order.wait = wait;
   workers_.Hold(life_, order,
                 [self = shared_from_this(), sequence, sent](
@@ -359,12 +354,32 @@
     return;
   }
   dead_ = true;
-  const bool proved = MayConclude();
-  log_.Write("warn", "worker", "another life answers; all runs there are over",
-             {{"worker", life_.id}, {"runs", runs_.size()}, {"sure", proved}});
-  if (proved) {
-    EndAll();
+  died_at_ = executor_.Now();
+  log_.Write("warn", "worker", "another life answers",
+             {{"worker", life_.id}, {"runs", runs_.size()}});
+}
+
+std::optional<Instant> WorkerSession::OverSince() const {
+  const std::optional<Instant> over = dead_ ? died_at_ : LapsedAt();
+  const bool passed = over && *over < executor_.Now();
+  return passed && !closed_ && !runs_.empty() ? over : std::nullopt;
+}
+
+// Whoever took the lead before the runs were over may have kept them; that
+// nobody had is known only from a look at the lead's key that came later.
+void WorkerSession::Conclude() {
+  const std::optional<Instant> over = OverSince();
+  if (!over || *over >= led_until_) {
+    return;
   }
+  log_.Write("warn", "worker",
+             dead_ ? "all runs of an earlier life are over"
+                   : "the lease of a silent worker is surely over",
+             {{"worker", life_.id},
+              {"runs", runs_.size()},
+              {"heard_ms_ago", MillisBetween(heard_at_, executor_.Now())},
+              {"over_ms_before_proof", MillisBetween(*over, led_until_)}});
+  EndAll();
 }
 
 void WorkerSession::EndAll() {
@@ -378,10 +393,8 @@
   if (closed_) {
     return;
   }
-  if (dead_) {
-    if (MayConclude()) {
-      EndAll();  // heard of while that proved nothing
-    }
+  Conclude();
+  if (dead_ || closed_) {
     return;
   }
   const Instant now = executor_.Now();
@@ -390,15 +403,6 @@
     log_.Write("warn", "worker", "a worker does not answer",
                {{"worker", life_.id}, {"runs", runs_.size()}});
   }
-  if (!runs_.empty() && HasLapsed() && MayConclude()) {
-    log_.Write("warn", "worker", "the lease of a silent worker is surely over",
-               {{"worker", life_.id},
-                {"runs", runs_.size()},
-                {"heard_ms_ago", MillisBetween(heard_at_, now)},
-                {"sure_for_ms", MillisBetween(now, sure_until_)}});
-    EndAll();
-    return;
-  }
   for (auto& [task, run] : runs_) {
     const bool stops =
         run.phase == RunPhase::kStopping || run.phase == RunPhase::kUnresolved;
--- a/src/libdoorwood/cell/worker_session_test.cpp
+++ b/src/libdoorwood/cell/worker_session_test.cpp
@@ -106,7 +106,8 @@
     life.capacity = {32'000, 1000, 0};
     session = std::make_shared<WorkerSession>(executor, workers, log, *this,
                                               WorkerSessionOptions{}, life, 5);
-    session->SetSureUntil(Instant::max());
+    session->SetExtendUntil(Instant::max());
+    session->SetLedUntil(Instant::max());
     session->Open();
     Pass(Millis(500));
   }
@@ -231,7 +232,8 @@
     life.id = "w1";
     session = std::make_shared<WorkerSession>(executor, manual, log, *this,
                                               WorkerSessionOptions{}, life, 5);
-    session->SetSureUntil(Instant::max());
+    session->SetExtendUntil(Instant::max());
+    session->SetLedUntil(Instant::max());
     session->Open();
     time.Run(Millis(10));
     manual.holds.at(0)({}, ReportOf({}));
@@ -357,11 +359,11 @@
   BOOST_TEST(workers.holds == before);
 }
 
-BOOST_FIXTURE_TEST_CASE(SetMayExtend_LeadNotSure_PromisesNothing,
+BOOST_FIXTURE_TEST_CASE(SetExtendUntil_MomentHasPassed_PromisesNothing,
                         SessionFixture) {
   Start("");
   Pass(Millis(500));
-  session->SetMayExtend(false);
+  session->SetExtendUntil(executor.Now());
   Pass(Millis(1000));
   BOOST_TEST(workers.last_until == 0);
   Pass(Millis(9000));
@@ -376,13 +378,13 @@
     SessionFixture fixture;
     fixture.Start("");
     fixture.Pass(Millis(1000));
-    fixture.session->SetSureUntil(Instant{});
+    fixture.session->SetLedUntil(Instant{});
     fixture.workers.hold_fate = fate;
     fixture.workers.stop_fate = fate;
     fixture.Pass(Millis(12'000));
     BOOST_TEST(fixture.ends.empty());
     BOOST_TEST(fixture.session->runs().size() == 1U);
-    fixture.session->SetSureUntil(Instant::max());
+    fixture.session->SetLedUntil(Instant::max());
     fixture.Pass(Millis(200));
     BOOST_TEST(fixture.ends.size() == 1U);
   }
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -237,6 +237,10 @@
               {"own_leads", CountOwnLeads()}});
   lease_.reset();
   registered_since_.reset();
+  // The leads went with the lease; what is granted next holds none of them.
+  std::erase_if(leads_, [this](const auto& lead) {
+    return lead.second.instance == self_.name;
+  });
   on_change_();
   Grant();
 }
