test(fakes): answers wait in sockets while a process stands still

A frozen instance's looks and watches stood still with it, so that at the thaw the worker or the store was asked afresh and answered by its present state; and a frozen instance still told the others how long it had not heard the store. Now workers and the store go on; what they answered meanwhile is handled at the thaw before the timers, in an order of the seed's, and a frozen instance answers nobody. An executor may stand still in the midst of a call (PauseAtNow), and single pairs of instances may be cut.

--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -59,6 +59,8 @@
   std::set<std::string> cut_from;
   /// It and the other instances don't reach each other.
   bool cut_from_peers = false;
+  /// Single instances that it doesn't reach, nor they it.
+  std::set<std::string> cut_from_instances;
   bool alive = true;
 };
 
--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -46,10 +46,12 @@
       Answer<StoreItems>(kStoreDelay, error, events, std::move(done));
       return;
     }
-    self_.executor->Schedule(kWatchStep, [this, prefix, after, wait,
-                                          done = std::move(done)]() mutable {
-      Watch(prefix, after, wait - kWatchStep, std::move(done));
-    });
+    // The store waits, also while this process stands still.
+    world_.time().At(
+        world_.time().now() + kWatchStep,
+        [this, prefix, after, wait, done = std::move(done)]() mutable {
+          Watch(prefix, after, wait - kWatchStep, std::move(done));
+        });
   }
   void Commit(const StoreTransaction& transaction,
               Callback<StoreCommit> done) override {
@@ -78,7 +80,7 @@
  private:
   template <typename T>
   void Answer(Millis delay, std::error_code error, T value, Callback<T> done) {
-    self_.executor->Schedule(
+    self_.executor->Deliver(
         delay, [error, value = std::move(value), done = std::move(done)] {
           done(error, value);
         });
@@ -141,13 +143,14 @@
     if (!error && report.ended.empty() && order.wait > Millis(0)) {
       HoldOrder rest = order;
       rest.wait = std::max(Millis(0), order.wait - kWatchStep);
-      self_.executor->Schedule(
-          kWatchStep, [this, worker, rest, done = std::move(done)]() mutable {
-            Hold(worker, rest, std::move(done));
-          });
+      // The worker waits, also while this process stands still.
+      world_.time().At(world_.time().now() + kWatchStep,
+                       [this, worker, rest, done = std::move(done)]() mutable {
+                         Hold(worker, rest, std::move(done));
+                       });
       return;
     }
-    self_.executor->Schedule(
+    self_.executor->Deliver(
         kWorkerDelay,
         [error, report, done = std::move(done)] { done(error, report); });
   }
@@ -190,7 +193,7 @@
   void Fail(const WorkerLife& worker, Callback<T> done) {
     const bool over = !world_.workers().contains(worker.id);
     const auto error = over ? RunErrc::kOtherLife : RunErrc::kNoAnswer;
-    self_.executor->Schedule(
+    self_.executor->Deliver(
         over ? kWorkerDelay : kNoAnswer,
         [error, done = std::move(done)] { done(error, T{}); });
   }
@@ -210,14 +213,14 @@
           effect(*later);
         }
       });
-      self_.executor->Schedule(
+      self_.executor->Deliver(
           kNoAnswer, [done = std::move(done)] { done(RunErrc::kNoAnswer, 0); });
       return;
     }
     target->model.Advance(world_.time().millis());
     const auto error = effect(*target);
     const int64_t clock = target->model.now();
-    self_.executor->Schedule(
+    self_.executor->Deliver(
         kWorkerDelay,
         [error, clock, done = std::move(done)] { done(error, clock); });
   }
@@ -242,7 +245,7 @@
         lives.push_back(worker->life);
       }
     }
-    self_.executor->Schedule(
+    self_.executor->Deliver(
         kStoreDelay,
         [error, lives, done = std::move(done)] { done(error, lives); });
   }
@@ -251,7 +254,7 @@
     if (self_.store_faults.down || self_.store_faults.silent) {
       error = KvErrc::kUnavailable;
     }
-    self_.executor->Schedule(
+    self_.executor->Deliver(
         kStoreDelay, [error, closed = world_.closed(), done = std::move(done)] {
           done(error, closed);
         });
@@ -269,9 +272,9 @@
 
   void Ask(const LiveInstance& instance, Callback done) override {
     const auto found = world_.instances().find(instance.name);
-    const bool there = found != world_.instances().end() &&
-                       found->second->alive && !self_.cut_from_peers &&
-                       !found->second->cut_from_peers;
+    const bool there =
+        found != world_.instances().end() && found->second->alive &&
+        !found->second->executor->frozen() && Reaches(*found->second);
     Millis age{0};
     if (there) {
       age = std::chrono::duration_cast<Millis>(
@@ -279,24 +282,29 @@
     }
     const std::error_code error =
         there ? std::error_code() : make_error_code(PeerErrc::kNotSent);
-    self_.executor->Schedule(
-        kWorkerDelay,
-        [error, age, done = std::move(done)] { done(error, age); });
+    self_.executor->Deliver(kWorkerDelay, [error, age, done = std::move(done)] {
+      done(error, age);
+    });
   }
   void HandOver(const LiveInstance& instance,
-                const std::string& cell,
+                const std::string&,
                 int64_t epoch) override {
-    self_.executor->Schedule(
-        kWorkerDelay, [this, name = instance.name, cell, epoch] {
-          const auto found = world_.instances().find(name);
-          if (found != world_.instances().end() && !self_.cut_from_peers &&
-              !found->second->cut_from_peers) {
-            found->second->cell->OnHandedOver(epoch);
-          }
-        });
+    const auto found = world_.instances().find(instance.name);
+    if (found == world_.instances().end() || !Reaches(*found->second)) {
+      return;
+    }
+    WorldInstance* other = found->second;
+    other->executor->Deliver(
+        kWorkerDelay, [other, epoch] { other->cell->OnHandedOver(epoch); });
   }
 
  private:
+  bool Reaches(const WorldInstance& other) const {
+    return !self_.cut_from_peers && !other.cut_from_peers &&
+           !self_.cut_from_instances.contains(other.name) &&
+           !other.cut_from_instances.contains(self_.name);
+  }
+
   CellWorld& world_;
   WorldInstance& self_;
 };
@@ -316,7 +324,7 @@
         advice.tickets.push_back({worker, step + "@" + worker});
       }
     }
-    self_.executor->Schedule(
+    self_.executor->Deliver(
         kStoreDelay, [advice, done = std::move(done)] { done({}, advice); });
   }
 
@@ -339,7 +347,7 @@
       machine.worker = known.worker;
       machines.push_back(machine);
     }
-    self_.executor->Schedule(kStoreDelay, [machines, done = std::move(done)] {
+    self_.executor->Deliver(kStoreDelay, [machines, done = std::move(done)] {
       done({}, machines);
     });
   }
@@ -347,17 +355,17 @@
     world_.TakeDown(order.machine, order.wave);
     const bool lost = self_.machine_answers_lost > 0;
     self_.machine_answers_lost -= lost ? 1 : 0;
-    self_.executor->Schedule(
+    self_.executor->Deliver(
         lost ? kNoAnswer : kStoreDelay, [lost, done = std::move(done)] {
           done(lost ? make_error_code(RunErrc::kNoAnswer) : std::error_code());
         });
   }
   void OrderMove(const MoveOrder&, OrderCallback done) override {
-    self_.executor->Schedule(
-        kStoreDelay, [done = std::move(done)] { done(RunErrc::kBusy); });
+    self_.executor->Deliver(kStoreDelay,
+                            [done = std::move(done)] { done(RunErrc::kBusy); });
   }
   void ListWaves(WavesCallback done) override {
-    self_.executor->Schedule(
+    self_.executor->Deliver(
         kStoreDelay,
         [waves = world_.waves(), done = std::move(done)] { done({}, waves); });
   }
--- a/src/fakes/fakes.cpp
+++ b/src/fakes/fakes.cpp
@@ -2,6 +2,9 @@
 
 #include "fakes/fakes.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "doorwood/error.h"
 
 namespace doorwood::fakes {
@@ -40,7 +43,7 @@
   const Instant end = now_ + duration;
   while (Step(end)) {
   }
-  now_ = end;
+  now_ = std::max(now_, end);  // a step may have held up everything
 }
 
 void FakeExecutor::Post(std::function<void()> function) {
@@ -76,8 +79,40 @@
   function();
 }
 
+Instant FakeExecutor::Now() const {
+  if (calls_to_pause_ > 0 && !frozen_ && --calls_to_pause_ == 0) {
+    auto* self = const_cast<FakeExecutor*>(this);
+    self->Freeze();
+    time_.Run(pause_);
+    self->Thaw();
+  }
+  return time_.now();
+}
+
+void FakeExecutor::PauseAtNow(int call, Millis pause) {
+  calls_to_pause_ = call;
+  pause_ = pause;
+}
+
+void FakeExecutor::Deliver(Millis delay, std::function<void()> function) {
+  time_.At(time_.now() + delay,
+           [this, function = std::move(function)]() mutable {
+             if (frozen_ && !dead_) {
+               arrived_.push_back(std::move(function));
+             } else {
+               Run(std::move(function));
+             }
+           });
+}
+
 void FakeExecutor::Thaw() {
   frozen_ = false;
+  std::vector<std::function<void()>> arrived = std::move(arrived_);
+  arrived_.clear();
+  std::shuffle(arrived.begin(), arrived.end(), order_random_);
+  for (auto& function : arrived) {
+    Post(std::move(function));
+  }
   std::vector<std::function<void()>> held = std::move(held_);
   held_.clear();
   for (auto& function : held) {
--- a/src/fakes/fakes.h
+++ b/src/fakes/fakes.h
@@ -56,16 +56,24 @@
 /// One process's control thread. It can be frozen and thawed, or die.
 class FakeExecutor : public Executor {
  public:
-  FakeExecutor(VirtualTime& time, uint64_t seed) : time_(time), random_(seed) {}
+  FakeExecutor(VirtualTime& time, uint64_t seed)
+      : time_(time), random_(seed), order_random_(~seed) {}
 
-  Instant Now() const override { return time_.now(); }
+  Instant Now() const override;
   void Post(std::function<void()> function) override;
   TimerId Schedule(Millis delay, std::function<void()> function) override;
   void Cancel(TimerId timer) override;
   uint64_t Random() override { return random_(); }
 
+  /// An answer that comes over a socket after `delay`. Those that arrive while
+  /// the process stands still are handled at `Thaw`, before its timers, in an
+  /// order of the seed's.
+  void Deliver(Millis delay, std::function<void()> function);
   /// Holds back everything until `Thaw`.
   void Freeze() { frozen_ = true; }
+  /// The process stands still for `pause` in its `call`th asking for the time
+  /// from now on, in the midst of what it does: the others go on meanwhile.
+  void PauseAtNow(int call, Millis pause);
   void Thaw();
   /// Nothing runs any more.
   void Kill() { dead_ = true; }
@@ -80,6 +88,11 @@
   TimerId last_timer_ = 0;
   std::set<TimerId> cancelled_;
   std::vector<std::function<void()>> held_;
+  std::vector<std::function<void()>> arrived_;
+  std::mt19937_64 order_random_;
+  // Asking for the time is where a process can be stopped.
+  mutable int calls_to_pause_ = 0;
+  Millis pause_{0};
   bool frozen_ = false;
   bool dead_ = false;
 };
