--- a/src/libdoorwood/cell/cell_outage_test.cpp
+++ b/src/libdoorwood/cell/cell_outage_test.cpp
@@ -87,6 +87,27 @@
   }
 }
 
+// The store takes a cut leader's keys away before its lease is over, as it may
+// without a word: the successor's wait counts from a moment at which the old
+// leader is still sure.
+BOOST_AUTO_TEST_CASE(CutLeader_KeysAreTakenAwayBeforeItsLease_NothingTwice) {
+  Tally tally;
+  for (int offset = 0; offset < 1200; offset += 60) {
+    for (int after = 0; after <= 2000; after += 200) {
+      LeadTrial trial;
+      trial.PartWorkers(true);
+      trial.world.Run(Millis(offset));
+      trial.CutOldLeader();
+      trial.world.Run(Millis(after));
+      trial.world.store().Revoke(*trial.old->live->lease());
+      trial.world.Run(kAfterwards);
+      tally.Take("offset " + std::to_string(offset) + ", taken away after " +
+                     std::to_string(after),
+                 trial.world);
+    }
+  }
+}
+
 // The whole store is away and comes back for all: work goes on meanwhile.
 BOOST_AUTO_TEST_CASE(Outage_ForAll_RunsAreKeptAndNothingRunsTwice) {
   for (int outage = 2000; outage <= 20'000; outage += 1500) {
