fix(live_directory): the store is down for all only if each instance says so

Cause: one instance that did not hear the store was taken for all of its data centre. Where the store serves some instances and refuses others, and the leader reaches only refused ones, it prolonged runs without bound, while a successor waits 9.6 s and then starts them again. Change: what instances say is kept by instance, as of when they were asked, since an answer may wait while the process stands still; all known ones that are not leaving must have said it. How long orders may go on is worked out once a tick, not once a worker. Ruled out: a successor that tells its epoch to deaf instances, for them to repeat: more state, and it says nothing where they are not reached either. Conclusion: one unreached instance ends the exception; its cost is runs that lapse in an outage of the store with an instance down, after 3 s and a run lease.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -159,6 +159,7 @@
   const CellSummary& Summary() const { return summary_; }
   const CellCounters& counters() const { return counters_; }
   const CellJournal& journal() const { return journal_; }
+  const LeadProof& proof() const { return proof_; }
 
   // WorkerSessionListener
   void OnRunEnded(WorkerSession& session,
@@ -265,7 +266,7 @@
   bool MayOrder() const;
   /// The key was seen to stand lately.
   bool IsSure() const;
-  void TellSession(const Member& member) const;
+  void TellSession(const Member& member, Instant orders_until) const;
   Millis WatchingWait() const;
   void Tick();
   void ForgetOldJobs();
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -110,8 +110,8 @@
   /// Since when the store has had this instance's key, as far as it has said;
   /// nothing while it has not.
   std::optional<Instant> registered_since() const { return registered_since_; }
-  /// Instances of every known data centre have said lately that they do not
-  /// hear the store either: nobody can take a lead.
+  /// Every other known instance has said lately that it does not hear the store
+  /// either: nobody can take a lead.
   bool IsStoreDownForAll() const;
   /// An instance that said lately that it hears the store, while this one does
   /// not; null: this one does, or nobody is known to.
@@ -170,8 +170,7 @@
   int64_t at_ = 0;
   std::map<std::string, LiveInstance> instances_;
   std::map<std::string, CellLead> leads_;
-  /// By data centre: when an instance there last said that it does not hear
-  /// the store.
+  /// By instance: when it last said that it does not hear the store.
   std::map<std::string, Instant> deaf_at_;
   /// By instance: when it last said that it hears the store.
   std::map<std::string, Instant> hears_at_;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -226,9 +226,9 @@
   return executor_.Now() < proof_.stood_at() + options_.sure_for;
 }
 
-void CellLeader::TellSession(const Member& member) const {
+void CellLeader::TellSession(const Member& member, Instant orders_until) const {
   member.session->SetExtendUntil(member.told_unheard ? Instant{}
-                                                     : OrdersUntil());
+                                                     : orders_until);
   member.session->SetLedUntil(proof_.stood_at());
 }
 
@@ -240,9 +240,10 @@
   if (!leading()) {
     return;
   }
+  const Instant orders_until = OrdersUntil();
   std::vector<std::shared_ptr<WorkerSession>> waiting;
   for (const auto& [id, member] : members_) {
-    TellSession(member);
+    TellSession(member, orders_until);
     if (member.session->awaits_proof()) {
       waiting.push_back(member.session);
     }
@@ -289,9 +290,10 @@
   RecordUnheard();
   const Millis watching_wait = WatchingWait();
   std::vector<std::shared_ptr<WorkerSession>> sessions;
+  const Instant orders_until = OrdersUntil();
   bool awaits_proof = false;
   for (const auto& [id, member] : members_) {
-    TellSession(member);
+    TellSession(member, orders_until);
     member.session->SetShortWait(watching_wait);
     awaits_proof = awaits_proof || member.session->awaits_proof();
     sessions.push_back(member.session);
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -129,7 +129,7 @@
   // leader ordered: the workers' key names it before any order goes there,
   // but only if that leader was of this cell.
   member.from_takeover = from_takeover;
-  TellSession(member);
+  TellSession(member, OrdersUntil());
   const auto session = member.session;
   members_.emplace(life.id, std::move(member));
   session->Open();
--- a/src/libdoorwood/cell/cell_pause_test.cpp
+++ b/src/libdoorwood/cell/cell_pause_test.cpp
@@ -105,7 +105,7 @@
         trial.PartWorkers(part);
         trial.CutOldLeader();
         const Instant patience_ends =
-            trial.old->live->lease_sure_until() + kPatience;
+            trial.old->cell->proof().stood_at() + kPatience;
         const auto left = std::chrono::duration_cast<Millis>(
             patience_ends - trial.world.time().now());
         trial.world.Run(left - Millis(1300));
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -75,11 +75,13 @@
   const Instant now = executor_.Now();
   bool others = false;
   for (const auto& [name, instance] : instances_) {
-    if (instance.data_centre == self_.data_centre) {
+    if (name == self_.name || instance.leaving) {
       continue;
     }
     others = true;
-    const auto told = deaf_at_.find(instance.data_centre);
+    // Each one for itself: the store may serve some and refuse their
+    // neighbours, and any one that hears it may take the lead.
+    const auto told = deaf_at_.find(name);
     if (told == deaf_at_.end() || now - told->second > options_.answer_counts) {
       return false;
     }
@@ -123,28 +125,27 @@
 }
 
 void LiveDirectory::Ask(const LiveInstance& instance) {
-  hearing_.Ask(instance,
-               [this, name = instance.name, centre = instance.data_centre](
-                   std::error_code error, Millis age) {
-                 if (error) {
-                   return;
-                 }
-                 const Instant now = executor_.Now();
-                 if (failing_since_ != Instant{} &&
-                     now - age > failing_since_ + options_.hears_margin) {
-                   hears_at_[name] = now;
-                 } else {
-                   hears_at_.erase(name);
-                 }
-                 if (centre == self_.data_centre) {
-                   return;
-                 }
-                 if (age >= options_.silence_to_ask) {
-                   deaf_at_[centre] = executor_.Now();
-                 } else {
-                   deaf_at_.erase(centre);
-                 }
-               });
+  const Instant sent = executor_.Now();
+  hearing_.Ask(instance, [this, sent, name = instance.name](
+                             std::error_code error, Millis age) {
+    if (error) {
+      return;
+    }
+    const Instant now = executor_.Now();
+    if (failing_since_ != Instant{} &&
+        now - age > failing_since_ + options_.hears_margin) {
+      hears_at_[name] = now;
+    } else {
+      hears_at_.erase(name);
+    }
+    // As of the question: an answer may have waited while this
+    // process stood still.
+    if (age >= options_.silence_to_ask) {
+      deaf_at_[name] = sent;
+    } else {
+      deaf_at_.erase(name);
+    }
+  });
 }
 
 // --- The own lease ---
