fix(http_client): an answer to a second sending says that there was a first one

Cause: a call whose kept connection breaks is sent again on a new one, and the second answer was given as if there had been one sending. The first may have arrived, and may be carried out then or seconds later, so a refusal of the second proves nothing of it. Shown on the code before: the server takes a call in, closes, and answers 503 to the second sending; nothing tells the caller (Send_KeptConnectionDiesAfterTheRequest_TellsOfTheFirst failed). HttpReply has `sent_before` now. Where the other side had closed the idle connection before the call, that call would always have been in doubt (Send_KeptConnectionWasClosed_IsSentOnce failed with the field alone): a look at the connection before it is used shows its end, so that nothing is sent on it. The same look shows what came unasked: it was taken for the answer to the next call (a 408 on an idle connection, Send_KeptConnectionHasSpoken_ItsWordsAnswerNothing failed, two checks). Ruled out: not sending again at all; a connection that closes while the call is on its way would then fail every call, also readings, and the doubt would stay.

--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -35,6 +35,19 @@
   Instant idle_since{};
 };
 
+// Nothing came on it since its last answer, not even its end. What did come
+// would be taken for the answer to the next call.
+bool IsQuiet(Connection* connection) {
+  if (connection->buffer.size() > 0) {
+    return false;
+  }
+  char byte = 0;
+  error_code error;
+  connection->stream.socket().receive(asio::buffer(&byte, sizeof byte),
+                                      asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
 std::optional<asio::ip::tcp::endpoint> ParseEndpoint(
     const std::string& address) {
   const size_t colon = address.rfind(':');
@@ -63,7 +76,8 @@
     while (!idle.empty()) {
       auto connection = std::move(idle.back());
       idle.pop_back();
-      if (now - connection->idle_since < kIdleLifetime) {
+      if (now - connection->idle_since < kIdleLifetime &&
+          IsQuiet(connection.get())) {
         return connection;
       }
     }
@@ -129,6 +143,8 @@
       error_code ignored;
       self->connection_->stream.socket().set_option(
           asio::ip::tcp::no_delay(true), ignored);
+      // For the look at an idle connection, which must not wait.
+      self->connection_->stream.socket().non_blocking(true, ignored);
       self->Write();
     });
   }
@@ -179,6 +195,7 @@
   void OnBroken() {
     const bool in_time = std::chrono::steady_clock::now() < deadline_;
     if (reused_ && call_.repeatable && in_time) {
+      sent_before_ = true;
       Connect();
       return;
     }
@@ -189,6 +206,7 @@
     HttpReply reply;
     reply.status = static_cast<int>(parser_->get().result_int());
     reply.body = std::move(parser_->get().body());
+    reply.sent_before = sent_before_;
     if (parser_->get().keep_alive()) {
       connection_->stream.expires_never();
       pool_->Return(call_.address, std::move(connection_));
@@ -206,6 +224,8 @@
   bool reused_ = false;
   /// Some of the request may have left on this or an earlier connection.
   bool sent_ = false;
+  /// All of it may have arrived on an earlier connection.
+  bool sent_before_ = false;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
 };
--- a/src/loop.adapter/http_client.h
+++ b/src/loop.adapter/http_client.h
@@ -35,6 +35,10 @@
 struct HttpReply {
   int status = 0;
   std::string body;
+  /// The call was sent once before, on a kept connection that broke. That
+  /// sending may have been carried out, or may be later, so a refusal says
+  /// nothing of it.
+  bool sent_before = false;
 };
 
 class HttpClient {
--- a/src/loop.adapter/http_client_test.cpp
+++ b/src/loop.adapter/http_client_test.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "loop.adapter/http_server.h"
+#include "loop.adapter/scripted_server.h"
 
 namespace doorwood {
 namespace {
@@ -118,5 +119,81 @@
   BOOST_TEST(client.connects() == 1U);
 }
 
+struct Outcome {
+  std::error_code error;
+  HttpReply reply;
+};
+
+struct ScriptFixture {
+  explicit ScriptFixture(ScriptedServer::Script script)
+      : server(context, std::move(script)) {}
+
+  Outcome Send() {
+    HttpCall call;
+    call.address = server.address();
+    call.method = "POST";
+    call.body = "{}";
+    std::optional<Outcome> outcome;
+    client.Send(call, [&](std::error_code error, HttpReply reply) {
+      outcome = Outcome{error, std::move(reply)};
+    });
+    while (!outcome) {
+      context.run_one();
+    }
+    return *outcome;
+  }
+
+  boost::asio::io_context context;
+  ScriptedServer server;
+  HttpClient client{context};
+};
+
+// The second request arrives, and its connection breaks; whoever gets the
+// answer to its second sending must know that.
+BOOST_AUTO_TEST_CASE(Send_KeptConnectionDiesAfterTheRequest_TellsOfTheFirst) {
+  ScriptFixture fixture([](int number) -> std::optional<std::string> {
+    if (number == 2) {
+      return std::nullopt;
+    }
+    return ScriptedServer::Answer(number == 1 ? "200 OK" : "503 Busy", "{}");
+  });
+  BOOST_TEST(!fixture.Send().reply.sent_before);
+  const Outcome second = fixture.Send();
+  BOOST_TEST(second.error == std::error_code());
+  BOOST_TEST(second.reply.status == 503);
+  BOOST_TEST(second.reply.sent_before);
+  BOOST_TEST(fixture.server.requests().size() == 3U);
+  BOOST_TEST(!fixture.Send().reply.sent_before);
+}
+
+// A connection that the other side has closed by then carries no request, so
+// nothing is in doubt.
+BOOST_AUTO_TEST_CASE(Send_KeptConnectionWasClosed_IsSentOnce) {
+  ScriptFixture fixture(
+      [](int) { return ScriptedServer::Answer("200 OK", "{}"); });
+  fixture.Send();
+  fixture.server.CloseConnections();
+  const Outcome second = fixture.Send();
+  BOOST_TEST(second.reply.status == 200);
+  BOOST_TEST(!second.reply.sent_before);
+  BOOST_TEST(fixture.server.requests().size() == 2U);
+  BOOST_TEST(fixture.client.connects() == 2U);
+}
+
+// What comes on an idle connection answers nothing that is sent later.
+BOOST_AUTO_TEST_CASE(Send_KeptConnectionHasSpoken_ItsWordsAnswerNothing) {
+  const std::string stray =
+      ScriptedServer::Answer("408 Request Timeout", "stray");
+  ScriptFixture apart(
+      [](int) { return ScriptedServer::Answer("200 OK", "{}"); });
+  apart.Send();
+  apart.server.SendUnasked(stray);
+  BOOST_TEST(apart.Send().reply.status == 200);
+  ScriptFixture together(
+      [&stray](int) { return ScriptedServer::Answer("200 OK", "{}") + stray; });
+  together.Send();
+  BOOST_TEST(together.Send().reply.status == 200);
+}
+
 }  // namespace
 }  // namespace doorwood
