fix(http_peers): a submission that was sent twice is not told as refused

Cause: found with the other callers of the HTTP client. The leader takes a submission or a cancellation, its connection breaks, and the second sending is answered 409 (no leader any more), 429 or 503: the caller was told that the job is not taken and will never run, while the first sending may have been recorded or may be yet. After 409 the job was even offered to another cell. Such an answer is now no answer, which callers are told as unknown (504). Ruled out: State, Summary and Ask read; their second answer is as good as the first. HandOver names an epoch that it removes once at most.

--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -50,6 +50,20 @@
   return CoreErrc::kInvalid;
 }
 
+// A change whose first sending may have been made, or may be later, is not
+// refused by an answer to the second.
+std::error_code ErrorOfChange(std::error_code transport,
+                              const HttpReply& reply) {
+  if (transport) {
+    return transport;
+  }
+  const std::error_code error = ErrorOf(reply.status);
+  if (error && reply.sent_before) {
+    return PeerErrc::kNoAnswer;
+  }
+  return error;
+}
+
 // "/cell/CELL", "/cell/CELL/JOB"
 std::string Target(const CellLead& lead, std::string_view job) {
   std::string target = "/cell/" + lead.cell;
@@ -105,7 +119,7 @@
       std::move(call),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
         const bool known = reply.body.find("known") != std::string::npos;
-        done(error ? error : ErrorOf(reply.status),
+        done(ErrorOfChange(error, reply),
              known ? AcceptOutcome::kKnownAlready : AcceptOutcome::kAccepted);
       });
 }
@@ -116,7 +130,7 @@
   client_.Send(
       Call(lead, "DELETE", job, kSubmitPatience),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
-        done(error ? error : ErrorOf(reply.status));
+        done(ErrorOfChange(error, reply));
       });
 }
 
