fix(cell): another life's answer counts only where this life has answered

A session took each new address from the directory at once, and one 421 from there ended all that runs on the worker, which were started again elsewhere. An entry may come from another writer. Shown on the code before, in virtual time: an entry that names an address where another life answers gives two runs of one lasting task under one leader, after a takeover, and after a takeover by a leader that doesn't reach the worker (cell_address_test, 5 checks; worker_address_test, 13 checks). Now a session calls the address at which this life has answered, and asks a newly named one beside it; once this life answers there too, it is called there. What runs is prolonged meanwhile. 421 proves the life over only from the address that answered; from any other it is no answer, and logged. A life never heard: 421 proves nothing, and it is asked once a second. A life known from a leader's record counts as heard at the recorded address, since otherwise each takeover with a crashed worker would wait out a lease (Worker_CrashedAtTakeover failed without it). For that the record must name the address that answered: a worker gets work only once it is recorded under the address at which it is called (Entry_IsMendedBeforeWork failed without it: two runs). A leader writes the workers' key once more when that address changes. Not covered: a worker that truly moves to another address within one life, whose old one another life takes over, while its leader dies before the next record; the platform's pages know no such move. The fakes' workers have an address of their own now; a call to another one is answered by another life. Runs: cell_address_test, worker_address_test, worker_session_test, cell_leader_test, cell_closed_test, cell_campaign_test, cell_doubt_test pass.

--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -68,6 +68,9 @@
   bool up = true;
   /// The directory names it.
   bool listed = true;
+  /// Address that the directory names, if not its own: another life answers
+  /// there.
+  std::string listed_address;
 };
 
 /// A machine of the world; its worker's id rises with each life.
--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -180,15 +180,22 @@
  private:
   WorldWorker* Reach(const WorkerLife& worker) {
     const auto found = world_.workers().find(worker.id);
-    const bool reached = found != world_.workers().end() && found->second->up &&
+    const bool reached = !IsElsewhere(worker) && found->second->up &&
                          !self_.cut_from.contains(worker.id);
     return reached ? found->second.get() : nullptr;
   }
 
-  // A crashed worker's address is answered by its next life.
+  // A crashed worker's address is answered by its next life, and one that the
+  // worker never had by somebody else.
+  bool IsElsewhere(const WorkerLife& worker) const {
+    const auto found = world_.workers().find(worker.id);
+    return found == world_.workers().end() ||
+           found->second->life.address != worker.address;
+  }
+
   template <typename T>
   void Fail(const WorkerLife& worker, Callback<T> done) {
-    const bool over = !world_.workers().contains(worker.id);
+    const bool over = IsElsewhere(worker);
     const auto error = over ? RunErrc::kOtherLife : RunErrc::kNoAnswer;
     self_.executor->Schedule(
         over ? kWorkerDelay : kNoAnswer,
@@ -240,6 +247,9 @@
     for (const auto& [id, worker] : world_.workers()) {
       if (worker->listed) {
         lives.push_back(worker->life);
+        if (!worker->listed_address.empty()) {
+          lives.back().address = worker->listed_address;
+        }
       }
     }
     self_.executor->Schedule(
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -180,8 +180,10 @@
   enum class Stage { kStandby, kCampaigning, kReading, kLeading, kLeft };
   struct Member {
     std::shared_ptr<WorkerSession> session;
-    /// The workers' key names the worker, so it may be given work.
-    bool recorded = false;
+    /// Address under which the workers' key was last to name the worker, and
+    /// under which it names it; nothing: it doesn't.
+    std::string noted_at;
+    std::optional<std::string> recorded_at;
     /// The directory lists it; if not, since when.
     bool listed = false;
     Instant unlisted_since{};
@@ -240,6 +242,9 @@
   void NoteUnlisted();
   void AddMember(const WorkerLife& life, bool from_takeover);
   void RecordMembers();
+  /// The workers' key names the worker as it is called, so it may be given
+  /// work.
+  static bool IsRecorded(const Member& member);
   /// Nothing of this leader has reached it, nor will before it is heard.
   bool IsUnheard(const Member& member) const;
   Millis LedFor() const;
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -103,6 +103,8 @@
   Millis unrecorded_pause{150};
   /// Pause after a look that was not answered.
   Millis retry_pause{150};
+  /// Pause where another life answers and this one never has.
+  Millis stranger_pause{1000};
   /// A worker not heard of for so long gets no new work.
   Millis silence{1500};
   /// How long a stop may stay without a listed end before it is sent again.
@@ -168,8 +170,11 @@
   void SetSureUntil(Instant until) { sure_until_ = until; }
   /// Lists what has ended up to here; only these may be forgotten.
   void MarkRecorded(uint64_t end_number);
-  /// Newer word from the directory; `life.id` stays.
+  /// Newer word from the directory; `life.id` stays. Where this life has
+  /// answered, another address is taken once it has answered there as well.
   void Update(const WorkerLife& life);
+  /// This life has answered an earlier leader at the address it is called at.
+  void TrustAddress();
   /// To be called a few times a second: proves runs over, sends orders again.
   void Tick();
 
@@ -200,6 +205,13 @@
   int CountOfStep(const std::string& step) const;
 
  private:
+  /// An address that the directory names, at which this life hasn't answered.
+  struct NextAddress {
+    std::string address;
+    bool asked = false;
+    bool failure_told = false;
+  };
+
   void Look(Millis wait);
   void OnLook(uint64_t sequence,
               Instant sent,
@@ -217,6 +229,13 @@
   void SendStop(const std::string& task, uint32_t number);
   void SendPace(Run* run);
   void Die();
+  void AskNextAddress();
+  void OnNextAddress(const std::string& address, std::error_code error);
+  void NoteStranger(const std::string& address);
+  /// What the answer to a call to `address` means: another life's is none
+  /// where this life has not answered.
+  std::error_code JudgeAnswer(const std::string& address,
+                              std::error_code error);
   void TakeClock(int64_t clock);
   int64_t LeaseUntil();
   bool HasLapsed() const;
@@ -236,6 +255,11 @@
   const WorkerSessionOptions options_;
   WorkerLife life_;
   const uint64_t token_;
+  /// Where this life has answered; nothing: nowhere yet. Then `life_` names it.
+  std::optional<std::string> answered_at_;
+  std::optional<NextAddress> next_address_;
+  /// Another life answers where this one, never heard, is said to be.
+  bool stranger_answers_ = false;
 
   Millis short_wait_;
   bool may_extend_ = true;
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -79,7 +79,7 @@
   for (auto& [id, member] : members_) {
     member.listed = false;
   }
-  bool added = false;
+  bool to_record = false;
   for (const WorkerLife& life : lives) {
     if (!IsOfCell(life.data_centre)) {
       continue;
@@ -87,7 +87,7 @@
     const auto found = members_.find(life.id);
     if (found == members_.end()) {
       AddMember(life, /*from_takeover=*/false);
-      added = true;
+      to_record = true;
       continue;
     }
     if (life.draining && !found->second.session->life().draining) {
@@ -96,12 +96,14 @@
           {{"worker", life.id}, {"remaining_ms", life.remaining.count()}});
     }
     found->second.session->Update(life);
+    to_record |=
+        found->second.noted_at != found->second.session->life().address;
     found->second.listed = true;
     found->second.unlisted_since = Instant{};
   }
   NoteUnlisted();
   DropMembers();
-  if (added) {
+  if (to_record) {
     RecordMembers();
   }
   EvacuateLeaving();
@@ -123,12 +125,16 @@
   member.session = std::make_shared<WorkerSession>(
       executor_, workers_, log_, *this, options_.sessions, life,
       static_cast<uint64_t>(epoch_));
-  member.recorded = from_takeover;
   member.listed = !from_takeover;
   // Also a worker that only the directory names may run what an earlier
   // leader ordered: the workers' key names it before any order goes there,
   // but only if that leader was of this cell.
   member.from_takeover = from_takeover;
+  if (from_takeover) {
+    member.noted_at = life.address;
+    member.recorded_at = life.address;
+    member.session->TrustAddress();
+  }
   const auto session = member.session;
   members_.emplace(life.id, std::move(member));
   session->Open();
@@ -143,11 +149,18 @@
       member.told_unheard = true;
       member.session->SetMayExtend(false);
     }
+    member.noted_at = worker.address;
     known.push_back(std::move(worker));
   }
   journal_.SetWorkers(std::move(known));
 }
 
+// A successor believes another life at the recorded address, so that has to be
+// one at which this life has answered.
+bool CellLeader::IsRecorded(const Member& member) {
+  return member.recorded_at == member.session->life().address;
+}
+
 bool CellLeader::IsUnheard(const Member& member) const {
   return member.from_takeover && !accounted_ && !member.session->fenced() &&
          !member.session->dead();
@@ -187,8 +200,8 @@
       member.told_unheard = false;
       changed = true;
     }
-    if (!member.recorded) {
-      member.recorded = true;
+    if (member.recorded_at != worker.address) {
+      member.recorded_at = worker.address;
       changed = true;
     }
   }
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -178,7 +178,7 @@
   for (auto& [id, member] : members_) {
     RefreshRoom(id, &member);
     const WorkerSession& session = *member.session;
-    const bool open = member.recorded && !member.told_unheard &&
+    const bool open = IsRecorded(member) && !member.told_unheard &&
                       member.listed && session.responsive() &&
                       !session.life().draining && now >= member.rests_until &&
                       now >= member.emptied_until && !IsClosed(member) &&
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -65,13 +65,15 @@
   const uint32_t number = run.number;
   run.ordered = executor_.Now();
   Insert(std::move(run));
-  workers_.Start(life_, order,
-                 [self = shared_from_this(), task = order.task, number](
-                     std::error_code error, int64_t clock) {
-                   if (!self->closed_ && !self->dead_) {
-                     self->OnStartAnswer(task, number, error, clock);
-                   }
-                 });
+  workers_.Start(
+      life_, order,
+      [self = shared_from_this(), task = order.task, number,
+       address = life_.address](std::error_code error, int64_t clock) {
+        if (!self->closed_ && !self->dead_) {
+          self->OnStartAnswer(task, number, self->JudgeAnswer(address, error),
+                              clock);
+        }
+      });
   if (!look_under_way_ && look_timer_ == 0) {
     ScheduleLook(Millis(20));
   }
@@ -142,35 +144,36 @@
     run->stop_sent = executor_.Now();
   }
   const StopOrder order{token_, task, number};
-  workers_.Stop(life_, order,
-                [self = shared_from_this(), task, number](std::error_code error,
-                                                          int64_t clock) {
-                  if (self->closed_ || self->dead_) {
-                    return;
-                  }
-                  if (error == make_error_code(RunErrc::kOtherLife)) {
-                    self->Die();
-                    return;
-                  }
-                  Run* stopped = self->FindRun(task);
-                  const bool known =
-                      stopped != nullptr && stopped->number == number;
-                  if (known) {
-                    stopped->stop_under_way = false;
-                  }
-                  if (error) {
-                    return;
-                  }
-                  self->TakeClock(clock);
-                  if (!known) {
-                    return;
-                  }
-                  stopped->stop_confirmed = true;
-                  stopped->stop_confirmed_at = self->executor_.Now();
-                  if (stopped->phase == RunPhase::kUnresolved) {
-                    self->Look(Millis(0));
-                  }
-                });
+  workers_.Stop(
+      life_, order,
+      [self = shared_from_this(), task, number, address = life_.address](
+          std::error_code error, int64_t clock) {
+        if (self->closed_ || self->dead_) {
+          return;
+        }
+        error = self->JudgeAnswer(address, error);
+        if (error == make_error_code(RunErrc::kOtherLife)) {
+          self->Die();
+          return;
+        }
+        Run* stopped = self->FindRun(task);
+        const bool known = stopped != nullptr && stopped->number == number;
+        if (known) {
+          stopped->stop_under_way = false;
+        }
+        if (error) {
+          return;
+        }
+        self->TakeClock(clock);
+        if (!known) {
+          return;
+        }
+        stopped->stop_confirmed = true;
+        stopped->stop_confirmed_at = self->executor_.Now();
+        if (stopped->phase == RunPhase::kUnresolved) {
+          self->Look(Millis(0));
+        }
+      });
 }
 
 void WorkerSession::SetPace(const std::string& task, int percent) {
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -89,11 +89,6 @@
   return executor_.Now() - heard_at_ < options_.silence + options_.long_wait;
 }
 
-void WorkerSession::Update(const WorkerLife& life) {
-  life_ = life;
-  ++version_;
-}
-
 // --- Leases ---
 
 void WorkerSession::TakeClock(int64_t clock) {
@@ -171,11 +166,13 @@
   const bool extend = !runs_.empty() && may_extend_ && !look_failed_;
   order.until = extend ? LeaseUntil() : 0;
   order.wait = wait;
-  workers_.Hold(life_, order,
-                [self = shared_from_this(), sequence, sent](
-                    std::error_code error, WorkerReport report) {
-                  self->OnLook(sequence, sent, error, std::move(report));
-                });
+  workers_.Hold(
+      life_, order,
+      [self = shared_from_this(), sequence, sent, address = life_.address](
+          std::error_code error, WorkerReport report) {
+        self->OnLook(sequence, sent, self->JudgeAnswer(address, error),
+                     std::move(report));
+      });
 }
 
 void WorkerSession::OnLook(uint64_t sequence,
@@ -205,7 +202,8 @@
   if (error) {
     look_failed_ = true;
     if (newest) {
-      ScheduleLook(options_.retry_pause);
+      ScheduleLook(stranger_answers_ ? options_.stranger_pause
+                                     : options_.retry_pause);
     }
     return;
   }
