--- a/src/loop.adapter/http_peers_test.cpp
+++ b/src/loop.adapter/http_peers_test.cpp
@@ -54,7 +54,7 @@
   std::error_code after_another;
 };
 
-const AnswerRow kAnswers[] = {
+const AnswerRow answers[] = {
     {"200 OK", {}, {}},
     {"400 B", CoreErrc::kInvalid, PeerErrc::kNoAnswer},
     {"404 N", CoreErrc::kNotFound, PeerErrc::kNoAnswer},
@@ -65,7 +65,7 @@
 };
 
 BOOST_AUTO_TEST_CASE(Call_SentOnce_IsToldAsAnswered) {
-  for (const AnswerRow& row : kAnswers) {
+  for (const AnswerRow& row : answers) {
     PeersFixture fixture(
         [&row](int) { return ScriptedServer::Answer(row.status, ""); });
     BOOST_TEST_CONTEXT(row.status) {
@@ -78,7 +78,7 @@
 // The leader took the first sending, and its connection broke: the job may be
 // accepted there, or be cancelled, so "not taken" would be untrue.
 BOOST_AUTO_TEST_CASE(Call_SentTwice_RefusalIsToldAsUnknown) {
-  for (const AnswerRow& row : kAnswers) {
+  for (const AnswerRow& row : answers) {
     const auto script = [&row](int number) -> std::optional<std::string> {
       switch (number) {
         case 1:
