test(cell): every order in which a start, a stop and looks come and are answered

Each call is carried out and answered in any order, or its answer is lost, before or after it is carried out; seven steps, in one instant or with the session's own pauses between them, for a run that lasts and for one that ends by itself.

--- /dev/null
+++ b/src/libdoorwood/cell/worker_overtaking_test.cpp
@@ -0,0 +1,251 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// A start, a stop and looks, each carried out and answered at any time and in
+// any order, or not answered, or carried out after that: whatever the session
+// concludes about the run has to be true.
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "doorwood/worker_session.h"
+#include "fakes/fakes.h"
+#include "standin/run_worker_model.h"
+
+namespace doorwood {
+namespace {
+
+constexpr const char* kTask = "t";
+
+// Calls that the test carries out and answers, one step at a time.
+class SteppedWorkers : public RunWorkers {
+ public:
+  struct Pending {
+    std::function<void()> carry_out;
+    std::function<void()> answer;
+    std::function<void()> lose;
+    bool is_start = false;
+    bool carried_out = false;
+    bool answered = false;
+  };
+
+  void Hold(const WorkerLife&,
+            const HoldOrder& order,
+            Callback<WorkerReport> done) override {
+    auto report = std::make_shared<WorkerReport>();
+    Pending call;
+    call.carry_out = [this, order, report] { model.Hold(order, report.get()); };
+    call.answer = [report, done] { done({}, *report); };
+    call.lose = [done] { done(RunErrc::kNoAnswer, {}); };
+    calls.push_back(std::move(call));
+  }
+  void Start(const WorkerLife&,
+             const StartOrder& order,
+             Callback<int64_t> done) override {
+    Add(
+        [this, order] {
+          const auto error = model.Start(order);
+          began = began || model.Runs(kTask);
+          return error;
+        },
+        std::move(done));
+    calls.back().is_start = true;
+    start = order;
+  }
+  void Stop(const WorkerLife&,
+            const StopOrder& order,
+            Callback<int64_t> done) override {
+    Add([this, order] { return model.Stop(order); }, std::move(done));
+  }
+  void Pace(const WorkerLife&, const PaceOrder&, Callback<int64_t>) override {}
+
+  /// The run is there, or may yet begin.
+  bool MayRun() const {
+    if (model.Runs(kTask)) {
+      return true;
+    }
+    for (const Pending& call : calls) {
+      if (call.is_start && !call.carried_out) {
+        standin::RunWorkerModel later = model;
+        return !later.Start(start);
+      }
+    }
+    return false;
+  }
+
+  standin::RunWorkerModel model;
+  StartOrder start;
+  bool began = false;
+  std::vector<Pending> calls;
+
+ private:
+  void Add(std::function<std::error_code()> effect, Callback<int64_t> done) {
+    auto error = std::make_shared<std::error_code>();
+    Pending call;
+    call.carry_out = [effect = std::move(effect), error] { *error = effect(); };
+    call.answer = [this, error, done] { done(*error, model.now()); };
+    call.lose = [done] { done(RunErrc::kNoAnswer, 0); };
+    calls.push_back(std::move(call));
+  }
+};
+
+struct WalkFixture : public WorkerSessionListener {
+  WalkFixture(Millis step, const std::string& payload)
+      : step(step), executor(time, 1) {
+    WorkerLife life;
+    life.id = "w1";
+    session = std::make_shared<WorkerSession>(executor, workers, log, *this,
+                                              WorkerSessionOptions{}, life, 5);
+    session->SetSureUntil(Instant::max());
+    time.Run(Millis(1000));
+    workers.model.Advance(time.millis());
+    session->Open();
+    workers.calls[0].carry_out();
+    workers.calls[0].answer();
+    workers.calls.clear();
+    time.Run(step);
+    Run run;
+    run.task = kTask;
+    run.number = 1;
+    session->Start(run, payload, "");
+  }
+  ~WalkFixture() override { session->Close(); }
+  WalkFixture(const WalkFixture&) = delete;
+  WalkFixture& operator=(const WalkFixture&) = delete;
+
+  // Only what is concluded is checked: the worker's own word is true.
+  void OnRunEnded(WorkerSession&, const Run&, RunEnd, bool told) override {
+    over = true;
+    wrong = wrong || (!told && workers.MayRun());
+  }
+  void OnUnknownEnd(WorkerSession&, const EndedRun&) override {}
+  std::optional<Run> OnUnknownRun(WorkerSession&, const ActiveRun&) override {
+    return std::nullopt;
+  }
+  void OnStartRefused(WorkerSession&, const Run&, std::error_code) override {
+    over = true;
+    wrong = wrong || workers.MayRun();
+  }
+  void OnReport(WorkerSession&) override {}
+  void OnFenced(WorkerSession&) override {}
+
+  // What may happen next; steps of a call are in order, calls in any.
+  std::vector<std::function<void()>> Choices() {
+    std::vector<std::function<void()>> choices;
+    for (size_t i = 0; i < workers.calls.size(); ++i) {
+      const SteppedWorkers::Pending& call = workers.calls[i];
+      if (!call.carried_out) {
+        choices.emplace_back([this, i] {
+          workers.calls[i].carried_out = true;
+          workers.calls[i].carry_out();
+        });
+      } else if (!call.answered) {
+        choices.emplace_back([this, i] { Answer(i, /*lost=*/false); });
+      }
+      if (!call.answered) {
+        choices.emplace_back([this, i] { Answer(i, /*lost=*/true); });
+      }
+    }
+    if (!stopped && !over) {
+      choices.emplace_back([this] {
+        stopped = true;
+        session->Stop(kTask);
+      });
+    }
+    return choices;
+  }
+  void Answer(size_t index, bool lost) {
+    workers.calls[index].answered = true;
+    // A copy: the answer may add calls.
+    const SteppedWorkers::Pending call = workers.calls[index];
+    lost ? call.lose() : call.answer();
+  }
+  void Pass() {
+    time.Run(step);
+    workers.model.Advance(time.millis());
+  }
+
+  const Millis step;
+  fakes::VirtualTime time;
+  fakes::FakeExecutor executor;
+  SteppedWorkers workers;
+  fakes::Trace trace;
+  fakes::FakeLog log{time, "session", trace};
+  std::shared_ptr<WorkerSession> session;
+  bool stopped = false;
+  bool over = false;
+  bool wrong = false;
+};
+
+struct WalkRow {
+  Millis step;
+  const char* payload;
+};
+
+struct Tally {
+  int walks = 0;
+  int over = 0;
+  int began = 0;
+  std::vector<std::string> wrong;
+};
+
+// Plays the choices, then tries each that is open after them.
+void Walk(const WalkRow& row,
+          size_t depth,
+          std::vector<size_t>* path,
+          Tally* tally) {
+  WalkFixture fixture(row.step, row.payload);
+  std::string told;
+  for (const size_t choice : *path) {
+    fixture.Pass();
+    fixture.Choices().at(choice)();
+    told += std::to_string(choice) + " ";
+  }
+  fixture.Pass();
+  if (fixture.wrong) {
+    tally->wrong.push_back(told);
+    return;
+  }
+  const size_t choices = fixture.over ? 0 : fixture.Choices().size();
+  if (path->size() == depth || choices == 0) {
+    ++tally->walks;
+    tally->over += fixture.over ? 1 : 0;
+    tally->began += fixture.workers.began ? 1 : 0;
+    return;
+  }
+  for (size_t choice = 0; choice < choices; ++choice) {
+    path->push_back(choice);
+    Walk(row, depth, path, tally);
+    path->pop_back();
+  }
+}
+
+// Steps in one instant, and steps that let the session's own pauses pass; runs
+// that last, and runs that end by themselves.
+BOOST_AUTO_TEST_CASE(Session_EachOrderOfAnswers_ConcludesWhatIsTrue) {
+  constexpr size_t kDepth = 7;
+  const WalkRow rows[] = {{Millis(0), ""},       {Millis(1), ""},
+                          {Millis(25), ""},      {Millis(200), ""},
+                          {Millis(25), "ms=60"}, {Millis(200), "ms=300"}};
+  for (const WalkRow& row : rows) {
+    Tally tally;
+    std::vector<size_t> path;
+    Walk(row, kDepth, &path, &tally);
+    BOOST_TEST_CONTEXT("steps of " << row.step.count() << " ms "
+                                   << row.payload) {
+      BOOST_TEST_MESSAGE(tally.walks << " walks, " << tally.over << " over, "
+                                     << tally.began << " began");
+      BOOST_TEST(tally.over > 0);
+      BOOST_TEST(tally.began > 0);
+      BOOST_TEST(tally.wrong == std::vector<std::string>(),
+                 boost::test_tools::per_element());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace doorwood
