fix(cell_members): an unheard worker's death counts once the lead is proved later

Cause: a takeover is over once every earlier worker is heard or dead, and dead was believed at once. What a proof allows is concluded when it comes and not by the next tick.

--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -172,7 +172,9 @@
   /// the runs, kept them, or started them again.
   void SetLedUntil(Instant until) { led_until_ = until; }
   /// Something is over if this leader still leads.
-  bool awaits_proof() const { return OverSince().has_value(); }
+  bool awaits_proof() const { return OverSince() >= led_until_; }
+  /// This life is over, and nobody else led before that was heard.
+  bool proved_dead() const { return dead_ && died_at_ < led_until_; }
   /// Ends what the lead's proof allows to be called over.
   void Conclude();
   /// Lists what has ended up to here; only these may be forgotten.
@@ -249,7 +251,8 @@
   /// When, on this clock, all leases there are over if nobody else prolongs
   /// them; nothing: the worker's clock is not known.
   std::optional<Instant> LapsedAt() const;
-  /// Since when all that runs there is over if this leader still leads.
+  /// Since when this life, or all that runs there, is over if this leader still
+  /// leads.
   std::optional<Instant> OverSince() const;
   Millis NextWait() const;
   /// Adds (1) or takes off (-1) what the run reserves.
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -243,10 +243,10 @@
   const Instant orders_until = OrdersUntil();
   std::vector<std::shared_ptr<WorkerSession>> waiting;
   for (const auto& [id, member] : members_) {
-    TellSession(member, orders_until);
     if (member.session->awaits_proof()) {
       waiting.push_back(member.session);
     }
+    TellSession(member, orders_until);
   }
   for (const auto& session : waiting) {
     session->Conclude();
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -164,7 +164,7 @@
 
 bool CellLeader::IsUnheard(const Member& member) const {
   return member.from_takeover && !accounted_ && !member.session->fenced() &&
-         !member.session->dead();
+         !member.session->proved_dead();
 }
 
 Millis CellLeader::LedFor() const {
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -358,16 +358,22 @@
 }
 
 std::optional<Instant> WorkerSession::OverSince() const {
-  const std::optional<Instant> over = dead_ ? died_at_ : LapsedAt();
-  const bool passed = over && *over < executor_.Now();
-  return passed && !closed_ && !runs_.empty() ? over : std::nullopt;
+  if (closed_) {
+    return std::nullopt;
+  }
+  if (dead_) {
+    return died_at_;
+  }
+  const std::optional<Instant> lapsed = LapsedAt();
+  const bool passed = lapsed && *lapsed < executor_.Now();
+  return passed && !runs_.empty() ? lapsed : std::nullopt;
 }
 
 // Whoever took the lead before the runs were over may have kept them; that
 // nobody had is known only from a look at the lead's key that came later.
 void WorkerSession::Conclude() {
   const std::optional<Instant> over = OverSince();
-  if (!over || *over >= led_until_) {
+  if (runs_.empty() || !over || *over >= led_until_) {
     return;
   }
   log_.Write("warn", "worker",
