test(cell): a failure that is noted after its worker's lease ran out is no attempt

The check of ThirdLeader_FailureHeardAfterWait was wrong: it counted every start, and broke in 94 rows. The trace of one (none recorded, the first run's worker cut off, second leader for 0.5 s, six starts): runs 1 and 3 failed on the cut worker at 1002.6 and 1005.0 s, its lease ran out by 1010 s, and both ends were noted at the heal after 1022 s; runs 2, 33, 34 and 35 are the four that count.

--- a/src/standin/run_worker_model.cpp
+++ b/src/standin/run_worker_model.cpp
@@ -37,6 +37,24 @@
   for (const auto& [task, end] : over) {
     End(task, end);
   }
+  if (now_ >= lease_until_) {
+    NoteLapsedFailures();
+  }
+}
+
+void RunWorkerModel::NoteLapsedFailures() {
+  for (const EndedRun& end : ended_) {
+    if (end.end == RunEnd::kFailed) {
+      lapsed_failures_[end.task].insert(end.run);
+    }
+  }
+}
+
+int RunWorkerModel::lapsed_failures(const std::string& task) const {
+  const auto found = lapsed_failures_.find(task);
+  return found == lapsed_failures_.end()
+             ? 0
+             : static_cast<int>(found->second.size());
 }
 
 void RunWorkerModel::End(const std::string& task, RunEnd end) {
--- a/src/standin/run_worker_model.h
+++ b/src/standin/run_worker_model.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -34,6 +35,9 @@
   int64_t now() const { return now_; }
   bool Runs(const std::string& task) const { return runs_.contains(task); }
   size_t running() const { return runs_.size(); }
+  /// Failures of the task that were still listed when the lease ran out: the
+  /// platform doesn't count them as attempts when they are noted later.
+  int lapsed_failures(const std::string& task) const;
 
  private:
   struct Active {
@@ -47,6 +51,7 @@
   bool IsFenced(uint64_t token);
   void Extend(int64_t until);
   void End(const std::string& task, RunEnd end);
+  void NoteLapsedFailures();
 
   int64_t now_ = 0;
   int64_t lease_until_ = 0;
@@ -54,6 +59,7 @@
   uint64_t last_end_ = 0;
   std::map<std::string, Active> runs_;
   std::vector<EndedRun> ended_;
+  std::map<std::string, std::set<uint32_t>> lapsed_failures_;
   /// Highest run of each task that ended or was stopped here.
   std::map<std::string, uint32_t> over_;
 };
