fix(json_codec): text that nests too deep is no JSON; one reader of fields that refuses

Cause: copying and writing a JSON value takes the stack's room for each level. An entry of the store with 200,000 nested brackets in a field that was read with a default ended the process: a trial against the library as it was gave a segmentation fault (exit 139).

ParseJson now refuses what nests deeper than 64; no message here nests half as deep. json_reader holds the readers that the decoders use next: whole numbers in a range (7.0 is 7; 7.5, negative ones and those beyond the range are refused, instead of being cut off or wrapped), times, texts, lists, an IPv4 number with a port, words that fit a header.

--- a/src/libdoorwood/base/json_codec.cpp
+++ b/src/libdoorwood/base/json_codec.cpp
@@ -11,6 +11,31 @@
                                                     "backend"};
 constexpr std::array<std::string_view, 3> kOrders = {"start", "stop", "forget"};
 
+// No message here nests half as deep. Copies and writing take the stack's room
+// for each level.
+constexpr int kMostDepth = 64;
+
+// Counts without regard to what is no JSON: the parser refuses that.
+bool IsTooDeep(std::string_view text) {
+  int depth = 0;
+  bool in_text = false;
+  for (size_t place = 0; place < text.size(); ++place) {
+    const char sign = text[place];
+    if (sign == '"') {
+      in_text = !in_text;
+    } else if (in_text) {
+      place += sign == '\\' ? 1 : 0;
+    } else if (sign == '[' || sign == '{') {
+      if (++depth > kMostDepth) {
+        return true;
+      }
+    } else if (sign == ']' || sign == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
 template <size_t kSize>
 size_t IndexOf(const std::array<std::string_view, kSize>& words,
                std::string_view word) {
@@ -249,6 +274,9 @@
 }
 
 std::optional<Json> ParseJson(std::string_view text) {
+  if (IsTooDeep(text)) {
+    return std::nullopt;
+  }
   Json json = Json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (json.is_discarded()) {
     return std::nullopt;
--- /dev/null
+++ b/src/libdoorwood/base/json_reader.cpp
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "doorwood/json_reader.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace doorwood {
+namespace {
+
+constexpr char kFirstVisible = '!';
+constexpr char kLastVisible = '~';
+constexpr int kHighestPort = 65535;
+constexpr double kMillisPerSecond = 1000.0;
+
+const Json& Need(const Json& json, const char* field) {
+  const auto found = json.find(field);
+  if (found == json.end()) {
+    throw FieldError(field);
+  }
+  return *found;
+}
+
+int64_t WholeOfFloat(double value, const char* field) {
+  // Also false for what is no number at all.
+  const bool exact = std::abs(value) <= static_cast<double>(kMostWhole) &&
+                     std::trunc(value) == value;
+  if (!exact) {
+    throw FieldError(field);
+  }
+  return static_cast<int64_t>(value);
+}
+
+int64_t WholeOf(const Json& value, const char* field) {
+  if (value.is_number_unsigned() &&
+      value.get<uint64_t>() > static_cast<uint64_t>(kAnyName.most)) {
+    throw FieldError(field);
+  }
+  if (value.is_number_integer()) {
+    return value.get<int64_t>();
+  }
+  if (value.is_number_float()) {
+    return WholeOfFloat(value.get<double>(), field);
+  }
+  throw FieldError(field);
+}
+
+Millis ToMillis(const Json& value, const char* field, double unit) {
+  if (!value.is_number()) {
+    throw FieldError(field);
+  }
+  const double millis = value.get<double>() * unit;
+  const bool in_range =
+      millis >= 0 && millis <= static_cast<double>(kMostMillis);
+  if (!in_range) {
+    throw FieldError(field);
+  }
+  return Millis(static_cast<int64_t>(millis));
+}
+
+}  // namespace
+
+int64_t ToWhole(const Json& value, const char* field, WholeRange range) {
+  const int64_t whole = WholeOf(value, field);
+  if (whole < range.least || whole > range.most) {
+    throw FieldError(field);
+  }
+  return whole;
+}
+
+std::string ToText(const Json& value, const char* field) {
+  if (!value.is_string() || value.get_ref<const std::string&>().empty()) {
+    throw FieldError(field);
+  }
+  return value.get<std::string>();
+}
+
+int64_t ReadWhole(const Json& json, const char* field, WholeRange range) {
+  return ToWhole(Need(json, field), field, range);
+}
+
+std::string ReadText(const Json& json, const char* field) {
+  return ToText(Need(json, field), field);
+}
+
+int64_t ReadWholeOr(const Json& json,
+                    const char* field,
+                    int64_t otherwise,
+                    WholeRange range) {
+  const auto found = json.find(field);
+  return found == json.end() ? otherwise : ToWhole(*found, field, range);
+}
+
+const Json& ReadList(const Json& json, const char* field) {
+  const Json& list = Need(json, field);
+  if (!list.is_array()) {
+    throw FieldError(field);
+  }
+  return list;
+}
+
+Millis ReadMillis(const Json& json, const char* field) {
+  return ToMillis(Need(json, field), field, 1.0);
+}
+
+std::string ReadTextOr(const Json& json, const char* field) {
+  const auto found = json.find(field);
+  if (found == json.end()) {
+    return {};
+  }
+  if (!found->is_string()) {
+    throw FieldError(field);
+  }
+  return found->get<std::string>();
+}
+
+const Json& ReadListOr(const Json& json, const char* field) {
+  static const Json none = Json::array();
+  return json.contains(field) ? ReadList(json, field) : none;
+}
+
+Millis ReadMillisOr(const Json& json, const char* field, Millis otherwise) {
+  const auto found = json.find(field);
+  return found == json.end() ? otherwise : ToMillis(*found, field, 1.0);
+}
+
+Millis ReadSecondsOr(const Json& json, const char* field, Millis otherwise) {
+  const auto found = json.find(field);
+  return found == json.end() ? otherwise
+                             : ToMillis(*found, field, kMillisPerSecond);
+}
+
+Resources ReadResources(const Json& json,
+                        const char* cpu,
+                        const char* memory,
+                        const char* accelerators) {
+  if (!json.is_object()) {
+    throw FieldError(cpu);
+  }
+  const WholeRange range{0, kMostResource};
+  return {ReadWholeOr(json, cpu, 0, range), ReadWholeOr(json, memory, 0, range),
+          ReadWholeOr(json, accelerators, 0, range)};
+}
+
+std::string TextIn(std::string_view text, const char* field) {
+  const auto found = DecodeObject(
+      text, [field](const Json& json) { return ReadTextOr(json, field); });
+  return found.value_or("");
+}
+
+bool IsPlainWord(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return c >= kFirstVisible && c <= kLastVisible;
+  });
+}
+
+bool IsIpAndPort(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  const std::string ip(text.substr(0, colon));
+  const std::string_view digits = text.substr(colon + 1);
+  in_addr parsed{};
+  int port = 0;
+  const auto read =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  return IsPlainWord(ip) && inet_pton(AF_INET, ip.c_str(), &parsed) == 1 &&
+         read.ec == std::errc() && read.ptr == digits.data() + digits.size() &&
+         port > 0 && port <= kHighestPort;
+}
+
+}  // namespace doorwood
