fix(cell_members, live_directory): an entry that a worker did not write ends no run

Cause: what an entry said replaced what was known of the worker. An entry of a known id with another address sent the next look there; whoever lives there answers for another life, the worker counted as over, and its task was started a second time beside the run that went on. An entry that can't be read counted as gone, and the worker was emptied. Live keys, the workers' key and the chain's key of another form threw through the process.

An id is one life, and neither its address nor its service, data centre or machine changes within it: an entry that says so, like one that can't be read, is another writer's. What runs there goes on at the known address, nothing new goes there, and only the worker's own silence or another life's answer proves it over. With nothing running it is no member until its entry holds again. A worker whose service no queue names is not called. A life that was proven over is not called again under the same address: a copy of an entry under another id was called, dropped and recorded at every list. Each is logged once for each id and reason, at most 256 of them.

Also: recorded plans are checked like new ones before they are worked with (`depends_on` beyond the steps was read out of bounds), counts of a job's state fit its tasks also where a later row can't be read, and a wave's record keeps its readable names.

Ruled out: letting a changed entry count as gone (it is then emptied after 2.2 s, and its lasting tasks stop by our doing); following the new address while work runs (a second run).

--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -129,6 +129,11 @@
   }
 }
 
+int CellWorld::logged(const std::string& message) const {
+  const auto found = logged_.find(message);
+  return found == logged_.end() ? 0 : found->second;
+}
+
 void CellWorld::AdvanceAll() {
   store_.Advance(time_.millis());
   for (const auto& [id, worker] : workers_) {
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -68,6 +68,9 @@
   bool up = true;
   /// The directory names it.
   bool listed = true;
+  /// Calls that reached it, and runs that it began.
+  int calls = 0;
+  int started = 0;
 };
 
 /// A machine of the world; its worker's id rises with each life.
@@ -113,10 +116,16 @@
   std::vector<UpkeepWave>& waves() { return waves_; }
   /// Data centres that the operators have closed to new work.
   std::set<std::string>& closed() { return closed_; }
+  /// Entries of other writers in the directory.
+  std::vector<WorkerLife>& foreign() { return foreign_; }
   std::mt19937_64& random() { return random_; }
   /// Rules that were broken, in words.
   const std::vector<std::string>& broken() const { return broken_; }
   int starts(const std::string& task) const;
+  /// Calls that another life or nobody answered.
+  int calls_elsewhere() const { return calls_elsewhere_; }
+  /// Lines of the log with this message, of all instances.
+  int logged(const std::string& message) const;
   /// Runs that machines' upkeep ended.
   int lost_runs() const { return lost_runs_; }
   /// Ticket that the task's newest start carried.
@@ -129,6 +138,8 @@
   void OnStarted(const std::string& worker, const StartOrder& order);
   void AdvanceAll();
   double Chance();
+  void CountCallElsewhere() { ++calls_elsewhere_; }
+  void CountLine(const std::string& message) { ++logged_[message]; }
 
  private:
   void CheckRuns(const std::string& task);
@@ -142,7 +153,10 @@
   std::map<std::string, WorldMachine> machines_;
   std::vector<UpkeepWave> waves_;
   std::set<std::string> closed_;
+  std::vector<WorkerLife> foreign_;
   int lost_runs_ = 0;
+  int calls_elsewhere_ = 0;
+  std::map<std::string, int> logged_;
   std::shared_ptr<const QueueTable> table_;
   std::map<std::string, int> starts_;
   std::map<std::string, std::string> tickets_;
--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -160,6 +160,7 @@
             const auto error = target.model.Start(order);
             if (!error && !ran) {
               world_.OnStarted(id, order);
+              ++target.started;
             }
             return error;
           });
@@ -178,17 +179,28 @@
   }
 
  private:
+  // A worker's address is its id; another one is somebody else's.
+  bool LivesThere(const WorkerLife& worker) const {
+    return world_.workers().contains(worker.id) && worker.address == worker.id;
+  }
+
   WorldWorker* Reach(const WorkerLife& worker) {
-    const auto found = world_.workers().find(worker.id);
-    const bool reached = found != world_.workers().end() && found->second->up &&
-                         !self_.cut_from.contains(worker.id);
-    return reached ? found->second.get() : nullptr;
+    if (!LivesThere(worker)) {
+      world_.CountCallElsewhere();
+      return nullptr;
+    }
+    WorldWorker* found = world_.workers().at(worker.id).get();
+    if (!found->up || self_.cut_from.contains(worker.id)) {
+      return nullptr;
+    }
+    ++found->calls;
+    return found;
   }
 
   // A crashed worker's address is answered by its next life.
   template <typename T>
   void Fail(const WorkerLife& worker, Callback<T> done) {
-    const bool over = !world_.workers().contains(worker.id);
+    const bool over = !LivesThere(worker);
     const auto error = over ? RunErrc::kOtherLife : RunErrc::kNoAnswer;
     self_.executor->Schedule(
         over ? kWorkerDelay : kNoAnswer,
@@ -236,7 +248,7 @@
     if (self_.store_faults.down || self_.store_faults.silent) {
       error = KvErrc::kUnavailable;
     }
-    std::vector<WorkerLife> lives;
+    std::vector<WorkerLife> lives = world_.foreign();
     for (const auto& [id, worker] : world_.workers()) {
       if (worker->listed) {
         lives.push_back(worker->life);
@@ -373,7 +385,7 @@
 
 class WorldLog : public EventLog {
  public:
-  WorldLog(const CellWorld& world, std::string name)
+  WorldLog(CellWorld& world, std::string name)
       : world_(world), name_(std::move(name)) {}
 
   bool IsEnabled(std::string_view) const override { return true; }
@@ -381,13 +393,14 @@
              std::string_view component,
              std::string_view message,
              const Json& fields) override {
+    world_.CountLine(std::string(message));
     world_.Trace(name_ + " " + std::string(level) + " " +
                  std::string(component) + ": " + std::string(message) + " " +
                  fields.dump());
   }
 
  private:
-  const CellWorld& world_;
+  CellWorld& world_;
   std::string name_;
 };
 
@@ -422,8 +435,7 @@
   return std::make_unique<WorldMachines>(world, self);
 }
 
-std::unique_ptr<EventLog> MakeWorldLog(const CellWorld& world,
-                                       std::string name) {
+std::unique_ptr<EventLog> MakeWorldLog(CellWorld& world, std::string name) {
   return std::make_unique<WorldLog>(world, std::move(name));
 }
 
--- a/src/fakes/cell_world_ports.h
+++ b/src/fakes/cell_world_ports.h
@@ -25,8 +25,7 @@
 std::unique_ptr<Adviser> MakeWorldAdviser(WorldInstance& self);
 std::unique_ptr<MachinePlatform> MakeWorldMachines(CellWorld& world,
                                                    WorldInstance& self);
-std::unique_ptr<EventLog> MakeWorldLog(const CellWorld& world,
-                                       std::string name);
+std::unique_ptr<EventLog> MakeWorldLog(CellWorld& world, std::string name);
 
 }  // namespace doorwood::fakes
 
--- /dev/null
+++ b/src/fakes/mutate.h
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// For tests: messages as another writer might leave them, made from good ones
+/// by a seeded generator.
+
+#ifndef DOORWOOD_FAKES_MUTATE_H_
+#define DOORWOOD_FAKES_MUTATE_H_
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <string>
+
+#include "doorwood/json_codec.h"
+
+namespace doorwood::fakes {
+
+class Mutator {
+ public:
+  explicit Mutator(uint64_t seed) : random_(seed) {}
+
+  size_t Below(size_t bound) { return bound == 0 ? 0 : random_() % bound; }
+
+  /// One to three changes to the text, or to the JSON that it is.
+  std::string Change(const std::string& good) {
+    std::string text = good;
+    const size_t changes = 1 + Below(3);
+    for (size_t change = 0; change < changes; ++change) {
+      const auto json = Json::parse(text, nullptr, false);
+      const bool by_value = !json.is_discarded() && Below(3) != 0;
+      text = by_value ? ChangeValue(json) : ChangeBytes(text);
+    }
+    return text;
+  }
+
+ private:
+  // As text, since some have no form as a value.
+  std::string OddValue() {
+    static const std::array<std::string, 30> values = {
+        "null",
+        "true",
+        "[]",
+        "{}",
+        "\"\"",
+        "\"x\"",
+        "0",
+        "-1",
+        "-0.0",
+        "1.5",
+        "7.0",
+        "1e300",
+        "-1e300",
+        "1e999",
+        "9223372036854775807",
+        "9223372036854775808",
+        "18446744073709551615",
+        "-9223372036854775808",
+        "4294967297",
+        "99999999999999999999999999",
+        "NaN",
+        "[[[[[[]]]]]]",
+        "{\"\":{\"\":{}}}",
+        "[null,1,\"a\"]",
+        "\"a\\u0000b\"",
+        "\"\\r\\nX: y\"",
+        "\"\xc3\x28\"",
+        "\"\\ud800\"",
+        "{\"a\":1,\"a\":2}",
+        "\"0\""};
+    const size_t which = Below(values.size() + 1);
+    if (which < values.size()) {
+      return values[which];
+    }
+    constexpr size_t kDeep = 3000;
+    return std::string(kDeep, '[') + std::string(kDeep, ']');
+  }
+
+  // Puts an odd value where some value was, or takes it away, or adds one.
+  std::string ChangeValue(const Json& json) {
+    static const std::string mark = "@odd@";
+    Json changed = json;
+    Json* at = &changed;
+    while (at->is_structured() && !at->empty() && Below(4) != 0) {
+      auto inner = at->begin();
+      std::advance(inner, static_cast<std::ptrdiff_t>(Below(at->size())));
+      at = &*inner;
+    }
+    if (at->is_object() && !at->empty() && Below(3) == 0) {
+      auto inner = at->begin();
+      std::advance(inner, static_cast<std::ptrdiff_t>(Below(at->size())));
+      at->erase(inner);
+      return Write(changed);
+    }
+    *at = mark;
+    std::string text = Write(changed);
+    const size_t place = text.find("\"" + mark + "\"");
+    return place == std::string::npos
+               ? text
+               : text.replace(place, mark.size() + 2, OddValue());
+  }
+
+  static std::string Write(const Json& json) {
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  }
+
+  std::string ChangeBytes(std::string text) {
+    const size_t place = Below(text.size());
+    switch (Below(5)) {
+      case 0:
+        return text.substr(0, place);
+      case 1:
+        if (!text.empty()) {
+          text[place] = static_cast<char>(Below(256));
+        }
+        return text;
+      case 2:
+        return text.insert(place, 1, static_cast<char>(Below(256)));
+      case 3:
+        return text.erase(place, 1 + Below(8));
+      default:
+        return text.insert(place, text.substr(Below(text.size()), Below(40)));
+    }
+  }
+
+  std::mt19937_64 random_;
+};
+
+}  // namespace doorwood::fakes
+
+#endif  // DOORWOOD_FAKES_MUTATE_H_
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -29,6 +29,7 @@
 #include "doorwood/place_search.h"
 #include "doorwood/queue_table.h"
 #include "doorwood/record_store.h"
+#include "doorwood/refused_entries.h"
 #include "doorwood/run_worker.h"
 #include "doorwood/ticket_book.h"
 #include "doorwood/wave_keeper.h"
@@ -185,6 +186,9 @@
     /// The directory lists it; if not, since when.
     bool listed = false;
     Instant unlisted_since{};
+    /// Its entry is another writer's: nothing new goes there, and what runs
+    /// there goes on.
+    bool doubted = false;
     /// Emptied for its machine's upkeep until then; renewed while that goes on.
     Instant emptied_until{};
     /// A successor has to account for what runs there before it starts
@@ -237,6 +241,11 @@
   /// Every worker of the queue's service is in a closed data centre.
   bool IsClosedEverywhere(const std::string& queue) const;
   void OnWorkers(std::vector<WorkerLife> lives);
+  /// Takes over what a known worker's entry says, if it may be its own.
+  void TakeEntry(const WorkerLife& life, Member* member);
+  bool MayJoin(const WorkerLife& life);
+  bool IsNamedService(const std::string& service) const;
+  void ForgetOver(const std::vector<WorkerLife>& lives);
   void NoteUnlisted();
   void AddMember(const WorkerLife& life, bool from_takeover);
   void RecordMembers();
@@ -391,6 +400,9 @@
   TicketBook tickets_;
   WaveKeeper waves_;
   std::map<std::string, Member> members_;
+  /// Lives that are proven over and still listed, with their addresses.
+  std::map<std::string, std::string> over_;
+  RefusedEntries refused_{log_, "cell"};
   std::multimap<std::string, CancelWait> cancels_;
   /// All runs of the time before the takeover are accounted for.
   bool accounted_ = true;
--- a/src/include/doorwood/run_worker.h
+++ b/src/include/doorwood/run_worker.h
@@ -35,6 +35,8 @@
   bool draining = false;
   /// Least time until it leaves, once draining.
   Millis remaining{0};
+  /// False: the entry is not of a worker's form, and only `id` is told.
+  bool readable = true;
 };
 
 /// Port to the list of workers.
@@ -47,7 +49,8 @@
 
   virtual ~WorkerDirectory() = default;
 
-  /// All workers, linearizable. Fails with a KvErrc.
+  /// All workers, linearizable, and the ids of entries that can't be read.
+  /// Fails with a KvErrc.
   virtual void ListWorkers(Callback done) = 0;
   /// Data centres that the operators have closed to new work, linearizable.
   /// Fails with a KvErrc.
--- /dev/null
+++ b/src/libdoorwood/base/refused_entries.cpp
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "doorwood/refused_entries.h"
+
+namespace doorwood {
+
+void RefusedEntries::Note(const std::string& id, std::string_view reason) {
+  ++total_;
+  std::pair<std::string, std::string> pair(id, reason);
+  if (kept_.contains(pair)) {
+    return;
+  }
+  if (kept_.size() < kMostKept) {
+    kept_.insert(std::move(pair));
+    log_.Write("warn", component_, "an entry is not used",
+               {{"id", id}, {"reason", reason}});
+    return;
+  }
+  if (!full_told_) {
+    full_told_ = true;
+    log_.Write("warn", component_, "further entries that are not used",
+               {{"told", kMostKept}});
+  }
+}
+
+}  // namespace doorwood
--- /dev/null
+++ b/src/libdoorwood/cell/cell_foreign_test.cpp
@@ -0,0 +1,306 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Entries of other writers, among those of workers and among this system's
+// own: they name no worker to use, the others hold, and no run is lost.
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <string>
+
+#include "doorwood/cell_leader.h"
+#include "fakes/cell_world.h"
+#include "fakes/mutate.h"
+
+namespace doorwood {
+namespace {
+
+constexpr char kJob[] = "00112233aabbccdd";
+constexpr char kOtherJob[] = "00112233aabbccde";
+constexpr char kTask[] = "00112233aabbccdd.0.0.0";
+
+struct ForeignFixture {
+  ForeignFixture() : world(29) {
+    world.SetTable({fakes::MakeQueue("queue", 3)});
+    for (const char* id : {"w1", "w2", "w3"}) {
+      world.AddWorker(id, 8000);
+    }
+    world.AddInstance("a1", "plaka");
+    world.AddInstance("b1", "kerameikos");
+    world.WaitForLeader();
+    world.Run(Millis(1000));
+  }
+  ~ForeignFixture() {
+    for (const std::string& rule : world.broken()) {
+      BOOST_ERROR(rule);
+    }
+  }
+  ForeignFixture(const ForeignFixture&) = delete;
+  ForeignFixture& operator=(const ForeignFixture&) = delete;
+
+  std::string Runner() {
+    for (const auto& [id, worker] : world.workers()) {
+      if (worker->model.Runs(kTask)) {
+        return id;
+      }
+    }
+    return "";
+  }
+  fakes::WorldWorker& StartLastingTask() {
+    JobPlan plan = fakes::MakePlan(kJob, 1, 1, "");
+    plan.steps[0].lasting = true;
+    world.Submit(plan);
+    world.Run(Millis(500));
+    first = Runner();
+    BOOST_REQUIRE(!first.empty());
+    return *world.workers().at(first);
+  }
+  // Each of the job's tasks takes a whole worker.
+  void FillWithWork() {
+    JobPlan plan = fakes::MakePlan(kOtherJob, 1, 6, "ms=200");
+    plan.steps[0].size.cpu_millis = 4000;
+    BOOST_TEST(world.Submit(plan));
+  }
+  void ExpectStayed() {
+    BOOST_TEST(Runner() == first);
+    BOOST_TEST(world.starts(kTask) == 1);
+  }
+  void PutRecord(const std::string& key, const std::string& value) {
+    StoreTransaction transaction;
+    transaction.puts.push_back({key, value, 0});
+    StoreCommit ignored;
+    BOOST_TEST(!world.store().Commit(transaction, &ignored));
+  }
+
+  fakes::CellWorld world;
+  std::string first;
+};
+
+struct DoubtRow {
+  const char* name;
+  std::function<void(WorkerLife*)> change;
+};
+
+const DoubtRow doubts[] = {
+    {"another address", [](WorkerLife* life) { life->address = "10.0.0.9:1"; }},
+    {"another service", [](WorkerLife* life) { life->service = "other"; }},
+    {"another data centre",
+     [](WorkerLife* life) { life->data_centre = "elsewhere"; }},
+    {"another machine", [](WorkerLife* life) { life->machine = "m-9"; }},
+    {"unreadable", [](WorkerLife* life) {
+       WorkerLife unreadable;
+       unreadable.id = life->id;
+       unreadable.readable = false;
+       *life = unreadable;
+     }}};
+
+BOOST_AUTO_TEST_CASE(Worker_EntryIsAnotherWriters_RunGoesOnAndNothingNew) {
+  for (const DoubtRow& row : doubts) {
+    BOOST_TEST_INFO_SCOPE(row.name);
+    ForeignFixture fixture;
+    fakes::WorldWorker& worker = fixture.StartLastingTask();
+    worker.life.machine = "m-1";
+    fixture.world.Run(Millis(3000));
+    const WorkerLife real = worker.life;
+    row.change(&worker.life);
+    fixture.world.Run(Millis(3000));
+    fixture.ExpectStayed();
+    fixture.FillWithWork();
+    const int before = worker.started;
+    fixture.world.Run(Millis(6000));
+    fixture.ExpectStayed();
+    BOOST_TEST(worker.started == before, row.name);
+    // The worker writes its entry again.
+    worker.life = real;
+    fixture.world.Run(Millis(3000));
+    JobPlan wide = fakes::MakePlan("00112233aabbccdf", 1, 20, "ms=500");
+    BOOST_TEST(fixture.world.Submit(wide));
+    fixture.world.Run(Millis(1500));
+    BOOST_TEST(worker.started > before, row.name);
+    fixture.ExpectStayed();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Worker_EntryIsAnotherWritersAtATakeover_RunGoesOn) {
+  for (const DoubtRow& row : doubts) {
+    BOOST_TEST_INFO_SCOPE(row.name);
+    ForeignFixture fixture;
+    fakes::WorldWorker& worker = fixture.StartLastingTask();
+    row.change(&worker.life);
+    fixture.world.Kill(fixture.world.Leader()->name);
+    BOOST_REQUIRE(fixture.world.WaitForLeader() != nullptr);
+    fixture.world.Run(Millis(8000));
+    BOOST_TEST(fixture.Runner() == fixture.first, row.name);
+    fixture.ExpectStayed();
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(Worker_EntryIsAnotherWritersAndItCrashes_RunMoves,
+                        ForeignFixture) {
+  fakes::WorldWorker& worker = StartLastingTask();
+  world.foreign().push_back(worker.life);
+  world.foreign().back().address = "10.0.0.9:1";
+  worker.listed = false;
+  world.Run(Millis(2000));
+  world.CrashWorker(first);
+  world.Run(Millis(8000));
+  BOOST_TEST(!Runner().empty());
+  BOOST_TEST(Runner() != first);
+}
+
+BOOST_FIXTURE_TEST_CASE(Worker_ServiceThatNoQueueNames_IsLeftAlone,
+                        ForeignFixture) {
+  fakes::WorldWorker& other = world.AddWorker("w9", 8000);
+  other.life.service = "unnamed";
+  world.Run(Millis(3000));
+  BOOST_TEST(other.calls == 0);
+  // Once a queue names it, it is a worker like the others.
+  Queue queue = fakes::MakeQueue("late", 3);
+  queue.service = "unnamed";
+  world.SetTable({fakes::MakeQueue("queue", 3), queue});
+  world.Run(Millis(3000));
+  BOOST_TEST(other.calls > 0);
+}
+
+// Entries of lives that answer as somebody else: a copy of a worker's entry
+// under another id.
+BOOST_FIXTURE_TEST_CASE(Workers_CopiesOfAnEntry_AreCalledOnce, ForeignFixture) {
+  constexpr int kCopies = 20;
+  for (int n = 0; n < kCopies; ++n) {
+    WorkerLife copy = world.workers().at("w1")->life;
+    copy.id = "copy-" + std::to_string(n);
+    world.foreign().push_back(copy);
+  }
+  world.Run(Millis(10000));
+  BOOST_TEST(world.logged("a worker is gone") <= kCopies);
+  BOOST_TEST(world.calls_elsewhere() <= 2 * kCopies);
+  FillWithWork();
+  world.Run(Millis(3000));
+  BOOST_TEST((world.StateOf(kOtherJob) == JobPhase::kCompleted));
+}
+
+BOOST_FIXTURE_TEST_CASE(Workers_AThousandForeignEntries_OthersGoOn,
+                        ForeignFixture) {
+  constexpr int kEntries = 1000;
+  for (int n = 0; n < kEntries; ++n) {
+    WorkerLife life;
+    life.id = "x" + std::to_string(n);
+    life.readable = n % 2 != 0;
+    life.address = "10.0.0.9:1";
+    life.data_centre = "plaka";
+    life.service = "unnamed";
+    world.foreign().push_back(life);
+  }
+  StartLastingTask();
+  FillWithWork();
+  world.Run(Millis(10000));
+  BOOST_TEST((world.StateOf(kOtherJob) == JobPhase::kCompleted));
+  ExpectStayed();
+  BOOST_TEST(world.calls_elsewhere() == 0);
+  BOOST_TEST(world.logged("an entry is not used") <= 256);
+  BOOST_TEST(world.logged("an entry is not used") > 0);
+  BOOST_TEST(world.logged("further entries that are not used") <= 1);
+}
+
+// --- This system's own keys ---
+
+constexpr const char* kOddValues[] = {"",
+                                      "null",
+                                      "[]",
+                                      "7",
+                                      "\"x\"",
+                                      R"({"address":5})",
+                                      "\xff",
+                                      R"({"nonce":-1})",
+                                      R"({"leaving":"x","address":"y"})",
+                                      "[[1]]",
+                                      R"({"cpu_share":"x","data_centre":1})"};
+
+BOOST_FIXTURE_TEST_CASE(LiveKeys_OfAnotherWriter_DoNotStopTheInstances,
+                        ForeignFixture) {
+  int n = 0;
+  for (const char* value : kOddValues) {
+    const std::string name = "odd" + std::to_string(n++);
+    PutRecord(InstanceKey(name), value);
+    PutRecord(LeadKey(name), value);
+    PutRecord(std::string(kLivePrefix) + name, value);
+  }
+  PutRecord(std::string(kLivePrefix), "x");
+  PutRecord(InstanceKey(""), R"({"address":"y","data_centre":"plaka"})");
+  PutRecord(InstanceKey("a b\r\n"), R"({"address":"y"})");
+  PutRecord(InstanceKey("far"), R"({"address":"y\r\nX: z"})");
+  BOOST_CHECK_NO_THROW(world.Run(Millis(3000)));
+  BOOST_REQUIRE(world.Leader() != nullptr);
+  for (const auto& [name, instance] : world.instances()) {
+    BOOST_TEST(instance->live->instances().size() == 2U, name);
+    BOOST_TEST(instance->live->leads().size() == 1U, name);
+  }
+  world.Kill(world.Leader()->name);
+  BOOST_REQUIRE(world.WaitForLeader() != nullptr);
+  world.Run(Millis(1000));
+  FillWithWork();
+  world.Run(Millis(3000));
+  BOOST_TEST((world.StateOf(kOtherJob) == JobPhase::kCompleted));
+}
+
+BOOST_FIXTURE_TEST_CASE(LiveKeys_ChangedAtRandom_DoNotStopTheInstances,
+                        ForeignFixture) {
+  constexpr uint64_t kSeed = 20261203;
+  constexpr int kKeys = 2000;
+  const std::string instance =
+      R"({"data_centre":"plaka","address":"10.0.0.9:1","cpu_share":0.001,)"
+      R"("leaving":false})";
+  const std::string lead =
+      R"({"instance":"a9","address":"10.0.0.9:1","nonce":7})";
+  fakes::Mutator mutator(kSeed);
+  for (int n = 0; n < kKeys; ++n) {
+    const std::string name = "x" + std::to_string(n);
+    PutRecord(InstanceKey(name), mutator.Change(instance));
+    PutRecord(LeadKey(name), mutator.Change(lead));
+  }
+  BOOST_CHECK_NO_THROW(world.Run(Millis(3000)));
+  BOOST_REQUIRE(world.Leader() != nullptr);
+  for (const auto& [name, known] : world.instances()) {
+    BOOST_TEST(known->live->instances().contains("a1"), name);
+    BOOST_TEST(known->live->instances().contains("b1"), name);
+    BOOST_TEST(known->live->leads().contains("all"), name);
+  }
+  FillWithWork();
+  world.Run(Millis(3000));
+  BOOST_TEST((world.StateOf(kOtherJob) == JobPhase::kCompleted));
+}
+
+BOOST_FIXTURE_TEST_CASE(OwnInstanceKey_Overwritten_IsWrittenAgain,
+                        ForeignFixture) {
+  PutRecord(InstanceKey("a1"), "[]");
+  BOOST_CHECK_NO_THROW(world.Run(Millis(2000)));
+  for (const auto& [name, instance] : world.instances()) {
+    BOOST_TEST(instance->live->instances().contains("a1"), name);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DecodeWorkers_RowsOfAnotherForm_OthersHold) {
+  const auto known = DecodeWorkers(
+      R"([["w1","a:1",0],5,null,[],["w2"],[1,2],["w3","a:3","x"],)"
+      R"(["w4","a:4",-1],["","a:5"],["w6","a 6"],["w7","a:7",1e300],)"
+      R"({"a":1},["w8","a:8"],["w9","a:9",700]])");
+  BOOST_REQUIRE(known.size() == 3U);
+  BOOST_TEST(known[0].id == "w1");
+  BOOST_TEST(known[1].id == "w8");
+  BOOST_TEST(known[2].id == "w9");
+  BOOST_TEST(known[2].unheard.count() == 700);
+  for (const char* text : {"", "{}", "7", "\xff", R"({"a":[["w","x"]]})"}) {
+    BOOST_TEST(DecodeWorkers(text).empty(), text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DecodeSequence_OfAnotherForm_IsNone) {
+  BOOST_TEST(DecodeSequence(R"({"sequence":17})") == 17U);
+  for (const char* text :
+       {"", "[]", "7", R"({"sequence":"17"})", R"({"sequence":-1})",
+        R"({"sequence":1.5})", R"({"sequence":null})", R"({"sequence":{}})"}) {
+    BOOST_TEST(DecodeSequence(text) == 0U, text);
+  }
+}
+
+}  // namespace
+}  // namespace doorwood
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <utility>
 
+#include "doorwood/json_reader.h"
+
 namespace doorwood {
 namespace {
 
@@ -13,6 +15,22 @@
 constexpr std::string_view kJobFolder = "doorwood/job/";
 constexpr std::string_view kChain = "chain";
 
+std::optional<KnownWorker> DecodeKnownWorker(const Json& row) {
+  try {
+    KnownWorker worker;
+    worker.id = ToText(row.at(0), "id");
+    worker.address = ToText(row.at(1), "address");
+    // Earlier versions wrote no third field.
+    const int64_t unheard =
+        row.size() > 2 ? ToWhole(row.at(2), "unheard", {0, kMostMillis}) : 0;
+    worker.unheard = Millis(unheard);
+    const bool usable = IsPlainWord(worker.id) && IsPlainWord(worker.address);
+    return usable ? std::optional(std::move(worker)) : std::nullopt;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 std::string CellPrefix(std::string_view cell) {
@@ -61,8 +79,10 @@
 }
 
 uint64_t DecodeSequence(std::string_view text) {
-  const auto json = ParseJson(text);
-  return json && json->is_object() ? json->value("sequence", uint64_t{0}) : 0;
+  const auto sequence = DecodeObject(text, [](const Json& json) {
+    return ReadWhole(json, "sequence", kAnyName);
+  });
+  return static_cast<uint64_t>(sequence.value_or(0));
 }
 
 std::string EncodeWorkers(const std::vector<KnownWorker>& workers) {
@@ -78,10 +98,10 @@
   const auto json = ParseJson(text);
   if (json && json->is_array()) {
     for (const Json& row : *json) {
-      // Earlier versions wrote no third field.
-      const int64_t unheard = row.size() > 2 ? row.at(2).get<int64_t>() : 0;
-      workers.push_back({row.at(0).get<std::string>(),
-                         row.at(1).get<std::string>(), Millis(unheard)});
+      // A row of another form names no worker; the others hold.
+      if (auto worker = DecodeKnownWorker(row)) {
+        workers.push_back(std::move(*worker));
+      }
     }
   }
   return workers;
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -8,6 +8,30 @@
 #include "doorwood/cell_leader.h"
 
 namespace doorwood {
+namespace {
+
+bool Differs(const std::string& known, const std::string& told) {
+  return !known.empty() && !told.empty() && known != told;
+}
+
+// An id is one life of a worker, and none of these changes within a life: an
+// entry that says so is another writer's. Empty: not as it should be, or the
+// name of the field.
+std::string_view FindContradiction(const WorkerLife& known,
+                                   const WorkerLife& told) {
+  if (Differs(known.address, told.address)) {
+    return "another address";
+  }
+  if (Differs(known.service, told.service)) {
+    return "another service";
+  }
+  if (Differs(known.data_centre, told.data_centre)) {
+    return "another data centre";
+  }
+  return Differs(known.machine, told.machine) ? "another machine" : "";
+}
+
+}  // namespace
 
 void CellLeader::ReadWorkers() {
   if (reading_workers_) {
@@ -78,27 +102,19 @@
 void CellLeader::OnWorkers(std::vector<WorkerLife> lives) {
   for (auto& [id, member] : members_) {
     member.listed = false;
+    member.doubted = false;
   }
   bool added = false;
   for (const WorkerLife& life : lives) {
-    if (!IsOfCell(life.data_centre)) {
-      continue;
-    }
     const auto found = members_.find(life.id);
-    if (found == members_.end()) {
+    if (found != members_.end()) {
+      TakeEntry(life, &found->second);
+    } else if (MayJoin(life)) {
       AddMember(life, /*from_takeover=*/false);
       added = true;
-      continue;
-    }
-    if (life.draining && !found->second.session->life().draining) {
-      log_.Write(
-          "info", "cell", "a worker is leaving",
-          {{"worker", life.id}, {"remaining_ms", life.remaining.count()}});
     }
-    found->second.session->Update(life);
-    found->second.listed = true;
-    found->second.unlisted_since = Instant{};
   }
+  ForgetOver(lives);
   NoteUnlisted();
   DropMembers();
   if (added) {
@@ -108,9 +124,64 @@
   WakeScheduler();
 }
 
+// The worker itself proves that it is gone, by silence or by another life's
+// answer; an entry that it did not write proves nothing. So its runs go on, at
+// the address that is known, and nothing new goes there.
+void CellLeader::TakeEntry(const WorkerLife& life, Member* member) {
+  const WorkerLife& known = member->session->life();
+  const bool usable = life.readable && IsOfCell(life.data_centre);
+  const std::string_view doubt =
+      usable ? FindContradiction(known, life) : "unreadable";
+  member->unlisted_since = Instant{};
+  member->doubted = !doubt.empty();
+  if (member->doubted) {
+    refused_.Note(life.id, doubt);
+    return;
+  }
+  if (life.draining && !known.draining) {
+    log_.Write("info", "cell", "a worker is leaving",
+               {{"worker", life.id}, {"remaining_ms", life.remaining.count()}});
+  }
+  member->session->Update(life);
+  member->listed = true;
+}
+
+bool CellLeader::MayJoin(const WorkerLife& life) {
+  if (!life.readable || !IsOfCell(life.data_centre)) {
+    return false;
+  }
+  if (!IsNamedService(life.service)) {
+    refused_.Note(life.id, "no queue names its service");
+    return false;
+  }
+  const auto over = over_.find(life.id);
+  return over == over_.end() || over->second != life.address;
+}
+
+bool CellLeader::IsNamedService(const std::string& service) const {
+  return std::any_of(known_queues_.begin(), known_queues_.end(),
+                     [&service](const auto& entry) {
+                       return entry.second.service == service;
+                     });
+}
+
+void CellLeader::ForgetOver(const std::vector<WorkerLife>& lives) {
+  if (over_.empty()) {
+    return;
+  }
+  std::set<std::string_view> listed;
+  for (const WorkerLife& life : lives) {
+    listed.insert(life.id);
+  }
+  std::erase_if(over_, [&listed](const auto& entry) {
+    return !listed.contains(entry.first);
+  });
+}
+
 void CellLeader::NoteUnlisted() {
   for (auto& [id, member] : members_) {
-    if (!member.listed && member.unlisted_since == Instant{}) {
+    if (!member.listed && !member.doubted &&
+        member.unlisted_since == Instant{}) {
       member.unlisted_since = executor_.Now();
       log_.Write("info", "cell", "a worker is no longer listed",
                  {{"worker", id}, {"runs", member.session->runs().size()}});
@@ -206,6 +277,9 @@
     if (over && !still_counts) {
       log_.Write("info", "cell", "a worker is gone",
                  {{"worker", it->first}, {"dead", session.dead()}});
+      if (session.dead()) {
+        over_[it->first] = session.life().address;
+      }
       it->second.session->Close();
       trust_.Forget(it->first);
       it = members_.erase(it);
--- a/src/libdoorwood/job/job_plan.cpp
+++ b/src/libdoorwood/job/job_plan.cpp
@@ -3,6 +3,9 @@
 #include "doorwood/job_plan.h"
 
 #include <algorithm>
+#include <limits>
+
+#include "doorwood/json_reader.h"
 
 namespace doorwood {
 namespace {
@@ -105,6 +108,16 @@
   return work;
 }
 
+namespace {
+
+int ReadInt(const Json& json, const char* field) {
+  constexpr WholeRange kRange{std::numeric_limits<int>::min(),
+                              std::numeric_limits<int>::max()};
+  return static_cast<int>(ReadWholeOr(json, field, 0, kRange));
+}
+
+}  // namespace
+
 void to_json(Json& json, const StepPlan& step) {
   json = Json{{"count", step.count},
               {"size", step.size},
@@ -145,10 +158,13 @@
 }
 
 void from_json(const Json& json, StepPlan& step) {
-  json.at("count").get_to(step.count);
+  step.count = ReadInt(json, "count");
   json.at("size").get_to(step.size);
-  step.estimate = Millis(json.at("estimate_ms").get<int64_t>());
-  step.depends_on = json.value("depends_on", std::vector<int>());
+  step.estimate = ReadMillis(json, "estimate_ms");
+  for (const Json& earlier : ReadListOr(json, "depends_on")) {
+    step.depends_on.push_back(
+        static_cast<int>(ToWhole(earlier, "depends_on", {0, kMostStepsOfJob})));
+  }
   step.checkpoints = json.value("checkpoints", false);
   step.gang = json.value("gang", false);
   step.same_rack = json.value("same_rack", false);
@@ -158,11 +174,11 @@
   step.required_label = json.value("required_label", std::string());
   step.data_rack = json.value("data_rack", std::string());
   step.image = json.value("image", std::string());
-  step.most_per_worker = json.value("most_per_worker", 0);
+  step.most_per_worker = ReadInt(json, "most_per_worker");
   if (json.contains("may_miss")) {
-    step.may_miss = json.at("may_miss").get<int>();
+    step.may_miss = ReadInt(json, "may_miss");
   }
-  step.latency_target = Millis(json.value("latency_target_ms", int64_t{0}));
+  step.latency_target = ReadMillisOr(json, "latency_target_ms", Millis(0));
 }
 
 void to_json(Json& json, const JobPlan& plan) {
@@ -183,22 +199,18 @@
   json.at("queue").get_to(plan.queue);
   json.at("payload").get_to(plan.payload);
   json.at("steps").get_to(plan.steps);
-  plan.accepted_at = json.value("accepted_at", int64_t{0});
-  plan.times = json.value("times", 0);
-  plan.first_due = json.value("first_due", int64_t{0});
-  plan.interval = Millis(json.value("interval_ms", int64_t{0}));
+  plan.accepted_at = ReadWholeOr(json, "accepted_at", 0);
+  plan.times = ReadInt(json, "times");
+  plan.first_due = ReadWholeOr(json, "first_due", 0);
+  plan.interval = ReadMillisOr(json, "interval_ms", Millis(0));
 }
 
 std::optional<JobPlan> ParsePlan(std::string_view text) {
-  const auto json = ParseJson(text);
-  if (!json) {
-    return std::nullopt;
-  }
-  try {
-    return json->get<JobPlan>();
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  auto plan =
+      DecodeObject(text, [](const Json& json) { return json.get<JobPlan>(); });
+  // Every plan was looked at before it was recorded: another writer's is not
+  // to be worked with.
+  return plan && !FindProblem(*plan) ? plan : std::nullopt;
 }
 
 }  // namespace doorwood
--- a/src/libdoorwood/job/job_plan_test.cpp
+++ b/src/libdoorwood/job/job_plan_test.cpp
@@ -78,6 +78,28 @@
   BOOST_TEST(Json(written.get<JobPlan>()).dump() == written.dump());
 }
 
+// What is recorded or sent by another instance was looked at before; another
+// writer's text was not, and would be worked with out of bounds.
+BOOST_AUTO_TEST_CASE(ParsePlan_ThatNobodyAccepted_GivesNothing) {
+  const Json good = fakes::MakePlan(kId, 2, 2, "");
+  BOOST_REQUIRE(ParsePlan(good.dump()).has_value());
+  const auto with_step = [&good](const char* field, const Json& value) {
+    Json changed = good;
+    changed["steps"][1][field] = value;
+    return changed.dump();
+  };
+  for (const std::string& text :
+       {with_step("depends_on", {5}), with_step("depends_on", {1}),
+        with_step("depends_on", {-1}), with_step("depends_on", {4294967296}),
+        with_step("depends_on", "0"), with_step("count", 4294967297),
+        with_step("count", 30000), with_step("count", -1),
+        with_step("estimate_ms", 1e300), with_step("estimate_ms", -1),
+        with_step("size", {{"cpu_millis", -1}}), std::string("[]"),
+        std::string("{}")}) {
+    BOOST_TEST(!ParsePlan(text).has_value(), text);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LongestChain_DependentSteps_AddsUp) {
   const JobPlan plan = fakes::MakePlan(kId, 3, 2, "");
   const std::vector<Millis> run_times{Millis(300), Millis(200), Millis(400)};
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -340,6 +340,7 @@
   if (!json) {
     return false;
   }
+  bool whole = true;
   try {
     const std::string letter = json->at("outcome").get<std::string>();
     job->finished_at = json->at("finished_at").get<int64_t>();
@@ -361,7 +362,7 @@
       }
     }
   } catch (const std::exception&) {
-    return false;
+    whole = false;  // what was read up to here counts
   }
   job->times_done = 0;
   for (TimeState& time : job->times) {
@@ -382,7 +383,7 @@
     }
   }
   job->outcome_recorded = job->outcome != JobOutcome::kOpen;
-  return true;
+  return whole;
 }
 
 }  // namespace doorwood
--- a/src/libdoorwood/job/job_table_test.cpp
+++ b/src/libdoorwood/job/job_table_test.cpp
@@ -158,6 +158,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(DecodeJobState_BadRowAfterADoneTask_CountsFit) {
+  JobTable table;
+  Job* job = table.Add(fakes::MakePlan(kId, 1, 2, ""));
+  BOOST_TEST(
+      !DecodeJobState(R"({"outcome":"o","finished_at":0,"begun":true,)"
+                      R"("tasks":[[0,0,0,4,4,[],"",1],[0,0,"x",1,1,[],"",0]]})",
+                      job));
+  const StepState& step = job->times[0].steps[0];
+  BOOST_TEST(step.tasks[0].done);
+  BOOST_TEST(step.done == 1);
+  BOOST_TEST(step.idle == 1);
+}
+
 BOOST_AUTO_TEST_CASE(ParseTaskName_AnyText_OnlyTakesFourParts) {
   BOOST_TEST(ParseTaskName("ab.0.1.17").has_value());
   for (const char* text : {"", "ab", "ab.0.1", "ab.0.1.x", "ab..1.2"}) {
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "doorwood/json_reader.h"
+
 namespace doorwood {
 namespace {
 
@@ -19,6 +21,37 @@
       .dump();
 }
 
+std::optional<LiveInstance> DecodeInstance(const std::string& name,
+                                           const StoreItem& item) {
+  if (item.gone || !IsPlainWord(name)) {
+    return std::nullopt;
+  }
+  return DecodeObject(item.value, [&name](const Json& json) {
+    LiveInstance instance{
+        name, ReadText(json, "data_centre"), ReadText(json, "address"),
+        json.value("cpu_share", 1.0), json.value("leaving", false)};
+    if (!IsPlainWord(instance.address)) {
+      throw FieldError("address");
+    }
+    return instance;
+  });
+}
+
+std::optional<CellLead> DecodeLead(const std::string& cell,
+                                   const StoreItem& item) {
+  if (item.gone || !IsPlainWord(cell)) {
+    return std::nullopt;
+  }
+  return DecodeObject(item.value, [&](const Json& json) {
+    CellLead lead{cell, ReadText(json, "instance"), ReadText(json, "address"),
+                  item.created, json.at("nonce").get<uint64_t>()};
+    if (!json.at("nonce").is_number_unsigned() || !IsPlainWord(lead.address)) {
+      throw FieldError("nonce");
+    }
+    return lead;
+  });
+}
+
 }  // namespace
 
 std::string InstanceKey(std::string_view instance) {
@@ -301,18 +334,18 @@
 }
 
 void LiveDirectory::Apply(const StoreItem& item) {
+  if (!item.key.starts_with(kLivePrefix)) {
+    return;
+  }
   const std::string_view rest =
       std::string_view(item.key).substr(kLivePrefix.size());
   if (rest.starts_with(kInstanceFolder)) {
     const std::string name(rest.substr(kInstanceFolder.size()));
-    const auto json = ParseJson(item.value);
-    if (item.gone || !json) {
+    if (auto instance = DecodeInstance(name, item)) {
+      instances_[name] = std::move(*instance);
+    } else {
       instances_.erase(name);
-      return;
     }
-    instances_[name] = {
-        name, json->value("data_centre", ""), json->value("address", ""),
-        json->value("cpu_share", 1.0), json->value("leaving", false)};
     return;
   }
   if (rest.starts_with(kLeadFolder)) {
@@ -321,14 +354,11 @@
     if (known != leads_.end() && item.revision < known->second.epoch) {
       return;  // tells of an earlier lead
     }
-    const auto json = ParseJson(item.value);
-    if (item.gone || !json) {
+    if (auto lead = DecodeLead(cell, item)) {
+      leads_[cell] = std::move(*lead);
+    } else {
       leads_.erase(cell);
-      return;
     }
-    leads_[cell] = {cell, json->value("instance", ""),
-                    json->value("address", ""), item.created,
-                    json->value("nonce", uint64_t{0})};
   }
 }
 
--- a/src/libdoorwood/pool/wave_keeper.cpp
+++ b/src/libdoorwood/pool/wave_keeper.cpp
@@ -19,9 +19,16 @@
 }
 
 std::set<std::string> DecodeDone(std::string_view text) {
+  std::set<std::string> done;
   const auto json = ParseJson(text);
-  return json && json->is_array() ? json->get<std::set<std::string>>()
-                                  : std::set<std::string>();
+  if (json && json->is_array()) {
+    for (const Json& machine : *json) {
+      if (machine.is_string()) {
+        done.insert(machine.get<std::string>());
+      }
+    }
+  }
+  return done;
 }
 
 }  // namespace
