fix(platform): entries and answers of another form are refused field by field

Cause: an entry under `servers/` without a `state`, or with one that the pages don't name, was taken for a draining worker; an address of any form, negative room and ids with blanks or line ends were taken. A 409 with the body `[]`, an answer with `{"clockMs":"x"}`, a peer's summary that is no object threw through the process; a summary that could not be read was told as success.

Every decoder of platform/ and of the peers' answers now reads through json_reader and refuses. An entry is refused alone, those beside it hold; an answer of one process (a worker's report, a page of the store or of machines) is refused as a whole, as before. Directory tells a refused entry by its id only, counts it and logs it once for each reason (doorwood_entries_refused, doorwood_entries_refused_total).

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -53,7 +53,7 @@
       workers_(client_),
       adviser_(client_, settings_.adviser),
       machines_(client_, store_, settings_.machines),
-      directory_(store_),
+      directory_(store_, log_),
       config_source_(store_),
       peers_(client_),
       live_(executor_, store_, peers_, log_, LiveOptions{}, SelfOf(settings_)),
@@ -255,6 +255,8 @@
       {"doorwood_store_calls_total", store_.calls()},
       {"doorwood_connects_total", client_.connects()},
       {"doorwood_log_lines_dropped_total", DroppedLogLines()},
+      {"doorwood_entries_refused", directory_.refused().kept()},
+      {"doorwood_entries_refused_total", directory_.refused().total()},
       {"doorwood_leading", cell_.leading() ? 1U : 0U},
       {"doorwood_front_connections", front_server_.connections()},
       {"doorwood_front_open_requests", front_server_.open_requests()}};
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -4,8 +4,11 @@
 
 #include <array>
 #include <charconv>
+#include <limits>
 #include <utility>
 
+#include "doorwood/json_reader.h"
+
 namespace doorwood {
 namespace {
 
@@ -80,18 +83,44 @@
           {"cores", summary.cores}};
 }
 
-std::optional<CellSummary> DecodeSummary(std::string_view text) {
-  const auto json = ParseJson(text);
-  if (!json) {
-    return std::nullopt;
+std::map<std::string, int> DecodePending(const Json& json) {
+  std::map<std::string, int> pending;
+  const auto found = json.find("pending");
+  if (found == json.end()) {
+    return pending;
+  }
+  if (!found->is_object()) {
+    throw FieldError("pending");
   }
-  CellSummary summary;
-  summary.cell = json->value("cell", "");
-  summary.epoch = json->value("epoch", int64_t{0});
-  summary.pending = json->value("pending", std::map<std::string, int>());
-  summary.waiting_work = json->value("waiting_work", 0.0);
-  summary.cores = json->value("cores", 0.0);
-  return summary;
+  for (const auto& [queue, count] : found->items()) {
+    pending[queue] = static_cast<int>(
+        ToWhole(count, "pending", {0, std::numeric_limits<int>::max()}));
+  }
+  return pending;
+}
+
+std::optional<CellSummary> DecodeSummary(std::string_view text) {
+  return DecodeObject(text, [](const Json& json) {
+    CellSummary summary;
+    summary.cell = ReadTextOr(json, "cell");
+    summary.epoch = ReadWholeOr(json, "epoch", 0);
+    summary.pending = DecodePending(json);
+    summary.waiting_work = json.value("waiting_work", 0.0);
+    summary.cores = json.value("cores", 0.0);
+    return summary;
+  });
+}
+
+// How long ago the store was heard; nothing beyond a day is told here.
+std::optional<Millis> DecodeAge(std::string_view text) {
+  constexpr int64_t kMostAge = 86'400'000;
+  int64_t age = 0;
+  const auto read =
+      std::from_chars(text.data(), text.data() + text.size(), age);
+  const bool whole =
+      read.ec == std::errc() && read.ptr == text.data() + text.size();
+  return whole && age >= 0 && age <= kMostAge ? std::optional(Millis(age))
+                                              : std::nullopt;
 }
 
 }  // namespace
@@ -146,7 +175,8 @@
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
         const auto summary = DecodeSummary(reply.body);
         if (!error && (reply.status != kOk || !summary)) {
-          error = ErrorOf(reply.status);
+          error = reply.status == kOk ? make_error_code(CoreErrc::kInvalid)
+                                      : ErrorOf(reply.status);
         }
         done(error, summary.value_or(CellSummary{}));
       });
@@ -160,13 +190,11 @@
   client_.Send(
       std::move(call),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
-        int64_t age = 0;
-        const auto read = std::from_chars(
-            reply.body.data(), reply.body.data() + reply.body.size(), age);
-        if (!error && (reply.status != kOk || read.ec != std::errc())) {
+        const auto age = DecodeAge(reply.body);
+        if (!error && (reply.status != kOk || !age)) {
           error = CoreErrc::kInvalid;
         }
-        done(error, Millis(age));
+        done(error, age.value_or(Millis(0)));
       });
 }
 
