test(platform-bad-input): foreign entries in the store while jobs come

Six entries of another writer under servers/, doorwood/live/ and op/evacuate/; the instance must go on, take a job, and tell each refused entry once.

--- a/testsuite/platform-bad-input/run.sh
+++ b/testsuite/platform-bad-input/run.sh
@@ -28,6 +28,30 @@
 printf 'nonsense\r\n\r\n' | timeout 5 bash -c "exec 3<>/dev/tcp/127.0.0.1/${PORT[a1-front]}; cat >&3; head -1 <&3" | tr -d '\r'
 is_ready a1 && echo "still ready"
 
+# What another writer leaves in the store ends nothing and names no worker.
+put() {
+  local value
+  value=$(printf '%s' "$2" | base64 -w0)
+  curl -s -o /dev/null -w '%{http_code}\n' "http://127.0.0.1:${PORT[store]}/kv-txn" \
+    --data-binary "{\"put\":[{\"privateKey\":\"$1\",\"value\":\"$value\"}]}"
+}
+refused() {
+  curl -s "http://127.0.0.1:${PORT[a1-metrics]}/metrics" | grep "^doorwood_entries_refused $1"
+}
+put servers/no-state '{"service":"pool","address":"127.0.0.1:9","zone":"plaka"}'
+put servers/no-json 'x'
+put servers/no-object '[]'
+put doorwood/live/instance/odd '[]'
+put doorwood/live/lead/odd '{"nonce":"x"}'
+put op/evacuate/ '[]'
+until_true refused 3
+refused 3
+call a1 POST /jobs/00000000000000b2 '{"spec":"ms=50","steps":[{"count":3,"cpu":500,"memMb":64,"estRuntimeMs":50}]}'
+until_true state_is a1 00000000000000b2 completed
+call a1 GET /jobs/00000000000000b2
+is_ready a1 && echo "still ready"
+echo "entries told: $(grep -c 'an entry is not used' "$WORK/a1.log")"
+
 sed 's/^instance:.*/instence: a1/' "$WORK/a1.yaml" >"$WORK/bad.yaml"
 "$BIN/doorwood-celld" --settings "$WORK/bad.yaml" 2>&1 | sed "s#$WORK/##"
 "$BIN/doorwood-celld" --settings "$WORK/a1.yaml" --check-settings | sed "s#$WORK/##"
