--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -163,6 +163,7 @@
             const auto error = target.model.Start(order);
             if (!error && !ran) {
               world_.OnStarted(id, order);
+              ++target.started;
             }
             return error;
           });
@@ -182,18 +183,22 @@
 
  private:
   WorldWorker* Reach(const WorkerLife& worker) {
-    const auto found = world_.workers().find(worker.id);
-    const bool reached = !IsElsewhere(worker) && found->second->up &&
-                         !self_.cut_from.contains(worker.id);
-    return reached ? found->second.get() : nullptr;
+    if (IsElsewhere(worker)) {
+      world_.CountCallElsewhere();
+      return nullptr;
+    }
+    WorldWorker* found = world_.workers().at(worker.id).get();
+    if (!found->up || self_.cut_from.contains(worker.id)) {
+      return nullptr;
+    }
+    ++found->calls;
+    return found;
   }
 
   // A crashed worker's address is answered by its next life, and one that the
   // worker never had by somebody else.
   bool IsElsewhere(const WorkerLife& worker) const {
-    const auto found = world_.workers().find(worker.id);
-    return found == world_.workers().end() ||
-           found->second->life.address != worker.address;
+    return !world_.workers().contains(worker.id) || worker.address != worker.id;
   }
 
   template <typename T>
@@ -246,7 +251,7 @@
     if (self_.store_faults.down || self_.store_faults.silent) {
       error = KvErrc::kUnavailable;
     }
-    std::vector<WorkerLife> lives;
+    std::vector<WorkerLife> lives = world_.foreign();
     for (const auto& [id, worker] : world_.workers()) {
       if (worker->listed) {
         lives.push_back(worker->life);
@@ -391,7 +396,7 @@
 
 class WorldLog : public EventLog {
  public:
-  WorldLog(const CellWorld& world, std::string name)
+  WorldLog(CellWorld& world, std::string name)
       : world_(world), name_(std::move(name)) {}
 
   bool IsEnabled(std::string_view) const override { return true; }
@@ -399,13 +404,14 @@
              std::string_view component,
              std::string_view message,
              const Json& fields) override {
+    world_.CountLine(std::string(message));
     world_.Trace(name_ + " " + std::string(level) + " " +
                  std::string(component) + ": " + std::string(message) + " " +
                  fields.dump());
   }
 
  private:
-  const CellWorld& world_;
+  CellWorld& world_;
   std::string name_;
 };
 
@@ -440,8 +446,7 @@
   return std::make_unique<WorldMachines>(world, self);
 }
 
-std::unique_ptr<EventLog> MakeWorldLog(const CellWorld& world,
-                                       std::string name) {
+std::unique_ptr<EventLog> MakeWorldLog(CellWorld& world, std::string name) {
   return std::make_unique<WorldLog>(world, std::move(name));
 }
 
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -103,8 +103,9 @@
   Millis unrecorded_pause{150};
   /// Pause after a look that was not answered.
   Millis retry_pause{150};
-  /// Pause where another life answers and this one never has.
-  Millis stranger_pause{1000};
+  /// Pause where another life answers and this one never has. A mended entry
+  /// ends it at once; without one each copy of an entry is asked twice in 10 s.
+  Millis stranger_pause{8000};
   /// A worker not heard of for so long gets no new work.
   Millis silence{1500};
   /// How long a stop may stay without a listed end before it is sent again.
