--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -234,6 +234,14 @@
 
 // --- Figures ---
 
+uint64_t EntryDaemon::LeadSeenAgo() const {
+  if (!cell_.leading()) {
+    return 0;
+  }
+  const auto ago = executor_.Now() - cell_.proof().stood_at();
+  return std::chrono::duration_cast<Millis>(ago).count();
+}
+
 HttpResponse EntryDaemon::Metrics() const {
   const CellCounters& counters = cell_.counters();
   const std::pair<const char*, uint64_t> rows[] = {
@@ -258,6 +266,7 @@
       {"doorwood_entries_refused", directory_.refused().kept()},
       {"doorwood_entries_refused_total", directory_.refused().total()},
       {"doorwood_leading", cell_.leading() ? 1U : 0U},
+      {"doorwood_lead_seen_ms_ago", LeadSeenAgo()},
       {"doorwood_front_connections", front_server_.connections()},
       {"doorwood_front_open_requests", front_server_.open_requests()}};
   HttpResponse response;
--- a/src/celld/entry_daemon.h
+++ b/src/celld/entry_daemon.h
@@ -47,6 +47,8 @@
   void FinishWhenIdle();
   bool IsReady() const;
   HttpResponse Metrics() const;
+  /// When a leader last saw its key, ms ago; 0: it does not lead.
+  uint64_t LeadSeenAgo() const;
   void ApplyTable(const std::shared_ptr<const QueueTable>& table);
 
   EntrySettings settings_;
