--- /dev/null
+++ b/src/libdoorwood/cell/worker_lease_clock_test.cpp
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// A worker's steady clock may run 2% slow, and an idle worker is not asked. A
+// lease end that is worked out from what its clock said long ago lies later
+// than a run lease from the order on, and a successor's wait knows nothing of
+// that. All in virtual time.
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "doorwood/worker_session.h"
+#include "fakes/fakes.h"
+#include "standin/run_worker_model.h"
+
+namespace doorwood {
+namespace {
+
+// Slack of a successor's wait, on the worker's clock.
+constexpr int64_t kSlackMillis = 500;
+
+class SlowWorkers : public RunWorkers {
+ public:
+  SlowWorkers(fakes::VirtualTime& time, Executor& executor)
+      : time_(time), executor_(executor) {}
+
+  // 2% slow.
+  int64_t Clock() const { return time_.millis() * 98 / 100; }
+
+  void Hold(const WorkerLife&,
+            const HoldOrder& order,
+            Callback<WorkerReport> done) override {
+    NoteLease(order.until);
+    model_.Advance(Clock());
+    WorkerReport report;
+    const auto error = model_.Hold(order, &report);
+    executor_.Schedule(Millis(1), [error, report, done = std::move(done)] {
+      done(error, report);
+    });
+  }
+  void Start(const WorkerLife&,
+             const StartOrder& order,
+             Callback<int64_t> done) override {
+    NoteLease(order.until);
+    model_.Advance(Clock());
+    const auto error = model_.Start(order);
+    executor_.Schedule(Millis(1),
+                       [error, clock = Clock(), done = std::move(done)] {
+                         done(error, clock);
+                       });
+  }
+  void Stop(const WorkerLife&, const StopOrder&, Callback<int64_t>) override {}
+  void Pace(const WorkerLife&, const PaceOrder&, Callback<int64_t>) override {}
+
+  int64_t longest_lease() const { return longest_lease_; }
+
+ private:
+  void NoteLease(int64_t until) {
+    if (until > 0) {
+      longest_lease_ = std::max(longest_lease_, until - Clock());
+    }
+  }
+
+  fakes::VirtualTime& time_;
+  Executor& executor_;
+  standin::RunWorkerModel model_;
+  int64_t longest_lease_ = 0;
+};
+
+struct SilentListener : public WorkerSessionListener {
+  void OnRunEnded(WorkerSession&, const Run&, RunEnd, bool) override {}
+  void OnUnknownEnd(WorkerSession&, const EndedRun&) override {}
+  std::optional<Run> OnUnknownRun(WorkerSession&, const ActiveRun&) override {
+    return std::nullopt;
+  }
+  void OnStartRefused(WorkerSession&, const Run&, std::error_code) override {}
+  void OnReport(WorkerSession&) override {}
+  void OnFenced(WorkerSession&) override {}
+};
+
+struct NoLog : public EventLog {
+  bool IsEnabled(std::string_view) const override { return false; }
+  void Write(std::string_view,
+             std::string_view,
+             std::string_view,
+             const Json&) override {}
+};
+
+BOOST_AUTO_TEST_CASE(Start_SlowWorkerWasIdle_LeaseIsNoLongerThanOneOfItsClock) {
+  for (const int idle_seconds : {1, 10, 30, 60, 120, 600}) {
+    fakes::VirtualTime time;
+    fakes::FakeExecutor executor(time, 1);
+    SlowWorkers workers(time, executor);
+    SilentListener listener;
+    NoLog log;
+    const WorkerSessionOptions options;
+    WorkerLife life;
+    life.id = "w1";
+    const auto session = std::make_shared<WorkerSession>(
+        executor, workers, log, listener, options, life, 5);
+    session->SetExtendUntil(Instant::max());
+    session->SetLedUntil(Instant::max());
+    session->Open();
+    time.Run(Millis(idle_seconds * 1000));
+    Run run;
+    run.task = "00112233aabbccdd.0.0.0";
+    run.number = 1;
+    session->Start(run, "", "");
+    time.Run(Millis(500));
+    session->Close();
+    BOOST_TEST(
+        workers.longest_lease() <= options.run_lease.count() + kSlackMillis,
+        "idle for " << idle_seconds << " s: a lease of "
+                    << workers.longest_lease() << " ms");
+  }
+}
+
+}  // namespace
+}  // namespace doorwood
