fix(worker_session): the lease end of an idle worker's order allows for a slow clock

Cause: the lease end is worked out from what the worker's clock said last, as if it had run at full speed since. An idle worker is not asked, its clock may run 2% slow, and a successor's wait knows nothing of that. Change: only 98% of the time since counts. A worker of full speed that was idle for five minutes refuses its first order as late, tells its clock, and takes the next.

--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -15,6 +15,14 @@
   return std::chrono::duration_cast<Millis>(to - from).count();
 }
 
+// The platform's bound on workers' clocks.
+constexpr double kSlowestClock = 0.98;
+
+Millis ShortestOnWorkersClock(Millis on_ours) {
+  return Millis(static_cast<int64_t>(static_cast<double>(on_ours.count()) *
+                                     kSlowestClock));
+}
+
 bool IsListed(const std::vector<ActiveRun>& active, const Run& run) {
   return std::any_of(active.begin(), active.end(), [&](const ActiveRun& row) {
     return row.task == run.task && row.run == run.number;
@@ -38,7 +46,6 @@
 }
 
 Millis LongestOnOurClock(Millis on_worker) {
-  constexpr double kSlowestClock = 0.98;
   return Millis(static_cast<int64_t>(static_cast<double>(on_worker.count()) /
                                      kSlowestClock));
 }
@@ -113,7 +120,10 @@
   if (clock_ == 0) {
     return 0;
   }
-  const auto age = std::chrono::duration_cast<Millis>(at - clock_at_);
+  // An idle worker is not asked, and by a slow clock less has passed since: its
+  // lease may end earlier than meant, never later than a successor waits.
+  const auto age = ShortestOnWorkersClock(
+      std::chrono::duration_cast<Millis>(at - clock_at_));
   const int64_t until = clock_ + (age + options_.run_lease).count();
   longest_until_ = std::max(longest_until_, until);
   return until;
