fix(cell_campaign): a key that any try of this process wrote is known as its own

Cause: each try for the lead drew a number of its own, and only the newest was known. An earlier try that got no answer and is done seconds later leaves a key that names this instance, which took itself for a follower and renewed the key's lease: nobody led any more. Change: one number for the life of the process.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -305,6 +305,8 @@
   void StopRunsOf(const Job& job);
   void StopRunsOfTask(const std::string& task);
   int MaxAttempts(const Job& job) const;
+  /// Number of the run of the task that a worker has, as far as is known.
+  std::optional<uint32_t> NumberOfPlacedRun(const std::string& task) const;
   /// The queue as configured, or as it last was; null: never heard of.
   const Queue* QueueOf(const Job& job) const;
   void MarkDirty(Job* job, bool urgent);
@@ -378,8 +380,9 @@
   /// dropped.
   uint64_t generation_ = 0;
   int64_t epoch_ = 0;
-  /// Written with the lead key, to know an unanswered win by.
-  uint64_t campaign_nonce_ = 0;
+  /// Written with the lead key, to know an unanswered win by: drawn once for
+  /// the life of the process.
+  const uint64_t nonce_;
   Instant led_since_{};
   /// When it was last recorded for how long workers are unheard.
   Instant unheard_recorded_{};
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -56,9 +56,11 @@
   if (led && live_.known() && lead == live_.leads().end()) {
     StepDown("the lead key is gone");
   }
-  const bool own_key = stage_ == Stage::kStandby && campaign_nonce_ != 0 &&
+  // Of any try of this process: one that got no answer may be done seconds
+  // later.
+  const bool own_key = stage_ == Stage::kStandby &&
                        lead != live_.leads().end() &&
-                       lead->second.nonce == campaign_nonce_;
+                       lead->second.nonce == nonce_;
   if (own_key && lead->second.epoch > epoch_) {
     OnWon(lead->second.epoch);  // the winning try was not answered
     return;
@@ -109,10 +111,9 @@
   StoreTransaction transaction;
   const std::string key = LeadKey(options_.cell);
   transaction.expected.push_back({key, 0});
-  campaign_nonce_ = executor_.Random();
   const Json value{{"instance", live_.self().name},
                    {"address", live_.self().address},
-                   {"nonce", campaign_nonce_}};
+                   {"nonce", nonce_}};
   transaction.puts.push_back({key, value.dump(), *live_.lease()});
   store_.Commit(transaction, [this, generation](std::error_code error,
                                                 const StoreCommit& commit) {
@@ -134,8 +135,8 @@
   stage_ = Stage::kReading;
   epoch_ = epoch;
   ++counters_.takeovers;
-  live_.SetLead({options_.cell, live_.self().name, live_.self().address, epoch,
-                 campaign_nonce_});
+  live_.SetLead(
+      {options_.cell, live_.self().name, live_.self().address, epoch, nonce_});
   log_.Write("info", "cell", "lead taken",
              {{"cell", options_.cell},
               {"epoch", epoch},
