fix(cell_ends): the number of a run is not taken for the run

Cause: starts are not recorded, so two leaders in a row that read the same records number their first runs alike. The late end of one was taken for that of the other: the second one's 'done' was ignored and the task started again; or, heard first, it made the live run of the same number unwanted, which was stopped with nothing waiting for its end, and the task was started beside it. Change: an end that a worker lists for a number that another worker runs counts as that of an earlier run. A run that a worker lists as active is adopted if the task is open and not placed, whatever has been counted. Ruled out: numbers made of the lead's epoch: a run number has 32 bits, the store's revisions outgrow them in months.

--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -132,7 +132,11 @@
   if (task == nullptr) {
     return;
   }
-  CountEnd(task, session, end.run, end.end, end.checkpoint);
+  // Leaders in a row that read the same records number their runs alike: this
+  // may be the end of another run than the one that is placed.
+  const auto placed = NumberOfPlacedRun(end.task);
+  const uint32_t number = placed && end.run >= *placed ? *placed - 1 : end.run;
+  CountEnd(task, session, number, end.end, end.checkpoint);
   auto& told = task->told_runs;
   if (!accounted_ &&
       std::find(told.begin(), told.end(), end.run) == told.end()) {
@@ -144,12 +148,24 @@
   WakeScheduler();
 }
 
+std::optional<uint32_t> CellLeader::NumberOfPlacedRun(
+    const std::string& task) const {
+  for (const auto& [id, member] : members_) {
+    const Run* run = member.session->FindRun(task);
+    if (run != nullptr) {
+      return run->number;
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<Run> CellLeader::OnUnknownRun(WorkerSession& session,
                                             const ActiveRun& row) {
   Task* task = jobs_.FindTask(row.task);
+  // Also one whose number has ended elsewhere: it runs, so the task must not be
+  // started before it has ended.
   const bool wanted = task != nullptr && !task->done && !task->placed &&
-                      task->job->outcome == JobOutcome::kOpen &&
-                      row.run > task->counted_run;
+                      task->job->outcome == JobOutcome::kOpen;
   log_.Write("info", "cell", wanted ? "run adopted" : "unwanted run stopped",
              {{"task", row.task},
               {"run", row.run},
@@ -163,6 +179,7 @@
   task->unaccounted = false;
   task->adopted_run = accounted_ ? 0 : row.run;
   task->last_run = std::max(task->last_run, row.run);
+  task->counted_run = std::min(task->counted_run, row.run - 1);
   if (!task->job->begun) {
     task->job->begun = true;
     task->job->dirty = true;
