fix(live_directory): instances whose keys are gone may lead; what others say counts from the question

Cause: the exception for an outage of the store asked the instances that the leader knows and that do not leave. One whose key had lapsed, or that left and came back under its name, may be served again and lead while all that are asked are refused: the leader prolonged runs without bound. Change: instances are asked for 60 s after their key went, leaving ones too, and one that does not answer ends the exception. It holds until 1.5 s after the oldest of the questions, a moment and not a flag. Ruled out: no exception at all: dependent work would stand still 3 s into each outage. A machine that is gone for good within the minute before an outage ends the exception; the price is new starts from 3 s on and runs from 9 s on.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -73,9 +73,6 @@
   /// waits this long, and a run's lease, before it starts what an unheard
   /// worker may still run.
   Millis unsure_patience{3000};
-  /// While the store is down for all, how long orders may be given and leases
-  /// prolonged without asking the others once more.
-  Millis outage_patience{500};
   /// While workers are unheard after a takeover, how often that is recorded.
   Millis unheard_interval{1000};
   /// Most looks a second that watching what disturbs what may take: a large
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -77,6 +77,10 @@
   Millis ask_interval{400};
   /// How long an answer counts.
   Millis answer_counts{1500};
+  /// How long an instance whose key is gone is still asked, since the store may
+  /// serve it again and let it lead. One that is gone for good ends the
+  /// exception for an outage of the store meanwhile.
+  Millis gone_counts{60'000};
   /// After this silence, and a renewal that failed, an instance is turned away
   /// by the store if another one hears it: two renewals' time.
   Millis turned_away_after{600};
@@ -110,9 +114,10 @@
   /// Since when the store has had this instance's key, as far as it has said;
   /// nothing while it has not.
   std::optional<Instant> registered_since() const { return registered_since_; }
-  /// Every other known instance has said lately that it does not hear the store
-  /// either: nobody can take a lead.
-  bool IsStoreDownForAll() const;
+  /// Until when nobody can take a lead: every other instance that is known, or
+  /// was lately, said that it does not hear the store either, and its word
+  /// counts from when it was asked. Zero: not so.
+  Instant OutageUntil() const;
   /// An instance that said lately that it hears the store, while this one does
   /// not; null: this one does, or nobody is known to.
   const LiveInstance* FindInstanceThatHears() const;
@@ -138,6 +143,12 @@
   void DropLead(const std::string& cell);
 
  private:
+  /// An instance whose key is gone, and since when.
+  struct GoneInstance {
+    LiveInstance instance;
+    Instant since{};
+  };
+
   void Grant();
   void Keep();
   void Register();
@@ -149,6 +160,7 @@
   void ReturnIfGone();
   void AskOthers();
   void Ask(const LiveInstance& instance);
+  void NoteGone(const LiveInstance& instance);
   /// Leads that are taken to be this instance's.
   size_t CountOwnLeads() const;
 
@@ -169,6 +181,7 @@
   bool listing_ = false;
   int64_t at_ = 0;
   std::map<std::string, LiveInstance> instances_;
+  std::map<std::string, GoneInstance> gone_;
   std::map<std::string, CellLead> leads_;
   /// By instance: when it last said that it does not hear the store.
   std::map<std::string, Instant> deaf_at_;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -213,10 +213,8 @@
   if (!leading() || unsure_after_pause_) {
     return Instant{};
   }
-  const Instant proved = proof_.stood_at() + options_.unsure_patience;
-  return live_.IsStoreDownForAll()
-             ? std::max(proved, executor_.Now() + options_.outage_patience)
-             : proved;
+  return std::max(proof_.stood_at() + options_.unsure_patience,
+                  live_.OutageUntil());
 }
 
 bool CellLeader::MayOrder() const {
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -104,22 +104,27 @@
   return lease_.has_value() && executor_.Now() < lease_sure_until_;
 }
 
-bool LiveDirectory::IsStoreDownForAll() const {
-  const Instant now = executor_.Now();
-  bool others = false;
-  for (const auto& [name, instance] : instances_) {
-    if (name == self_.name || instance.leaving) {
-      continue;
-    }
-    others = true;
+Instant LiveDirectory::OutageUntil() const {
+  if (instances_.size() + gone_.size() <= 1) {
+    return Instant{};  // nobody to ask
+  }
+  Instant asked = Instant::max();
+  const auto count = [&](const std::string& name) {
     // Each one for itself: the store may serve some and refuse their
     // neighbours, and any one that hears it may take the lead.
     const auto told = deaf_at_.find(name);
-    if (told == deaf_at_.end() || now - told->second > options_.answer_counts) {
-      return false;
+    asked = std::min(asked, told == deaf_at_.end() ? Instant{} : told->second);
+  };
+  for (const auto& [name, instance] : instances_) {
+    if (name != self_.name) {
+      count(name);
     }
   }
-  return others && now - store_heard_at_ > options_.silence_to_ask;
+  for (const auto& [name, instance] : gone_) {
+    count(name);
+  }
+  const bool heard_since = store_heard_at_ + options_.silence_to_ask > asked;
+  return heard_since ? Instant{} : asked + options_.answer_counts;
 }
 
 const LiveInstance* LiveDirectory::FindInstanceThatHears() const {
@@ -155,6 +160,9 @@
       Ask(instance);
     }
   }
+  for (const auto& [name, gone] : gone_) {
+    Ask(gone.instance);
+  }
 }
 
 void LiveDirectory::Ask(const LiveInstance& instance) {
@@ -352,8 +360,9 @@
     const std::string name(rest.substr(kInstanceFolder.size()));
     if (auto instance = DecodeInstance(name, item)) {
       instances_[name] = std::move(*instance);
-    } else {
-      instances_.erase(name);
+      gone_.erase(name);
+    } else if (const auto known = instances_.extract(name)) {
+      NoteGone(known.mapped());
     }
     return;
   }
@@ -371,6 +380,16 @@
   }
 }
 
+// It may be served again at any time, and lead, without this process hearing of
+// it.
+void LiveDirectory::NoteGone(const LiveInstance& instance) {
+  const Instant now = executor_.Now();
+  gone_.try_emplace(instance.name, GoneInstance{instance, now});
+  std::erase_if(gone_, [&](const auto& entry) {
+    return now - entry.second.since > options_.gone_counts;
+  });
+}
+
 void LiveDirectory::Replace(const StoreItems& items) {
   // Read before a lead that this process has won since.
   const bool too_old = std::any_of(
@@ -380,11 +399,17 @@
     return;
   }
   at_ = items.at;
+  const auto before = std::move(instances_);
   instances_.clear();
   leads_.clear();
   for (const StoreItem& item : items.items) {
     Apply(item);
   }
+  for (const auto& [name, instance] : before) {
+    if (!instances_.contains(name)) {
+      NoteGone(instance);
+    }
+  }
   known_ = true;
   ReturnIfGone();
   on_change_();
