fix(cell_leader): an outage for all keeps orders going only while it never stopped doing so

And a leader that is itself deaf for a moment said so, and was taken for one that can't lead. Change: what others say moves the end of orders on only before it has passed; after it only the lead's key does. An instance that leads or tries to does not answer that it is deaf.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -80,7 +80,7 @@
           log_,
           [this] { return config_.table(); },
           UnixMillis),
-      peer_service_(executor_, live_, {&cell_}),
+      peer_service_(executor_, {&cell_}),
       front_server_(
           context_,
           [this](const HttpRequest& request, HttpServer::Respond respond) {
--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -290,15 +290,13 @@
     const bool there =
         found != world_.instances().end() && found->second->alive &&
         !found->second->executor->frozen() && Reaches(*found->second);
-    Millis age{0};
-    if (there) {
-      age = std::chrono::duration_cast<Millis>(
-          world_.time().now() - found->second->live->store_heard_at());
-    }
+    const auto age =
+        there ? found->second->cell->StoreHeardAgo(world_.time().now())
+              : std::nullopt;
     const std::error_code error =
-        there ? std::error_code() : make_error_code(PeerErrc::kNotSent);
+        age ? std::error_code() : make_error_code(PeerErrc::kNotSent);
     self_.executor->Deliver(kWorkerDelay, [error, age, done = std::move(done)] {
-      done(error, age);
+      done(error, age.value_or(Millis(0)));
     });
   }
   void HandOver(const LiveInstance& instance,
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -146,6 +146,10 @@
   void OnHandedOver(int64_t epoch);
 
   bool leading() const { return stage_ == Stage::kLeading; }
+  /// How long ago the store was heard, for a leader that goes on only while
+  /// nobody can follow it. Nothing: this instance does not hear the store, but
+  /// leads or tries to, so it must not be taken for one that can't.
+  std::optional<Millis> StoreHeardAgo(Instant now) const;
   int64_t epoch() const { return epoch_; }
   const std::string& cell() const { return options_.cell; }
 
@@ -274,6 +278,9 @@
   void DropMembers();
   /// Until when orders may be given and leases prolonged.
   Instant OrdersUntil() const;
+  /// Moves that on, with the key or, while it has not passed, with what others
+  /// say: once it has, somebody may have led, and only the key tells.
+  void RenewOrders();
   bool MayOrder() const;
   /// The key was seen to stand lately.
   bool IsSure() const;
@@ -384,6 +391,7 @@
   /// When it was last recorded for how long workers are unheard.
   Instant unheard_recorded_{};
   Instant last_tick_{};
+  Instant orders_until_{};
   /// The process stood still: its lead must be confirmed before it orders.
   bool unsure_after_pause_ = false;
   /// Since when this instance might try for a lead that nobody has; zero: it
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -126,6 +126,8 @@
                 int64_t epoch) {
     hearing_.HandOver(instance, cell, epoch);
   }
+  /// The store has been silent here for so long that the others are asked.
+  bool IsDeaf(Instant now) const;
   /// When the store last answered anything here.
   Instant store_heard_at() const { return store_heard_at_; }
 
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -215,6 +215,7 @@
   last_tick_ = led_since_;
   unheard_recorded_ = led_since_;
   unsure_after_pause_ = false;
+  orders_until_ = Instant{};
   workers_read_ = Instant{};
   closed_read_ = Instant{};
   lasting_rooms_.clear();
@@ -241,6 +242,7 @@
     member.told_unheard = worker.unheard > Millis(0);
   }
   waves_.Open(live_.self().name, epoch_);
+  RenewOrders();
   Tick();
 }
 
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -213,14 +213,29 @@
   if (!leading() || unsure_after_pause_) {
     return Instant{};
   }
-  return std::max(proof_.stood_at() + options_.unsure_patience,
-                  live_.OutageUntil());
+  return orders_until_;
+}
+
+void CellLeader::RenewOrders() {
+  if (executor_.Now() < orders_until_) {
+    orders_until_ = std::max(orders_until_, live_.OutageUntil());
+  }
+  orders_until_ =
+      std::max(orders_until_, proof_.stood_at() + options_.unsure_patience);
 }
 
 bool CellLeader::MayOrder() const {
   return executor_.Now() < OrdersUntil();
 }
 
+std::optional<Millis> CellLeader::StoreHeardAgo(Instant now) const {
+  const bool may_lead = stage_ != Stage::kStandby && stage_ != Stage::kLeft;
+  if (may_lead && live_.IsDeaf(now)) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Millis>(now - live_.store_heard_at());
+}
+
 bool CellLeader::IsSure() const {
   return executor_.Now() < proof_.stood_at() + options_.sure_for;
 }
@@ -239,6 +254,7 @@
   if (!leading()) {
     return;
   }
+  RenewOrders();
   const Instant orders_until = OrdersUntil();
   std::vector<std::shared_ptr<WorkerSession>> waiting;
   for (const auto& [id, member] : members_) {
@@ -289,6 +305,7 @@
   RecordUnheard();
   const Millis watching_wait = WatchingWait();
   std::vector<std::shared_ptr<WorkerSession>> sessions;
+  RenewOrders();
   const Instant orders_until = OrdersUntil();
   bool awaits_proof = false;
   for (const auto& [id, member] : members_) {
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -104,6 +104,10 @@
   return lease_.has_value() && executor_.Now() < lease_sure_until_;
 }
 
+bool LiveDirectory::IsDeaf(Instant now) const {
+  return now - store_heard_at_ >= options_.silence_to_ask;
+}
+
 Instant LiveDirectory::OutageUntil() const {
   if (instances_.size() + gone_.size() <= 1) {
     return Instant{};  // nobody to ask
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -125,16 +125,18 @@
   });
 }
 
-// How long ago the store was heard; nothing beyond a day is told here.
+// An instance that never heard the store says this.
+constexpr Millis kMostAge{86'400'000};
+
 std::optional<Millis> DecodeAge(std::string_view text) {
-  constexpr int64_t kMostAge = 86'400'000;
   int64_t age = 0;
   const auto read =
       std::from_chars(text.data(), text.data() + text.size(), age);
   const bool whole =
       read.ec == std::errc() && read.ptr == text.data() + text.size();
-  return whole && age >= 0 && age <= kMostAge ? std::optional(Millis(age))
-                                              : std::nullopt;
+  return whole && age >= 0 && age <= kMostAge.count()
+             ? std::optional(Millis(age))
+             : std::nullopt;
 }
 
 }  // namespace
@@ -243,6 +245,15 @@
   return true;
 }
 
+std::optional<Millis> PeerService::StoreHeardAgo() const {
+  std::optional<Millis> age = kMostAge;
+  for (const CellLeader* leader : cells_) {
+    const auto told = leader->StoreHeardAgo(executor_.Now());
+    age = told && age ? std::optional(std::min(*told, *age)) : std::nullopt;
+  }
+  return age;
+}
+
 CellLeader* PeerService::Find(const std::string& cell) const {
   for (CellLeader* leader : cells_) {
     if (leader->cell() == cell && leader->leading()) {
@@ -263,9 +274,9 @@
     respond(std::move(response));
   };
   if (request.path == kHearingPath) {
-    const auto age = std::chrono::duration_cast<Millis>(executor_.Now() -
-                                                        live_.store_heard_at());
-    answer({}, std::to_string(age.count()));
+    const auto age = StoreHeardAgo();
+    answer(age ? std::error_code() : make_error_code(CoreErrc::kNoOwner),
+           age ? std::to_string(age->count()) : "");
     return;
   }
   if (request.path.starts_with(kHandOverPath)) {
--- a/src/loop.adapter/http_peers.h
+++ b/src/loop.adapter/http_peers.h
@@ -42,20 +42,18 @@
 /// Answers peers' calls from the cells that this process leads.
 class PeerService {
  public:
-  PeerService(Executor& executor,
-              const LiveDirectory& live,
-              std::vector<CellLeader*> cells)
-      : executor_(executor), live_(live), cells_(std::move(cells)) {}
+  PeerService(Executor& executor, std::vector<CellLeader*> cells)
+      : executor_(executor), cells_(std::move(cells)) {}
 
   void Handle(const HttpRequest& request, HttpServer::Respond respond);
 
  private:
   CellLeader* Find(const std::string& cell) const;
+  std::optional<Millis> StoreHeardAgo() const;
   /// `rest` is "CELL/EPOCH"; false if it is not.
   bool HandOver(std::string_view rest);
 
   Executor& executor_;
-  const LiveDirectory& live_;
   std::vector<CellLeader*> cells_;
 };
 
