test(soak): entry instances as real processes on a world of cuts; first part

One process plays store, workers, callers and every way between two machines; the entry instances are real ones.

--- /dev/null
+++ b/src/soak/callers.h
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Callers that hand jobs in, ask for their states and cancel some of them,
+/// over connections that they keep.
+
+#ifndef DOORWOOD_SOAK_CALLERS_H_
+#define DOORWOOD_SOAK_CALLERS_H_
+
+#include <map>
+#include <random>
+#include <string>
+
+#include "loop.adapter/http_client.h"
+#include "platform/standin/soak_words.h"
+#include "soak/world.h"
+
+namespace doorwood::soak {
+
+class Callers {
+ public:
+  Callers(World& world, uint64_t seed);
+
+  /// Hands in jobs that last, with so many tasks in all.
+  void AddLasting(int jobs, int tasks, int cpu);
+  /// Hands in jobs that end, one in each pause, until `Stop`.
+  void Start(Millis pause);
+  void Stop() { stopped_ = true; }
+  /// Waits until every accepted job is as it must be; tells what is not.
+  Task<> AwaitAll(Millis patience);
+  /// Every lasting task runs.
+  bool AllLastingRun() const;
+
+  size_t accepted() const;
+  size_t refused() const;
+
+ private:
+  struct Known {
+    platform::SoakJob job;
+    bool accepted = false;
+    bool cancelled = false;
+    bool asked_to_cancel = false;
+    bool over = false;
+  };
+
+  Task<> HandIn(Known* known);
+  Task<> Follow(Known* known, bool cancel);
+  Task<> Cancel(Known* known);
+  Task<> KeepHandingIn(Millis pause);
+  Task<HttpReply> Call(std::string method,
+                       const Known& known,
+                       std::string body);
+  Known* Add(platform::SoakJob job);
+  bool IsSettled(const Known& known) const;
+  uint64_t Draw(uint64_t below) { return random_() % below; }
+
+  World& world_;
+  HttpClient client_;
+  std::mt19937_64 random_;
+  std::map<std::string, Known> jobs_;
+  bool stopped_ = false;
+};
+
+}  // namespace doorwood::soak
+
+#endif  // DOORWOOD_SOAK_CALLERS_H_
--- /dev/null
+++ b/src/soak/task_watch.cpp
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "soak/task_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace doorwood::soak {
+
+std::string JobOf(const std::string& task) {
+  return task.substr(0, task.find('.'));
+}
+
+std::string Describe(const SeenRun& run) {
+  std::string text = "run " + std::to_string(run.run) + " on " + run.life +
+                     " under token " + std::to_string(run.token) + " from " +
+                     std::to_string(run.from) + " ms";
+  if (!run.active) {
+    text += " to " + std::to_string(run.until) + " ms (" +
+            std::string(ToString(run.end)) + ")";
+  }
+  return text;
+}
+
+void TaskWatch::Break(const std::string& sentence) {
+  report_(sentence);
+}
+
+void TaskWatch::OnStarted(const std::string& life,
+                          const StartOrder& order,
+                          int64_t at) {
+  ++starts_;
+  SeenRun fresh;
+  fresh.task = order.task;
+  fresh.run = order.run;
+  fresh.life = life;
+  fresh.token = order.token;
+  fresh.from = at;
+  std::vector<SeenRun>& earlier = runs_[order.task];
+  for (const SeenRun& run : earlier) {
+    if (run.active) {
+      Break("two runs at once of " + order.task + ": " + Describe(run) + "; " +
+            Describe(fresh));
+    } else if (run.end == RunEnd::kDone && run.noted) {
+      Break("started after a noted end of " + order.task + ": " +
+            Describe(run) + "; " + Describe(fresh));
+    }
+  }
+  earlier.push_back(std::move(fresh));
+}
+
+SeenRun* TaskWatch::Find(const std::string& life, const EndedRun& end) {
+  std::vector<SeenRun>& runs = runs_[end.task];
+  const auto found = std::find_if(runs.begin(), runs.end(), [&](const auto& r) {
+    return r.life == life && r.run == end.run;
+  });
+  return found == runs.end() ? nullptr : &*found;
+}
+
+void TaskWatch::OnEnded(const std::string& life,
+                        const EndedRun& end,
+                        int64_t at) {
+  if (SeenRun* run = Find(life, end)) {
+    run->active = false;
+    run->until = at;
+    run->end = end.end;
+  }
+}
+
+void TaskWatch::OnNoted(const std::string& life, const EndedRun& end) {
+  SeenRun* run = Find(life, end);
+  if (run == nullptr || run->noted || !run->can_be_noted) {
+    return;
+  }
+  run->noted = true;
+  if (run->end != RunEnd::kDone) {
+    return;
+  }
+  for (const SeenRun& other : runs_[end.task]) {
+    if (other.from > run->until) {
+      Break("started before an end of " + end.task +
+            " was noted: " + Describe(*run) + "; " + Describe(other));
+    }
+  }
+}
+
+void TaskWatch::OnLapsed(const std::string& life) {
+  for (auto& [task, runs] : runs_) {
+    for (SeenRun& run : runs) {
+      if (run.life == life && !run.active) {
+        run.can_be_noted = false;
+      }
+    }
+  }
+}
+
+void TaskWatch::OnLifeOver(const std::string& life, int64_t at) {
+  for (auto& [task, runs] : runs_) {
+    for (SeenRun& run : runs) {
+      if (run.life == life && run.active) {
+        run.active = false;
+        run.until = at;
+      }
+    }
+  }
+}
+
+void TaskWatch::OnAttempt(const std::string& job, bool rejected) {
+  taken_[job] = taken_[job] || !rejected;
+}
+
+void TaskWatch::OnCompleted(const std::string& job, size_t tasks) {
+  size_t done = 0;
+  for (auto it = runs_.lower_bound(job);
+       it != runs_.end() && JobOf(it->first) == job; ++it) {
+    const auto& runs = it->second;
+    done += std::any_of(runs.begin(), runs.end(),
+                        [](const SeenRun& run) {
+                          return !run.active && run.end == RunEnd::kDone;
+                        })
+                ? 1
+                : 0;
+  }
+  if (done < tasks) {
+    Break("shown as completed: " + job + ", of whose " + std::to_string(tasks) +
+          " tasks " + std::to_string(done) + " have ended so");
+  }
+}
+
+void TaskWatch::CheckRefused() {
+  for (const auto& [task, runs] : runs_) {
+    const auto known = taken_.find(JobOf(task));
+    if (known != taken_.end() && !known->second && !runs.empty()) {
+      Break("started though its job was refused: " + task + ": " +
+            Describe(runs.front()));
+    }
+  }
+}
+
+void TaskWatch::CheckCancelled() {
+  for (const auto& [task, runs] : runs_) {
+    for (const SeenRun& run : runs) {
+      if (run.active && cancelled_.contains(JobOf(task))) {
+        Break("runs though its job is cancelled: " + task + ": " +
+              Describe(run));
+      }
+    }
+  }
+}
+
+size_t TaskWatch::ActiveTasks(const std::string& job) const {
+  size_t active = 0;
+  for (auto it = runs_.lower_bound(job);
+       it != runs_.end() && JobOf(it->first) == job; ++it) {
+    const auto& runs = it->second;
+    active += std::any_of(runs.begin(), runs.end(),
+                          [](const SeenRun& run) { return run.active; })
+                  ? 1
+                  : 0;
+  }
+  return active;
+}
+
+}  // namespace doorwood::soak
--- /dev/null
+++ b/src/soak/task_watch.h
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What workers and callers saw, and whether it breaks a rule.
+
+#ifndef DOORWOOD_SOAK_TASK_WATCH_H_
+#define DOORWOOD_SOAK_TASK_WATCH_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "doorwood/run_worker.h"
+
+namespace doorwood::soak {
+
+/// A run of a task on one life of a worker. Times are those of the watch.
+struct SeenRun {
+  std::string task;
+  uint32_t run = 0;
+  std::string life;
+  /// Fencing token of the order.
+  uint64_t token = 0;
+  int64_t from = 0;
+  int64_t until = 0;
+  bool active = true;
+  RunEnd end = RunEnd::kLapsed;
+  /// What ended could still be noted: the lease has not lapsed since.
+  bool can_be_noted = true;
+  bool noted = false;
+};
+
+std::string Describe(const SeenRun& run);
+
+class TaskWatch {
+ public:
+  /// Called with each broken rule, as it is seen.
+  using Report = std::function<void(const std::string&)>;
+
+  explicit TaskWatch(Report report) : report_(std::move(report)) {}
+
+  // --- Seen by workers ---
+  void OnStarted(const std::string& life, const StartOrder& order, int64_t at);
+  void OnEnded(const std::string& life, const EndedRun& end, int64_t at);
+  void OnNoted(const std::string& life, const EndedRun& end);
+  /// The lease of all that runs on the worker is over.
+  void OnLapsed(const std::string& life);
+  /// The worker is gone, with all that ran there.
+  void OnLifeOver(const std::string& life, int64_t at);
+
+  // --- Seen by callers ---
+  /// An attempt to hand the job in was rejected, or was not.
+  void OnAttempt(const std::string& job, bool rejected);
+  void OnCancelled(const std::string& job) { cancelled_.insert(job); }
+  /// A caller was told that the job is completed; it has so many tasks.
+  void OnCompleted(const std::string& job, size_t tasks);
+
+  // --- Once all is over ---
+  /// Jobs that every attempt was rejected of start nothing.
+  void CheckRefused();
+  /// Nothing of a cancelled job runs.
+  void CheckCancelled();
+
+  size_t starts() const { return starts_; }
+  size_t ActiveTasks(const std::string& job) const;
+  const std::map<std::string, std::vector<SeenRun>>& runs() const {
+    return runs_;
+  }
+
+ private:
+  void Break(const std::string& sentence);
+  SeenRun* Find(const std::string& life, const EndedRun& end);
+
+  Report report_;
+  /// By task, in the order of their starts.
+  std::map<std::string, std::vector<SeenRun>> runs_;
+  /// Jobs of which an attempt was not rejected.
+  std::map<std::string, bool> taken_;
+  std::set<std::string> cancelled_;
+  size_t starts_ = 0;
+};
+
+/// The job of a task.
+std::string JobOf(const std::string& task);
+
+}  // namespace doorwood::soak
+
+#endif  // DOORWOOD_SOAK_TASK_WATCH_H_
--- /dev/null
+++ b/src/soak/world.cpp
@@ -0,0 +1,353 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "soak/world.h"
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <utility>
+
+#include "doorwood/json_codec.h"
+#include "doorwood/live_directory.h"
+#include "platform/standin/soak_words.h"
+
+namespace doorwood::soak {
+namespace {
+
+constexpr const char* kCentres[kDataCentres] = {"plaka", "kerameikos",
+                                                "pireas"};
+constexpr char kCell[] = "all";
+constexpr Millis kTick{20};
+constexpr Millis kRestartAfter{600};
+constexpr Millis kGraceSlack{150};
+// Addresses: 127.CALLER.BLOCK.NUMBER as a caller sees them.
+constexpr int kFirstCaller = 30;
+constexpr int kKept = 29;  // as the store keeps them
+constexpr size_t kFirstWorker = 1;
+constexpr size_t kFirstInstance = 200;
+constexpr size_t kStoreNumber = 250;
+constexpr size_t kFirstDoor = 220;
+constexpr int kWorkerPort = 8200;
+constexpr int kStorePort = 8169;
+constexpr int kPeerPort = 8166;
+constexpr int kFrontPort = 8161;
+constexpr int kReadyPort = 8167;
+constexpr int kMetricsPort = 8168;
+// Clocks of workers lose up to this share.
+constexpr double kSlowestClock = 0.02;
+
+std::string At(const std::string& host, int port) {
+  return host + ":" + std::to_string(port);
+}
+
+std::string NameOf(size_t instance) {
+  return "entry-" + std::to_string(instance + 1);
+}
+
+void Append(Links* links, const Links& more) {
+  links->insert(links->end(), more.begin(), more.end());
+}
+
+}  // namespace
+
+World::World(boost::asio::io_context& context, const WorldOptions& options)
+    : context_(context),
+      options_(options),
+      began_(std::chrono::steady_clock::now()),
+      log_(options.folder + "/world.log"),
+      watch_([this](const std::string& sentence) { Break(sentence); }),
+      store_(context, [this] { return Now(); }) {
+  store_.Put(platform::kSoakConfigKey, platform::EncodeSoakConfig());
+  for (size_t worker = 0; worker < options.workers; ++worker) {
+    AddWorker(worker);
+  }
+  for (size_t instance = 0; instance < options.instances; ++instance) {
+    AddInstance(instance);
+  }
+}
+
+int64_t World::Now() const {
+  return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() -
+                                            began_)
+      .count();
+}
+
+void World::Log(const std::string& line) {
+  const auto unix_ms = std::chrono::duration_cast<Millis>(
+      std::chrono::system_clock::now().time_since_epoch());
+  log_ << unix_ms.count() << " " << Now() << " " << line << std::endl;
+}
+
+void World::Break(const std::string& sentence) {
+  ++broken_;
+  Log("BROKEN " + sentence);
+  std::cout << Now() << " ms: " << sentence << std::endl;
+}
+
+std::string World::Host(int caller, size_t number) const {
+  return "127." + std::to_string(caller) + "." +
+         std::to_string(options_.block) + "." + std::to_string(number);
+}
+
+std::string World::FrontOf(size_t instance) const {
+  const int caller = kFirstCaller + static_cast<int>(instance);
+  return At(Host(caller, kFirstInstance + instance), kFrontPort);
+}
+
+// --- Setting up ---
+
+void World::AddWorker(size_t worker) {
+  const double share = 1 - kSlowestClock * static_cast<double>(worker % 3) / 2;
+  workers_.push_back(std::make_unique<platform::SoakWorker>(
+      context_, At(Host(kKept, kFirstWorker + worker), kWorkerPort),
+      "worker-" + std::to_string(worker + 1), share, [this] { return Now(); },
+      watch_, [this] { AdvanceWorkers(); }));
+  BootWorker(worker);
+}
+
+void World::AddInstance(size_t instance) {
+  const int caller = kFirstCaller + static_cast<int>(instance);
+  auto added = std::make_unique<Instance>(
+      options_.program, WriteSettings(instance),
+      options_.folder + "/" + NameOf(instance) + ".log");
+  const std::string door = At(Host(kKept, kFirstDoor + instance), kStorePort);
+  store_.AddDoor(door, Host(caller, 0).substr(0, Host(caller, 0).size() - 1),
+                 Host(kKept, 0).substr(0, Host(kKept, 0).size() - 1));
+  added->store = std::make_unique<Link>(
+      context_, At(Host(caller, kStoreNumber), kStorePort), door);
+  for (size_t worker = 0; worker < options_.workers; ++worker) {
+    const size_t number = kFirstWorker + worker;
+    added->workers.push_back(
+        std::make_unique<Link>(context_, At(Host(caller, number), kWorkerPort),
+                               At(Host(kKept, number), kWorkerPort)));
+  }
+  for (size_t peer = 0; peer < options_.instances; ++peer) {
+    const size_t number = kFirstInstance + peer;
+    const int callee = kFirstCaller + static_cast<int>(peer);
+    added->peers.push_back(
+        peer == instance ? nullptr
+                         : std::make_unique<Link>(
+                               context_, At(Host(caller, number), kPeerPort),
+                               At(Host(callee, number), kPeerPort)));
+  }
+  instances_.push_back(std::move(added));
+}
+
+std::string World::WriteSettings(size_t instance) const {
+  const int caller = kFirstCaller + static_cast<int>(instance);
+  const std::string host = Host(caller, kFirstInstance + instance);
+  const std::string path = options_.folder + "/" + NameOf(instance) + ".yaml";
+  std::ofstream file(path);
+  file << "instance: " << NameOf(instance) << "\n"
+       << "data_centre: " << kCentres[CentreOf(instance)] << "\n"
+       << "front: " << At(host, kFrontPort) << "\n"
+       << "ready: " << At(host, kReadyPort) << "\n"
+       << "peer: " << At(host, kPeerPort) << "\n"
+       << "metrics: " << At(host, kMetricsPort) << "\n"
+       << "store: " << At(Host(caller, kStoreNumber), kStorePort) << "\n"
+       << "grace_ms: " << kGrace.count() << "\n";
+  return path;
+}
+
+void World::StartAll() {
+  for (size_t i = 0; i < instances(); ++i) {
+    if (!instances_[i]->child.Start()) {
+      Break("can't start " + options_.program);
+    }
+  }
+  Spawn(context_, Tick());
+}
+
+// --- What goes on by itself ---
+
+void World::AdvanceWorkers() {
+  for (const auto& worker : workers_) {
+    worker->Advance();
+  }
+}
+
+Task<> World::Tick() {
+  for (;;) {
+    AdvanceWorkers();
+    for (size_t i = 0; i < instances(); ++i) {
+      Supervise(i);
+    }
+    co_await Sleep(context_, kTick);
+  }
+}
+
+void World::Supervise(size_t index) {
+  Instance& instance = *instances_[index];
+  const bool late =
+      instance.stop_since > 0 &&
+      Now() - instance.stop_since > (kGrace + kGraceSlack).count();
+  if (late) {
+    Break(NameOf(index) + " has not ended in its grace time");
+    instance.stop_since = 0;
+    instance.child.Signal(SIGKILL);
+  }
+  int status = 0;
+  if (!instance.child.HasEnded(&status)) {
+    return;
+  }
+  Log(NameOf(index) + " has ended, status " + std::to_string(status));
+  if (!instance.is_ending || (instance.stop_since > 0 && status != 0)) {
+    Break(NameOf(index) + " ended by itself, status " + std::to_string(status));
+  }
+  instance.is_ending = true;
+  instance.stop_since = 0;
+  if (!ending_) {
+    Spawn(context_, Restart(index));
+  }
+}
+
+Task<> World::Restart(size_t instance) {
+  co_await Sleep(context_, kRestartAfter);
+  if (!ending_ && instances_[instance]->child.Start()) {
+    instances_[instance]->is_ending = false;
+    Log(NameOf(instance) + " is started again");
+  }
+}
+
+Task<> World::StopAll() {
+  ending_ = true;
+  for (size_t i = 0; i < instances(); ++i) {
+    Stop(i);
+  }
+  const auto runs = [](const auto& instance) { return instance->child.runs(); };
+  while (std::any_of(instances_.begin(), instances_.end(), runs)) {
+    co_await Sleep(context_, kTick);
+  }
+}
+
+// --- Faults ---
+
+std::optional<size_t> World::Leader() const {
+  const auto lead = ParseJson(store_.Value(LeadKey(kCell)));
+  if (!lead) {
+    return std::nullopt;
+  }
+  const std::string name = lead->value("instance", "");
+  for (size_t i = 0; i < instances(); ++i) {
+    if (NameOf(i) == name) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+Links World::StoreLinks(size_t instance) const {
+  return {instances_[instance]->store.get()};
+}
+
+Links World::WorkerLinks(size_t instance, size_t worker) const {
+  return {instances_[instance]->workers[worker].get()};
+}
+
+Links World::PeerLinks(size_t a, size_t b) const {
+  return {instances_[a]->peers[b].get(), instances_[b]->peers[a].get()};
+}
+
+Links World::BorderLinks(size_t centre) const {
+  Links links;
+  for (size_t i = 0; i < instances(); ++i) {
+    const bool inside = CentreOf(i) == centre;
+    if (inside) {
+      Append(&links, StoreLinks(i));
+    }
+    for (size_t worker = 0; worker < workers(); ++worker) {
+      if (inside != (CentreOf(worker) == centre)) {
+        Append(&links, WorkerLinks(i, worker));
+      }
+    }
+    for (size_t peer = 0; peer < i; ++peer) {
+      if (inside != (CentreOf(peer) == centre)) {
+        Append(&links, PeerLinks(i, peer));
+      }
+    }
+  }
+  return links;
+}
+
+Links World::AllLinks(size_t instance) const {
+  Links links = StoreLinks(instance);
+  for (size_t worker = 0; worker < workers(); ++worker) {
+    Append(&links, WorkerLinks(instance, worker));
+  }
+  for (size_t peer = 0; peer < instances(); ++peer) {
+    if (peer != instance) {
+      Append(&links, PeerLinks(instance, peer));
+    }
+  }
+  return links;
+}
+
+bool World::Kill(size_t index) {
+  Instance& instance = *instances_[index];
+  if (!instance.child.runs() || instance.is_ending || instance.paused) {
+    return false;
+  }
+  instance.is_ending = true;
+  instance.child.Signal(SIGKILL);
+  return true;
+}
+
+bool World::Stop(size_t index) {
+  Instance& instance = *instances_[index];
+  if (!instance.child.runs() || instance.is_ending || instance.paused) {
+    return false;
+  }
+  instance.is_ending = true;
+  instance.stop_since = Now();
+  instance.child.Signal(SIGTERM);
+  return true;
+}
+
+bool World::Pause(size_t index) {
+  Instance& instance = *instances_[index];
+  if (!instance.child.runs() || instance.is_ending || instance.paused) {
+    return false;
+  }
+  instance.paused = true;
+  instance.child.Signal(SIGSTOP);
+  return true;
+}
+
+void World::Resume(size_t index) {
+  instances_[index]->paused = false;
+  instances_[index]->child.Signal(SIGCONT);
+}
+
+void World::ResetLinksTo(size_t worker) {
+  for (const auto& instance : instances_) {
+    instance->workers[worker]->Reset();
+  }
+}
+
+void World::CrashWorker(size_t worker) {
+  workers_[worker]->Crash();
+  ResetLinksTo(worker);
+}
+
+void World::BootWorker(size_t worker) {
+  if (!workers_[worker]->up()) {
+    workers_[worker]->Boot();
+  }
+  store_.Put(platform::SoakWorkerKey(workers_[worker]->id()),
+             platform::EncodeSoakWorker(
+                 At(Host(kKept, kFirstWorker + worker), kWorkerPort),
+                 kCentres[CentreOf(worker)], /*leaving=*/false));
+}
+
+void World::AnnounceLeaving(size_t worker) {
+  store_.Put(platform::SoakWorkerKey(workers_[worker]->id()),
+             platform::EncodeSoakWorker(
+                 At(Host(kKept, kFirstWorker + worker), kWorkerPort),
+                 kCentres[CentreOf(worker)], /*leaving=*/true));
+}
+
+void World::DropEntry(size_t worker) {
+  store_.Remove(platform::SoakWorkerKey(workers_[worker]->id()));
+}
+
+}  // namespace doorwood::soak
--- /dev/null
+++ b/src/soak/world.h
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Entry instances as real processes, and everything that they talk to: the
+/// store, the workers and the ways between any two of them.
+
+#ifndef DOORWOOD_SOAK_WORLD_H_
+#define DOORWOOD_SOAK_WORLD_H_
+
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "loop.adapter/loop_executor.h"
+#include "platform/standin/soak_store.h"
+#include "platform/standin/soak_worker.h"
+#include "soak/child.h"
+#include "soak/coroutines.h"
+#include "soak/link.h"
+#include "soak/task_watch.h"
+
+namespace doorwood::soak {
+
+inline constexpr size_t kDataCentres = 3;
+/// Time between a planned stop's signal and the end by force.
+inline constexpr Millis kGrace{6000};
+
+struct WorldOptions {
+  std::string program;
+  std::string folder;
+  size_t instances = 8;
+  size_t workers = 24;
+  /// Third number of all addresses; soaks side by side need their own.
+  int block = 1;
+};
+
+/// Ways that are cut and healed together.
+using Links = std::vector<Link*>;
+
+class World {
+ public:
+  World(boost::asio::io_context& context, const WorldOptions& options);
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  void StartAll();
+  /// Milliseconds since the world began.
+  int64_t Now() const;
+  /// A line of the world's own log.
+  void Log(const std::string& line);
+  /// A broken rule: told at once.
+  void Break(const std::string& sentence);
+  size_t broken() const { return broken_; }
+
+  size_t instances() const { return instances_.size(); }
+  size_t workers() const { return workers_.size(); }
+  static size_t CentreOf(size_t index) { return index % kDataCentres; }
+  std::string FrontOf(size_t instance) const;
+  bool IsUp(size_t instance) const {
+    return instances_[instance]->child.runs();
+  }
+  /// The instance under whose name the lead stands in the store.
+  std::optional<size_t> Leader() const;
+
+  // --- Ways ---
+  Links StoreLinks(size_t instance) const;
+  Links WorkerLinks(size_t instance, size_t worker) const;
+  /// Between two instances, both directions.
+  Links PeerLinks(size_t a, size_t b) const;
+  /// Everything that crosses the data centre's border; the store lies outside.
+  Links BorderLinks(size_t centre) const;
+  /// Everything of an instance.
+  Links AllLinks(size_t instance) const;
+
+  // --- Processes ---
+  /// False if a planned stop or another fault of the process is under way.
+  bool Kill(size_t instance);
+  bool Stop(size_t instance);
+  bool Pause(size_t instance);
+  void Resume(size_t instance);
+
+  // --- Workers ---
+  void CrashWorker(size_t worker);
+  void BootWorker(size_t worker);
+  /// Its entry says so, or goes without a word.
+  void AnnounceLeaving(size_t worker);
+  void DropEntry(size_t worker);
+
+  platform::SoakStore& store() { return store_; }
+  TaskWatch& watch() { return watch_; }
+  const TaskWatch& watch() const { return watch_; }
+  boost::asio::io_context& context() { return context_; }
+  /// Stops all processes; what takes too long is told.
+  Task<> StopAll();
+
+ private:
+  struct Instance {
+    Instance(std::string program, std::string settings, std::string log)
+        : child(std::move(program), std::move(settings), std::move(log)) {}
+
+    Child child;
+    /// Told to end, so that its end is no surprise.
+    bool is_ending = false;
+    bool paused = false;
+    /// Start of a planned stop; 0: none.
+    int64_t stop_since = 0;
+    std::unique_ptr<Link> store;
+    std::vector<std::unique_ptr<Link>> workers;
+    /// To each other instance; null for itself.
+    std::vector<std::unique_ptr<Link>> peers;
+  };
+
+  std::string Host(int caller, size_t number) const;
+  std::string WriteSettings(size_t instance) const;
+  void AddWorker(size_t worker);
+  void AddInstance(size_t instance);
+  void AdvanceWorkers();
+  void ResetLinksTo(size_t worker);
+  Task<> Tick();
+  void Supervise(size_t instance);
+  Task<> Restart(size_t instance);
+
+  boost::asio::io_context& context_;
+  const WorldOptions options_;
+  const Instant began_;
+  std::ofstream log_;
+  TaskWatch watch_;
+  platform::SoakStore store_;
+  std::vector<std::unique_ptr<platform::SoakWorker>> workers_;
+  std::vector<std::unique_ptr<Instance>> instances_;
+  bool ending_ = false;
+  size_t broken_ = 0;
+};
+
+}  // namespace doorwood::soak
+
+#endif  // DOORWOOD_SOAK_WORLD_H_
--- a/src/standin/record_store_model.cpp
+++ b/src/standin/record_store_model.cpp
@@ -2,6 +2,9 @@
 
 #include "standin/record_store_model.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace doorwood::standin {
 
 void RecordStoreModel::Advance(int64_t now) {
@@ -44,11 +47,13 @@
     return KvErrc::kCompacted;
   }
   events->at = revision_;
-  for (const StoreItem& item : history_) {
-    if (item.revision > after && item.key.starts_with(prefix)) {
-      events->items.push_back(item);
-    }
-  }
+  const auto first = std::partition_point(
+      history_.begin(), history_.end(),
+      [after](const StoreItem& item) { return item.revision <= after; });
+  std::copy_if(first, history_.end(), std::back_inserter(events->items),
+               [&](const StoreItem& item) {
+                 return item.key.starts_with(prefix);
+               });
   return {};
 }
 
--- a/src/standin/run_worker_model.cpp
+++ b/src/standin/run_worker_model.cpp
@@ -45,6 +45,9 @@
   over_[task] = std::max(over_[task], run);
   ended_.push_back({++last_end_, task, run, end, ""});
   runs_.erase(found);
+  if (watcher_ != nullptr) {
+    watcher_->OnEnded(ended_.back());
+  }
 }
 
 bool RunWorkerModel::IsFenced(uint64_t token) {
@@ -59,15 +62,23 @@
   lease_until_ = std::max(lease_until_, until);
 }
 
+void RunWorkerModel::Forget(uint64_t last_seen) {
+  std::erase_if(ended_, [&](const EndedRun& end) {
+    const bool noted = end.number <= last_seen;
+    if (noted && watcher_ != nullptr) {
+      watcher_->OnNoted(end);
+    }
+    return noted;
+  });
+}
+
 std::error_code RunWorkerModel::Hold(const HoldOrder& order,
                                      WorkerReport* report) {
   if (IsFenced(order.token)) {
     return RunErrc::kFenced;
   }
   Extend(order.until);
-  std::erase_if(ended_, [&](const EndedRun& end) {
-    return end.number <= order.last_seen;
-  });
+  Forget(order.last_seen);
   report->clock = now_;
   report->ended = ended_;
   for (const auto& [task, active] : runs_) {
@@ -104,6 +115,9 @@
   active.duration = NumberAfter(order.payload, "ms=");
   active.fails = order.run <= NumberAfter(order.payload, "fails=");
   runs_[order.task] = active;
+  if (watcher_ != nullptr) {
+    watcher_->OnStarted(order);
+  }
   return {};
 }
 
--- a/src/standin/run_worker_model.h
+++ b/src/standin/run_worker_model.h
@@ -20,8 +20,20 @@
 
 namespace doorwood::standin {
 
+/// Told what happens to runs while it happens.
+class RunWatcher {
+ public:
+  virtual ~RunWatcher() = default;
+  virtual void OnStarted(const StartOrder& order) = 0;
+  virtual void OnEnded(const EndedRun& end) = 0;
+  /// The end was seen by whoever holds the worker, and is forgotten here.
+  virtual void OnNoted(const EndedRun& end) = 0;
+};
+
 class RunWorkerModel {
  public:
+  void SetWatcher(RunWatcher* watcher) { watcher_ = watcher; }
+
   /// `now` is the worker's steady clock in milliseconds. Ends what is done and
   /// what has lapsed.
   void Advance(int64_t now);
@@ -32,6 +44,7 @@
   std::error_code Pace(const PaceOrder& order);
 
   int64_t now() const { return now_; }
+  int64_t lease_until() const { return lease_until_; }
   bool Runs(const std::string& task) const { return runs_.contains(task); }
   size_t running() const { return runs_.size(); }
 
@@ -46,8 +59,10 @@
 
   bool IsFenced(uint64_t token);
   void Extend(int64_t until);
+  void Forget(uint64_t last_seen);
   void End(const std::string& task, RunEnd end);
 
+  RunWatcher* watcher_ = nullptr;
   int64_t now_ = 0;
   int64_t lease_until_ = 0;
   uint64_t token_ = 0;
