test(soak): a seeded plan of faults between real processes

Cuts of any way in either direction, resets, delay, a store that refuses, is slow, silent or takes keys away, kills, pauses and planned stops of instances, workers that crash, leave or lose their entry. Not played yet.

--- /dev/null
+++ b/src/soak/fault_player.cpp
@@ -0,0 +1,204 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "soak/fault_player.h"
+
+#include <utility>
+
+#include "doorwood/live_directory.h"
+
+namespace doorwood::soak {
+namespace {
+
+constexpr Millis kLook{50};
+constexpr Millis kDelay{150};
+constexpr Millis kSlow{300};
+// A worker that went without a word stays in the store so long.
+constexpr Millis kEntryOutlives{4500};
+constexpr Millis kLeastDrain{2000};
+
+bool IsAtWorker(FaultKind kind) {
+  return kind == FaultKind::kCrashWorker || kind == FaultKind::kWorkerLeaves ||
+         kind == FaultKind::kDropEntry;
+}
+
+}  // namespace
+
+Task<> FaultPlayer::Play(std::vector<Fault> plan) {
+  const int64_t began = world_.Now();
+  for (const Fault& fault : plan) {
+    const int64_t left = began + fault.at.count() - world_.Now();
+    if (left > 0) {
+      co_await Sleep(world_.context(), Millis(left));
+    }
+    ++under_way_;
+    Spawn(world_.context(),
+          IsAtWorker(fault.kind) ? PlayAtWorker(fault) : PlayOne(fault));
+  }
+  while (under_way_ > 0) {
+    co_await Sleep(world_.context(), kLook);
+  }
+}
+
+size_t FaultPlayer::InstanceOf(const Fault& fault) const {
+  const size_t picked = fault.pick % world_.instances();
+  return fault.leader ? world_.Leader().value_or(picked) : picked;
+}
+
+Task<> FaultPlayer::PlayOne(Fault fault) {
+  const size_t instance = InstanceOf(fault);
+  const std::string what = std::string(ToString(fault.kind)) + ", " +
+                           world_.NameOf(instance) +
+                           (world_.Leader() == instance ? " (leads)" : "");
+  world_.Log("fault begins: " + what + ", " +
+             std::to_string(fault.lasts.count()) + " ms, way " +
+             std::to_string(static_cast<int>(fault.way)) + ", old after " +
+             std::to_string(fault.old_after.count()));
+  const Undo undo = Begin(fault, instance);
+  co_await Sleep(world_.context(), fault.lasts);
+  if (undo) {
+    undo();
+  }
+  world_.Log("fault over: " + what);
+  --under_way_;
+}
+
+Links FaultPlayer::CutLinks(const Fault& fault, size_t instance) const {
+  switch (fault.kind) {
+    case FaultKind::kCutStore:
+      return world_.StoreLinks(instance);
+    case FaultKind::kCutWorkersElsewhere:
+      return world_.LinksToWorkersElsewhere(World::CentreOf(instance));
+    case FaultKind::kCutCentre:
+      return world_.BorderLinks(World::CentreOf(instance));
+    case FaultKind::kCutPeers:
+      return world_.PeerLinks(instance);
+    default:
+      return world_.AllLinks(instance);
+  }
+}
+
+FaultPlayer::Undo FaultPlayer::Cut(const Fault& fault, Links links) {
+  for (Link* link : links) {
+    link->Cut(fault.way);
+  }
+  return [links = std::move(links), fault] {
+    for (Link* link : links) {
+      link->Heal(fault.way, fault.old_after);
+    }
+  };
+}
+
+FaultPlayer::Undo FaultPlayer::Begin(const Fault& fault, size_t instance) {
+  switch (fault.kind) {
+    case FaultKind::kCutStore:
+    case FaultKind::kCutWorkersElsewhere:
+    case FaultKind::kCutCentre:
+    case FaultKind::kCutPeers:
+    case FaultKind::kCutInstance:
+      return Cut(fault, CutLinks(fault, instance));
+    case FaultKind::kResetInstance:
+      for (Link* link : world_.AllLinks(instance)) {
+        link->Reset();
+      }
+      return nullptr;
+    case FaultKind::kDelayInstance: {
+      const Links links = world_.AllLinks(instance);
+      for (Link* link : links) {
+        link->Delay(kDelay);
+      }
+      return [links] {
+        for (Link* link : links) {
+          link->Delay(Millis(0));
+        }
+      };
+    }
+    case FaultKind::kKill:
+    case FaultKind::kPause:
+    case FaultKind::kPlannedStop:
+      return BeginAtProcess(fault, instance);
+    default:
+      return BeginAtStore(fault, instance);
+  }
+}
+
+FaultPlayer::Undo FaultPlayer::BeginAtStore(const Fault& fault,
+                                            size_t instance) {
+  platform::SoakStore& store = world_.store();
+  Link* const link = world_.StoreLinks(instance).front();
+  switch (fault.kind) {
+    case FaultKind::kResetStore:
+      link->Reset();
+      link->Refuse(true);
+      return [link] { link->Refuse(false); };
+    case FaultKind::kStoreRefuses:
+      store.manners(instance).refuses = true;
+      return [&store, instance] { store.manners(instance).refuses = false; };
+    case FaultKind::kStoreRefusesAll:
+      store.RefuseAll(true);
+      return [&store] { store.RefuseAll(false); };
+    case FaultKind::kStoreSlow:
+      store.SlowDown(kSlow);
+      return [&store] { store.SlowDown(Millis(0)); };
+    case FaultKind::kStoreSilent: {
+      Links links;
+      for (size_t i = 0; i < world_.instances(); ++i) {
+        links.push_back(world_.StoreLinks(i).front());
+      }
+      return Cut(fault, links);
+    }
+    case FaultKind::kStoreForgets:
+      store.Compact();
+      return nullptr;
+    case FaultKind::kRevoke:
+      store.Revoke(InstanceKey(World::NameOf(instance)));
+      return nullptr;
+    default:
+      return nullptr;
+  }
+}
+
+FaultPlayer::Undo FaultPlayer::BeginAtProcess(const Fault& fault,
+                                              size_t instance) {
+  if (fault.kind == FaultKind::kKill) {
+    world_.Kill(instance);
+    return nullptr;
+  }
+  if (fault.kind == FaultKind::kPlannedStop) {
+    world_.Stop(instance);
+    return nullptr;
+  }
+  if (!world_.Pause(instance)) {
+    return nullptr;
+  }
+  return [this, instance] { world_.Resume(instance); };
+}
+
+Task<> FaultPlayer::PlayAtWorker(Fault fault) {
+  const size_t worker = fault.pick % world_.workers();
+  if (!busy_workers_.insert(worker).second) {
+    --under_way_;
+    co_return;
+  }
+  const std::string id = world_.WorkerId(worker);
+  world_.Log("fault begins: " + std::string(ToString(fault.kind)) + ", " + id);
+  if (fault.kind == FaultKind::kWorkerLeaves) {
+    world_.AnnounceLeaving(worker);
+  } else if (fault.kind == FaultKind::kDropEntry) {
+    world_.DropEntry(id);
+  }
+  if (fault.kind != FaultKind::kCrashWorker) {
+    co_await Sleep(world_.context(), kLeastDrain + fault.lasts / 2);
+  }
+  world_.Log(id + " is gone");
+  world_.CrashWorker(worker);
+  co_await Sleep(world_.context(), fault.lasts / 4);
+  world_.BootWorker(worker);
+  if (fault.kind == FaultKind::kCrashWorker) {
+    co_await Sleep(world_.context(), kEntryOutlives);
+  }
+  world_.DropEntry(id);
+  busy_workers_.erase(worker);
+  --under_way_;
+}
+
+}  // namespace doorwood::soak
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "soak/callers.h"
+#include "soak/fault_player.h"
 #include "soak/scenario.h"
 #include "soak/world.h"
 
@@ -57,6 +58,13 @@
   callers.AddLasting(options.lasting_jobs, kLastingTasks, kLastingCpu);
   if (options.scenario == "regained-store") {
     co_await PlayRegainedStore(world, callers, options);
+  } else if (co_await AwaitCalm(world, callers)) {
+    callers.Start(kBetweenJobs);
+    FaultPlayer player(world);
+    co_await player.Play(
+        MakeFaultPlan(options.seed, std::chrono::seconds(options.seconds)));
+  } else {
+    world.Break("no calm to begin with");
   }
   callers.Stop();
   co_await callers.AwaitAll(kSettleTime);
--- a/src/soak/scenario.cpp
+++ b/src/soak/scenario.cpp
@@ -12,20 +12,6 @@
 // After all is healed: for what is still decided then.
 constexpr Millis kAfterwards{3000};
 
-// Workers elsewhere, to the instances of the data centre.
-Links WorkersElsewhere(const World& world, size_t centre) {
-  Links links;
-  for (size_t i = 0; i < world.instances(); ++i) {
-    for (size_t worker = 0; worker < world.workers(); ++worker) {
-      if (World::CentreOf(i) == centre && World::CentreOf(worker) != centre) {
-        const Links more = world.WorkerLinks(i, worker);
-        links.insert(links.end(), more.begin(), more.end());
-      }
-    }
-  }
-  return links;
-}
-
 }  // namespace
 
 void CutAll(const Links& links, Way way) {
@@ -60,7 +46,7 @@
   co_await Sleep(world.context(), kAfterwards);
   const size_t leader = world.Leader().value_or(0);
   const size_t centre = World::CentreOf(leader);
-  const Links silent = WorkersElsewhere(world, centre);
+  const Links silent = world.LinksToWorkersElsewhere(centre);
   const Links border = world.BorderLinks(centre);
   Links stores;
   for (size_t i = centre; i < world.instances(); i += kDataCentres) {
--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
+#include <iomanip>
 #include <iostream>
 #include <utility>
 
@@ -40,10 +42,6 @@
   return host + ":" + std::to_string(port);
 }
 
-std::string NameOf(size_t instance) {
-  return "entry-" + std::to_string(instance + 1);
-}
-
 void Append(Links* links, const Links& more) {
   links->insert(links->end(), more.begin(), more.end());
 }
@@ -72,10 +70,17 @@
       .count();
 }
 
+// Begins with the time of day as the instances' logs write it.
 void World::Log(const std::string& line) {
-  const auto unix_ms = std::chrono::duration_cast<Millis>(
-      std::chrono::system_clock::now().time_since_epoch());
-  log_ << unix_ms.count() << " " << Now() << " " << line << std::endl;
+  constexpr int64_t kPerSecond = 1000;
+  const int64_t unix_ms =
+      std::chrono::duration_cast<Millis>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  const std::time_t seconds = unix_ms / kPerSecond;
+  log_ << std::put_time(std::gmtime(&seconds), "%FT%T.") << std::setfill('0')
+       << std::setw(3) << unix_ms % kPerSecond << "Z " << Now() << " " << line
+       << std::endl;
 }
 
 void World::Break(const std::string& sentence) {
@@ -89,6 +94,10 @@
          std::to_string(options_.block) + "." + std::to_string(number);
 }
 
+std::string World::NameOf(size_t instance) {
+  return "entry-" + std::to_string(instance + 1);
+}
+
 std::string World::FrontOf(size_t instance) const {
   const int caller = kFirstCaller + static_cast<int>(instance);
   return At(Host(caller, kFirstInstance + instance), kFrontPort);
@@ -248,6 +257,28 @@
   return {instances_[a]->peers[b].get(), instances_[b]->peers[a].get()};
 }
 
+Links World::PeerLinks(size_t instance) const {
+  Links links;
+  for (size_t peer = 0; peer < instances(); ++peer) {
+    if (peer != instance) {
+      Append(&links, PeerLinks(instance, peer));
+    }
+  }
+  return links;
+}
+
+Links World::LinksToWorkersElsewhere(size_t centre) const {
+  Links links;
+  for (size_t i = 0; i < instances(); ++i) {
+    for (size_t worker = 0; worker < workers(); ++worker) {
+      if (CentreOf(i) == centre && CentreOf(worker) != centre) {
+        Append(&links, WorkerLinks(i, worker));
+      }
+    }
+  }
+  return links;
+}
+
 Links World::BorderLinks(size_t centre) const {
   Links links;
   for (size_t i = 0; i < instances(); ++i) {
@@ -274,11 +305,7 @@
   for (size_t worker = 0; worker < workers(); ++worker) {
     Append(&links, WorkerLinks(instance, worker));
   }
-  for (size_t peer = 0; peer < instances(); ++peer) {
-    if (peer != instance) {
-      Append(&links, PeerLinks(instance, peer));
-    }
-  }
+  Append(&links, PeerLinks(instance));
   return links;
 }
 
@@ -346,8 +373,8 @@
                  kCentres[CentreOf(worker)], /*leaving=*/true));
 }
 
-void World::DropEntry(size_t worker) {
-  store_.Remove(platform::SoakWorkerKey(workers_[worker]->id()));
+void World::DropEntry(const std::string& id) {
+  store_.Remove(platform::SoakWorkerKey(id));
 }
 
 }  // namespace doorwood::soak
--- a/src/soak/world.h
+++ b/src/soak/world.h
@@ -58,6 +58,7 @@
   size_t instances() const { return instances_.size(); }
   size_t workers() const { return workers_.size(); }
   static size_t CentreOf(size_t index) { return index % kDataCentres; }
+  static std::string NameOf(size_t instance);
   std::string FrontOf(size_t instance) const;
   bool IsUp(size_t instance) const {
     return instances_[instance]->child.runs();
@@ -68,8 +69,12 @@
   // --- Ways ---
   Links StoreLinks(size_t instance) const;
   Links WorkerLinks(size_t instance, size_t worker) const;
+  /// From the instances of a data centre to workers outside.
+  Links LinksToWorkersElsewhere(size_t centre) const;
   /// Between two instances, both directions.
   Links PeerLinks(size_t a, size_t b) const;
+  /// Between an instance and all others.
+  Links PeerLinks(size_t instance) const;
   /// Everything that crosses the data centre's border; the store lies outside.
   Links BorderLinks(size_t centre) const;
   /// Everything of an instance.
@@ -87,7 +92,10 @@
   void BootWorker(size_t worker);
   /// Its entry says so, or goes without a word.
   void AnnounceLeaving(size_t worker);
-  void DropEntry(size_t worker);
+  void DropEntry(const std::string& id);
+  const std::string& WorkerId(size_t worker) const {
+    return workers_[worker]->id();
+  }
 
   platform::SoakStore& store() { return store_; }
   TaskWatch& watch() { return watch_; }
