--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -41,6 +41,7 @@
   job.id = HexId(random_());
   Known& known = jobs_[job.id];
   known.job = std::move(job);
+  world_.watch().OnHandedIn(known.job.id, known.job.tasks);
   return &known;
 }
 
@@ -155,7 +156,6 @@
   for (;;) {
     const HttpReply reply = co_await Call("DELETE", *known, "");
     if (reply.status == kOk || reply.status == kGone) {
-      world_.watch().OnCancelled(known->job.id);
       known->cancelled = true;
       known->over = true;
       co_return;
--- /dev/null
+++ b/src/soak/fault_plan_test.cpp
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "soak/fault_plan.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+namespace doorwood::soak {
+namespace {
+
+constexpr Millis kLength{40'000};
+
+BOOST_AUTO_TEST_CASE(Plan_SameSeed_IsTheSame) {
+  const auto one = MakeFaultPlan(7, kLength);
+  const auto other = MakeFaultPlan(7, kLength);
+  BOOST_REQUIRE_EQUAL(one.size(), other.size());
+  for (size_t i = 0; i < one.size(); ++i) {
+    BOOST_TEST(one[i].at.count() == other[i].at.count());
+    BOOST_TEST(one[i].lasts.count() == other[i].lasts.count());
+    BOOST_TEST((one[i].kind == other[i].kind));
+    BOOST_TEST(one[i].pick == other[i].pick);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Plan_AnySeed_IsOverInTime) {
+  for (uint64_t seed = 0; seed < 200; ++seed) {
+    Millis last{0};
+    for (const Fault& fault : MakeFaultPlan(seed, kLength)) {
+      BOOST_TEST((fault.at >= last));
+      BOOST_TEST((fault.at + fault.lasts <= kLength));
+      BOOST_TEST((fault.lasts > Millis(0)));
+      last = fault.at;
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Plan_ManySeeds_HaveEveryKind) {
+  std::set<FaultKind> kinds;
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    for (const Fault& fault : MakeFaultPlan(seed, kLength)) {
+      kinds.insert(fault.kind);
+    }
+  }
+  BOOST_TEST(kinds.size() == static_cast<size_t>(FaultKind::kCount));
+}
+
+}  // namespace
+}  // namespace doorwood::soak
--- /dev/null
+++ b/src/soak/link_test.cpp
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "soak/link.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "loop.adapter/http_client.h"
+#include "loop.adapter/http_server.h"
+
+namespace doorwood::soak {
+namespace {
+
+constexpr char kServer[] = "127.0.9.1:18341";
+constexpr char kThroughLink[] = "127.0.9.2:18341";
+
+// A server that counts, a link to it, and a caller that keeps its connection.
+struct Fixture {
+  Fixture()
+      : server(context,
+               [this](const HttpRequest&, const HttpServer::Respond& respond) {
+                 ++arrived;
+                 respond(HttpResponse{});
+               }) {
+    server.Listen(kServer);
+    link.emplace(context, kThroughLink, kServer);
+  }
+
+  // The answer's status; 0 if there is none in time.
+  int Call(Millis patience) {
+    HttpCall call;
+    call.address = kThroughLink;
+    call.timeout = patience;
+    call.repeatable = false;
+    std::optional<int> status;
+    client.Send(std::move(call),
+                [&](std::error_code error, const HttpReply& reply) {
+                  status = error ? 0 : reply.status;
+                });
+    while (!status) {
+      context.run_one();
+    }
+    return *status;
+  }
+
+  void Run(Millis time) { context.run_for(time); }
+
+  boost::asio::io_context context{1};
+  int arrived = 0;
+  HttpServer server;
+  std::optional<Link> link;
+  HttpClient client{context};
+};
+
+constexpr Millis kShort{150};
+constexpr Millis kLong{3000};
+constexpr int kOk = 200;
+
+BOOST_FIXTURE_TEST_SUITE(LinkSuite, Fixture)
+
+BOOST_AUTO_TEST_CASE(Link_Open_CarriesCalls) {
+  BOOST_TEST(Call(kLong) == kOk);
+}
+
+BOOST_AUTO_TEST_CASE(Link_Cut_HoldsUpWhatArrivesOnceHealed) {
+  BOOST_TEST(Call(kLong) == kOk);
+  link->Cut(Way::kBoth);
+  BOOST_TEST(Call(kShort) == 0);
+  BOOST_TEST(arrived == 1);
+  link->Heal(Way::kBoth, Millis(0));
+  Run(kShort);
+  BOOST_TEST(arrived == 2);
+  BOOST_TEST(Call(kLong) == kOk);
+}
+
+BOOST_AUTO_TEST_CASE(Link_CutTwice_OpensWithTheSecondHeal) {
+  BOOST_TEST(Call(kLong) == kOk);
+  link->Cut(Way::kBoth);
+  link->Cut(Way::kThere);
+  link->Heal(Way::kBoth, Millis(0));
+  BOOST_TEST(Call(kShort) == 0);
+  link->Heal(Way::kThere, Millis(0));
+  BOOST_TEST(Call(kLong) == kOk);
+}
+
+BOOST_AUTO_TEST_CASE(Link_CutBack_RequestsArriveAndAnswersDoNot) {
+  BOOST_TEST(Call(kLong) == kOk);
+  link->Cut(Way::kBack);
+  BOOST_TEST(Call(kShort) == 0);
+  BOOST_TEST(arrived == 2);
+}
+
+BOOST_AUTO_TEST_CASE(Link_Cut_NewConnectionsHang) {
+  link->Cut(Way::kBoth);
+  BOOST_TEST(Call(kShort) == 0);
+  Run(kShort);
+  BOOST_TEST(arrived == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Link_OldConnectionsResumeLate_NewOnesAtOnce) {
+  BOOST_TEST(Call(kLong) == kOk);
+  link->Cut(Way::kBoth);
+  link->Heal(Way::kBoth, kLong);
+  BOOST_TEST(Call(kShort) == 0);
+  BOOST_TEST(Call(kShort) == kOk);
+}
+
+BOOST_AUTO_TEST_CASE(Link_Refuses_BreaksOff) {
+  link->Refuse(true);
+  BOOST_TEST(Call(kLong) == 0);
+  link->Refuse(false);
+  BOOST_TEST(Call(kLong) == kOk);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace doorwood::soak
--- a/src/soak/task_watch.cpp
+++ b/src/soak/task_watch.cpp
@@ -6,6 +6,13 @@
 #include <utility>
 
 namespace doorwood::soak {
+namespace {
+
+// A task's name is JOB.TIME.STEP.INDEX.
+constexpr char kFirstStep[] = ".0.0.";
+constexpr char kSecondStep[] = ".0.1.";
+
+}  // namespace
 
 std::string JobOf(const std::string& task) {
   return task.substr(0, task.find('.'));
@@ -46,9 +53,36 @@
             Describe(run) + "; " + Describe(fresh));
     }
   }
+  CheckOrder(order.task, fresh);
   earlier.push_back(std::move(fresh));
 }
 
+void TaskWatch::CheckOrder(const std::string& task, const SeenRun& fresh) {
+  const std::string job = JobOf(task);
+  const auto needed = first_tasks_.find(job);
+  if (!task.starts_with(job + kSecondStep) || needed == first_tasks_.end()) {
+    return;
+  }
+  const size_t done = DoneTasks(job + kFirstStep);
+  if (done < static_cast<size_t>(needed->second)) {
+    Break("started before its turn: " + task + ": " + Describe(fresh) +
+          "; of the step before, " + std::to_string(done) + " have ended so");
+  }
+}
+
+size_t TaskWatch::DoneTasks(const std::string& prefix) const {
+  const auto is_done = [](const SeenRun& run) {
+    return !run.active && run.end == RunEnd::kDone;
+  };
+  size_t done = 0;
+  for (auto it = runs_.lower_bound(prefix);
+       it != runs_.end() && it->first.starts_with(prefix); ++it) {
+    const bool any = std::any_of(it->second.begin(), it->second.end(), is_done);
+    done += any ? 1 : 0;
+  }
+  return done;
+}
+
 SeenRun* TaskWatch::Find(const std::string& life, const EndedRun& end) {
   std::vector<SeenRun>& runs = runs_[end.task];
   const auto found = std::find_if(runs.begin(), runs.end(), [&](const auto& r) {
@@ -110,17 +144,7 @@
 }
 
 void TaskWatch::OnCompleted(const std::string& job, size_t tasks) {
-  size_t done = 0;
-  for (auto it = runs_.lower_bound(job);
-       it != runs_.end() && JobOf(it->first) == job; ++it) {
-    const auto& runs = it->second;
-    done += std::any_of(runs.begin(), runs.end(),
-                        [](const SeenRun& run) {
-                          return !run.active && run.end == RunEnd::kDone;
-                        })
-                ? 1
-                : 0;
-  }
+  const size_t done = DoneTasks(job + ".");
   if (done < tasks) {
     Break("shown as completed: " + job + ", of whose " + std::to_string(tasks) +
           " tasks " + std::to_string(done) + " have ended so");
@@ -137,17 +161,6 @@
   }
 }
 
-void TaskWatch::CheckCancelled() {
-  for (const auto& [task, runs] : runs_) {
-    for (const SeenRun& run : runs) {
-      if (run.active && cancelled_.contains(JobOf(task))) {
-        Break("runs though its job is cancelled: " + task + ": " +
-              Describe(run));
-      }
-    }
-  }
-}
-
 size_t TaskWatch::ActiveTasks(const std::string& job) const {
   size_t active = 0;
   for (auto it = runs_.lower_bound(job);
--- a/src/soak/task_watch.h
+++ b/src/soak/task_watch.h
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -54,15 +53,16 @@
   // --- Seen by callers ---
   /// An attempt to hand the job in was rejected, or was not.
   void OnAttempt(const std::string& job, bool rejected);
-  void OnCancelled(const std::string& job) { cancelled_.insert(job); }
+  /// The job's second step, if it has one, waits for so many tasks.
+  void OnHandedIn(const std::string& job, int first_tasks) {
+    first_tasks_[job] = first_tasks;
+  }
   /// A caller was told that the job is completed; it has so many tasks.
   void OnCompleted(const std::string& job, size_t tasks);
 
   // --- Once all is over ---
   /// Jobs that every attempt was rejected of start nothing.
   void CheckRefused();
-  /// Nothing of a cancelled job runs.
-  void CheckCancelled();
 
   size_t starts() const { return starts_; }
   size_t ActiveTasks(const std::string& job) const;
@@ -72,6 +72,9 @@
 
  private:
   void Break(const std::string& sentence);
+  void CheckOrder(const std::string& task, const SeenRun& fresh);
+  /// Tasks that begin with `prefix` and have ended done.
+  size_t DoneTasks(const std::string& prefix) const;
   SeenRun* Find(const std::string& life, const EndedRun& end);
 
   Report report_;
@@ -79,7 +82,7 @@
   std::map<std::string, std::vector<SeenRun>> runs_;
   /// Jobs of which an attempt was not rejected.
   std::map<std::string, bool> taken_;
-  std::set<std::string> cancelled_;
+  std::map<std::string, int> first_tasks_;
   size_t starts_ = 0;
 };
 
--- /dev/null
+++ b/src/soak/task_watch_test.cpp
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: Apache-2.0
+
+#include "soak/task_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace doorwood::soak {
+namespace {
+
+constexpr char kTask[] = "00112233aabbccdd.0.0.0";
+constexpr char kJob[] = "00112233aabbccdd";
+
+struct Fixture {
+  void Start(const std::string& life, const std::string& task, uint32_t run) {
+    StartOrder order;
+    order.task = task;
+    order.run = run;
+    watch.OnStarted(life, order, ++now);
+  }
+
+  void End(const std::string& life,
+           const std::string& task,
+           uint32_t run,
+           RunEnd how) {
+    watch.OnEnded(life, {1, task, run, how, ""}, ++now);
+  }
+
+  void Note(const std::string& life, const std::string& task, uint32_t run) {
+    watch.OnNoted(life, {1, task, run, RunEnd::kDone, ""});
+  }
+
+  std::vector<std::string> broken;
+  TaskWatch watch{
+      [this](const std::string& sentence) { broken.push_back(sentence); }};
+  int64_t now = 0;
+};
+
+BOOST_FIXTURE_TEST_SUITE(TaskWatchSuite, Fixture)
+
+BOOST_AUTO_TEST_CASE(Watch_TwoRunsAtOnce_TellsBoth) {
+  Start("a", kTask, 1);
+  Start("b", kTask, 2);
+  BOOST_REQUIRE_EQUAL(broken.size(), 1U);
+  BOOST_TEST(broken[0].find("run 1 on a") != std::string::npos);
+  BOOST_TEST(broken[0].find("run 2 on b") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Watch_SecondRunAfterTheFirst_IsFine) {
+  Start("a", kTask, 1);
+  End("a", kTask, 1, RunEnd::kLapsed);
+  Start("b", kTask, 2);
+  BOOST_TEST(broken.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Watch_WorkerOfTheFirstRunIsGone_IsFine) {
+  Start("a", kTask, 1);
+  watch.OnLifeOver("a", ++now);
+  Start("b", kTask, 2);
+  BOOST_TEST(broken.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Watch_StartAfterNotedEnd_IsBroken) {
+  Start("a", kTask, 1);
+  End("a", kTask, 1, RunEnd::kDone);
+  Note("a", kTask, 1);
+  Start("b", kTask, 2);
+  BOOST_TEST(broken.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Watch_StartBeforeTheEndIsNoted_IsBrokenOnceItIs) {
+  Start("a", kTask, 1);
+  End("a", kTask, 1, RunEnd::kDone);
+  Start("b", kTask, 2);
+  BOOST_TEST(broken.empty());
+  Note("a", kTask, 1);
+  BOOST_TEST(broken.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Watch_LeaseLapsedBetweenEndAndNote_DoesNotCount) {
+  Start("a", kTask, 1);
+  End("a", kTask, 1, RunEnd::kDone);
+  Start("b", kTask, 2);
+  watch.OnLapsed("a");
+  Note("a", kTask, 1);
+  BOOST_TEST(broken.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Watch_EarlierRunsDone_DoNotBreakTheRunItself) {
+  Start("a", kTask, 1);
+  End("a", kTask, 1, RunEnd::kFailed);
+  Start("a", kTask, 2);
+  End("a", kTask, 2, RunEnd::kDone);
+  Note("a", kTask, 2);
+  BOOST_TEST(broken.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Watch_SecondStepBeforeAllOfTheFirst_IsBroken) {
+  watch.OnHandedIn(kJob, 2);
+  Start("a", std::string(kJob) + ".0.0.0", 1);
+  End("a", std::string(kJob) + ".0.0.0", 1, RunEnd::kDone);
+  Start("a", std::string(kJob) + ".0.1.0", 1);
+  BOOST_TEST(broken.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Watch_CompletedWithATaskMissing_IsBroken) {
+  Start("a", std::string(kJob) + ".0.0.0", 1);
+  End("a", std::string(kJob) + ".0.0.0", 1, RunEnd::kDone);
+  watch.OnCompleted(kJob, 1);
+  BOOST_TEST(broken.empty());
+  watch.OnCompleted(kJob, 2);
+  BOOST_TEST(broken.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Watch_StartOfARefusedJob_IsBroken) {
+  watch.OnAttempt(kJob, /*rejected=*/true);
+  Start("a", kTask, 1);
+  watch.CheckRefused();
+  BOOST_TEST(broken.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Watch_StartOfAJobWithoutAnswer_IsFine) {
+  watch.OnAttempt(kJob, /*rejected=*/false);
+  watch.OnAttempt(kJob, /*rejected=*/true);
+  Start("a", kTask, 1);
+  watch.CheckRefused();
+  BOOST_TEST(broken.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace doorwood::soak
