--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -14,6 +14,7 @@
     "cut from the store",
     "cut from workers elsewhere",
     "cut of a data centre",
+    "cut of a data centre in steps",
     "cut from other instances",
     "cut from everything",
     "resets by the store",
@@ -31,11 +32,13 @@
     "crash of a worker",
     "a worker leaves",
     "a worker's entry goes"};
-constexpr uint64_t kShortestPause = 100;   // ms
-constexpr uint64_t kLongestPause = 1800;   // ms
-constexpr uint64_t kShortestFault = 400;   // ms
-constexpr uint64_t kLongestFault = 9000;   // ms
-constexpr uint64_t kLongestResume = 6000;  // ms
+constexpr uint64_t kShortestPause = 100;    // ms
+constexpr uint64_t kLongestPause = 1800;    // ms
+constexpr uint64_t kShortestFault = 400;    // ms
+constexpr uint64_t kLongestFault = 9000;    // ms
+constexpr uint64_t kShortestSteps = 6000;   // ms
+constexpr uint64_t kLongestSteps = 13'000;  // ms
+constexpr uint64_t kLongestResume = 6000;   // ms
 
 // Numbers that depend on nothing but the seed; those of the standard's
 // distributions may differ from library to library.
@@ -65,6 +68,9 @@
   const uint64_t longest =
       draws->Below(2) == 0 ? kLongestFault / 4 : kLongestFault;
   fault.lasts = draws->Between(kShortestFault, longest);
+  if (fault.kind == FaultKind::kCutCentreInSteps) {
+    fault.lasts = draws->Between(kShortestSteps, kLongestSteps);
+  }
   fault.leader = draws->Below(2) == 0;
   fault.pick = static_cast<uint32_t>(draws->Below(UINT32_MAX));
   fault.way = DrawWay(draws);
--- a/src/soak/fault_plan.h
+++ b/src/soak/fault_plan.h
@@ -18,6 +18,7 @@
   kCutStore,
   kCutWorkersElsewhere,
   kCutCentre,
+  kCutCentreInSteps,
   kCutPeers,
   kCutInstance,
   kResetStore,
--- a/src/soak/fault_player.cpp
+++ b/src/soak/fault_player.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "doorwood/live_directory.h"
+#include "soak/scenario.h"
 
 namespace doorwood::soak {
 namespace {
@@ -21,6 +22,16 @@
          kind == FaultKind::kDropEntry;
 }
 
+// The cut takes longer than a successor needs to take the lead.
+RegainedStore StepsOf(const Fault& fault) {
+  RegainedStore course;
+  course.silent_before = fault.lasts * 2 / 5;
+  course.cut = fault.lasts * 2 / 5;
+  course.workers_later = fault.lasts / 5;
+  course.old_after = fault.old_after;
+  return course;
+}
+
 }  // namespace
 
 Task<> FaultPlayer::Play(std::vector<Fault> plan) {
@@ -53,10 +64,14 @@
              std::to_string(fault.lasts.count()) + " ms, way " +
              std::to_string(static_cast<int>(fault.way)) + ", old after " +
              std::to_string(fault.old_after.count()));
-  const Undo undo = Begin(fault, instance);
-  co_await Sleep(world_.context(), fault.lasts);
-  if (undo) {
-    undo();
+  if (fault.kind == FaultKind::kCutCentreInSteps) {
+    co_await CutInSteps(world_, World::CentreOf(instance), StepsOf(fault));
+  } else {
+    const Undo undo = Begin(fault, instance);
+    co_await Sleep(world_.context(), fault.lasts);
+    if (undo) {
+      undo();
+    }
   }
   world_.Log("fault over: " + what);
   --under_way_;
--- a/src/soak/scenario.cpp
+++ b/src/soak/scenario.cpp
@@ -37,15 +37,7 @@
   co_return false;
 }
 
-Task<size_t> Play(World& world, Callers& callers, RegainedStore course) {
-  const size_t broken_before = world.broken();
-  if (!co_await AwaitCalm(world, callers)) {
-    world.Break("no calm to begin with");
-    co_return world.broken() - broken_before;
-  }
-  co_await Sleep(world.context(), kAfterwards);
-  const size_t leader = world.Leader().value_or(0);
-  const size_t centre = World::CentreOf(leader);
+Task<> CutInSteps(World& world, size_t centre, RegainedStore course) {
   const Links silent = world.LinksToWorkersElsewhere(centre);
   const Links border = world.BorderLinks(centre);
   Links stores;
@@ -58,19 +50,31 @@
       others.push_back(link);
     }
   }
-  world.Log("course: entry-" + std::to_string(leader + 1) +
-            " leads; workers elsewhere fall silent to its data centre");
+  const std::string who = "data centre " + std::to_string(centre + 1);
+  world.Log("workers elsewhere fall silent to " + who);
   CutAll(silent, Way::kBoth);
   co_await Sleep(world.context(), course.silent_before);
-  world.Log("course: its data centre is cut off");
+  world.Log("cut off: " + who);
   CutAll(border, Way::kBoth);
   co_await Sleep(world.context(), course.cut);
-  world.Log("course: it reaches the store again");
+  world.Log("reaches the store again: " + who);
   HealAll(stores, Way::kBoth, course.old_after);
   co_await Sleep(world.context(), course.workers_later);
-  world.Log("course: all is healed");
+  world.Log("reaches all again: " + who);
   HealAll(others, Way::kBoth, course.old_after);
   HealAll(silent, Way::kBoth, course.old_after);
+}
+
+Task<size_t> Play(World& world, Callers& callers, RegainedStore course) {
+  const size_t broken_before = world.broken();
+  if (!co_await AwaitCalm(world, callers)) {
+    world.Break("no calm to begin with");
+    co_return world.broken() - broken_before;
+  }
+  co_await Sleep(world.context(), kAfterwards);
+  const size_t leader = world.Leader().value_or(0);
+  world.Log(World::NameOf(leader) + " leads");
+  co_await CutInSteps(world, World::CentreOf(leader), course);
   co_await Sleep(world.context(), kAfterwards);
   co_return world.broken() - broken_before;
 }
--- a/src/soak/scenario.h
+++ b/src/soak/scenario.h
@@ -14,8 +14,8 @@
 void CutAll(const Links& links, Way way);
 void HealAll(const Links& links, Way way, Millis old_after);
 
-/// The leader's data centre loses workers elsewhere, then everything, and
-/// regains the store first.
+/// A data centre loses workers elsewhere, then everything, and regains the
+/// store first.
 struct RegainedStore {
   /// From the silence of the workers elsewhere to the cut of the border.
   Millis silent_before{2000};
@@ -27,7 +27,11 @@
   Millis old_after{0};
 };
 
-/// Rules broken meanwhile.
+/// Until all is healed.
+Task<> CutInSteps(World& world, size_t centre, RegainedStore course);
+
+/// The same with the leader's data centre, from calm to a while afterwards;
+/// tells how many rules were broken meanwhile.
 Task<size_t> Play(World& world, Callers& callers, RegainedStore course);
 
 /// Until somebody leads and every lasting task runs; false: not in time.
