--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BUILD_TYPE ?= RelWithDebInfo
 SCRIPTS := src/build-scripts
 
-.PHONY: all packages build test demo bench capacity clang-format check-format check-lint generate clean
+.PHONY: all packages build test demo bench capacity soak clang-format check-format check-lint generate clean
 
 all: build
 
@@ -28,6 +28,10 @@
 capacity: build
 	bash $(SCRIPTS)/capacity.sh $(BUILD_DIR)
 
+SEEDS ?= 10
+soak: build
+	bash $(SCRIPTS)/soak.sh $(BUILD_DIR) $(SEEDS)
+
 clang-format: packages
 	bash $(SCRIPTS)/check-format.sh fix
 
