--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -3,7 +3,6 @@
 #include "soak/callers.h"
 
 #include <algorithm>
-#include <memory>
 #include <utility>
 
 namespace doorwood::soak {
@@ -50,33 +49,33 @@
     platform::SoakJob job;
     job.tasks = tasks;
     job.cpu = cpu;
-    Spawn(world_.context(), HandIn(Add(std::move(job))));
+    HandIn(Add(std::move(job)), kMostTries);
   }
 }
 
-void Callers::Start(Millis pause) {
-  Spawn(world_.context(), KeepHandingIn(pause));
-}
-
-Task<> Callers::KeepHandingIn(Millis pause) {
-  while (!stopped_) {
-    constexpr int kShortest = 100;
-    constexpr int kSpread = 1500;
-    platform::SoakJob job;
-    job.tasks = 1 + static_cast<int>(Draw(4));
-    job.later_tasks = Draw(3) == 0 ? 2 : 0;
-    job.cpu = 500;
-    job.task_time = Millis(kShortest + Draw(kSpread));
-    job.failures = Draw(5) == 0 ? 1 : 0;
-    Spawn(world_.context(), HandIn(Add(std::move(job))));
-    co_await Sleep(world_.context(), pause);
+void Callers::KeepHandingIn(Millis pause) {
+  if (stopped_) {
+    return;
   }
+  constexpr int kShortest = 100;
+  constexpr int kSpread = 1500;
+  platform::SoakJob job;
+  job.tasks = 1 + static_cast<int>(Draw(4));
+  job.later_tasks = Draw(3) == 0 ? 2 : 0;
+  job.cpu = 500;
+  job.task_time = Millis(kShortest + Draw(kSpread));
+  job.failures = Draw(5) == 0 ? 1 : 0;
+  Known* known = Add(std::move(job));
+  known->gives_up = Draw(kGivesUp) == 0;
+  known->cancels = Draw(kCancels) == 0;
+  HandIn(known, kMostTries);
+  world_.After(pause, [this, pause] { KeepHandingIn(pause); });
 }
 
-// Status 0: no answer.
-Task<HttpReply> Callers::Call(std::string method,
-                              const Known& known,
-                              std::string body) {
+void Callers::Call(std::string method,
+                   const Known& known,
+                   std::string body,
+                   Answered done) {
   HttpCall call;
   call.address = world_.FrontOf(Draw(world_.instances()));
   call.method = std::move(method);
@@ -85,83 +84,75 @@
   call.body = std::move(body);
   call.timeout = kPatience;
   call.repeatable = false;
-  struct Wait {
-    explicit Wait(boost::asio::io_context& context)
-        : answered(context, Instant::max()) {}
-    boost::asio::steady_timer answered;
-    HttpReply reply;
-  };
-  auto wait = std::make_shared<Wait>(world_.context());
-  client_.Send(std::move(call), [wait](std::error_code error, HttpReply reply) {
-    wait->reply = error ? HttpReply{} : std::move(reply);
-    wait->answered.cancel();
-  });
-  boost::system::error_code ignored;
-  co_await wait->answered.async_wait(
-      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-  co_return wait->reply;
-}
-
-Task<> Callers::HandIn(Known* known) {
-  const bool gives_up = !known->job.lasts() && Draw(kGivesUp) == 0;
-  const bool cancels = !known->job.lasts() && Draw(kCancels) == 0;
-  bool unknown = false;
-  for (int n = 0; n < kMostTries && !known->accepted; ++n) {
-    const HttpReply reply =
-        co_await Call("POST", *known, platform::EncodeSoakJob(known->job));
-    const bool rejected = reply.status == kNotFound ||
-                          reply.status == kTooMany ||
-                          reply.status == kUnavailable;
-    world_.watch().OnAttempt(known->job.id, rejected);
-    known->accepted = reply.status == kOk;
-    unknown = unknown || !rejected;
-    if (rejected && gives_up && !unknown) {
-      break;
-    }
-    if (!known->accepted) {
-      co_await Sleep(world_.context(), kBetweenTries);
-    }
+  client_.Send(
+      std::move(call),
+      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
+        done(error ? HttpReply{} : reply);
+      });
+}
+
+void Callers::HandIn(Known* known, int tries_left) {
+  if (tries_left == 0) {
+    return;
   }
-  if (known->accepted) {
+  Call("POST", *known, platform::EncodeSoakJob(known->job),
+       [this, known, tries_left](const HttpReply& reply) {
+         OnHandedIn(known, tries_left - 1, reply);
+       });
+}
+
+void Callers::OnHandedIn(Known* known, int tries_left, const HttpReply& reply) {
+  const bool rejected = reply.status == kNotFound || reply.status == kTooMany ||
+                        reply.status == kUnavailable;
+  world_.watch().OnAttempt(known->job.id, rejected);
+  known->may_be_taken = known->may_be_taken || !rejected;
+  if (reply.status == kOk) {
+    known->accepted = true;
     world_.Log("accepted " + known->job.id);
-    co_await Follow(known, cancels);
+    Look(known);
+  } else if (known->may_be_taken || !known->gives_up) {
+    world_.After(kBetweenTries,
+                 [this, known, tries_left] { HandIn(known, tries_left); });
   }
 }
 
-Task<> Callers::Follow(Known* known, bool cancel) {
-  while (!known->over) {
-    co_await Sleep(world_.context(), kBetweenLooks);
-    if (cancel) {
-      co_await Cancel(known);
-      co_return;
-    }
-    const HttpReply reply = co_await Call("GET", *known, "");
-    if (reply.status == kGone) {
-      world_.Break("an accepted job is not known: " + known->job.id);
-    }
-    const std::string state = platform::DecodeSoakState(reply.body);
-    if (state == "completed") {
-      world_.watch().OnCompleted(known->job.id,
-                                 known->job.tasks + known->job.later_tasks);
-      known->over = true;
-    } else if (state == "failed" || state == "cancelled") {
-      world_.Break("job " + known->job.id + " is shown as " + state);
-      known->over = true;
+void Callers::Look(Known* known) {
+  world_.After(kBetweenLooks, [this, known] {
+    if (known->cancels) {
+      Cancel(known);
+      return;
     }
+    Call("GET", *known, "",
+         [this, known](const HttpReply& reply) { OnState(known, reply); });
+  });
+}
+
+void Callers::OnState(Known* known, const HttpReply& reply) {
+  if (reply.status == kGone) {
+    world_.Break("an accepted job is not known: " + known->job.id);
+  }
+  const std::string state = platform::DecodeSoakState(reply.body);
+  known->over =
+      state == "completed" || state == "failed" || state == "cancelled";
+  if (state == "completed") {
+    world_.watch().OnCompleted(known->job.id,
+                               known->job.tasks + known->job.later_tasks);
+  } else if (known->over) {
+    world_.Break("job " + known->job.id + " is shown as " + state);
+  } else {
+    Look(known);
   }
 }
 
-Task<> Callers::Cancel(Known* known) {
-  known->asked_to_cancel = true;
-  for (;;) {
-    const HttpReply reply = co_await Call("DELETE", *known, "");
+void Callers::Cancel(Known* known) {
+  Call("DELETE", *known, "", [this, known](const HttpReply& reply) {
     if (reply.status == kOk || reply.status == kGone) {
       known->cancelled = true;
       known->over = true;
-      co_return;
+      return;
     }
-    co_await Sleep(world_.context(), kBetweenTries);
-  }
+    world_.After(kBetweenTries, [this, known] { Cancel(known); });
+  });
 }
 
 bool Callers::AllLastingRun() const {
@@ -183,14 +174,19 @@
                            : known.over;
 }
 
-Task<> Callers::AwaitAll(Millis patience) {
-  const int64_t until = world_.Now() + patience.count();
+void Callers::AwaitAll(Millis patience, std::function<void()> done) {
+  AwaitUntil(world_.Now() + patience.count(), done);
+}
+
+void Callers::AwaitUntil(int64_t until, const std::function<void()>& done) {
   const auto settled = [this](const auto& entry) {
     return IsSettled(entry.second);
   };
-  while (world_.Now() < until &&
-         !std::all_of(jobs_.begin(), jobs_.end(), settled)) {
-    co_await Sleep(world_.context(), kBetweenTries);
+  if (world_.Now() < until &&
+      !std::all_of(jobs_.begin(), jobs_.end(), settled)) {
+    world_.After(kBetweenTries,
+                 [this, until, done] { AwaitUntil(until, done); });
+    return;
   }
   for (const auto& [id, known] : jobs_) {
     if (!IsSettled(known)) {
@@ -201,6 +197,7 @@
     }
   }
   world_.watch().CheckRefused();
+  done();
 }
 
 size_t Callers::accepted() const {
--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -7,6 +7,7 @@
 #ifndef DOORWOOD_SOAK_CALLERS_H_
 #define DOORWOOD_SOAK_CALLERS_H_
 
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -24,10 +25,10 @@
   /// Hands in jobs that last, with so many tasks in all.
   void AddLasting(int jobs, int tasks, int cpu);
   /// Hands in jobs that end, one in each pause, until `Stop`.
-  void Start(Millis pause);
+  void Start(Millis pause) { KeepHandingIn(pause); }
   void Stop() { stopped_ = true; }
   /// Waits until every accepted job is as it must be; tells what is not.
-  Task<> AwaitAll(Millis patience);
+  void AwaitAll(Millis patience, std::function<void()> done);
   /// Every lasting task runs.
   bool AllLastingRun() const;
 
@@ -39,17 +40,29 @@
     platform::SoakJob job;
     bool accepted = false;
     bool cancelled = false;
-    bool asked_to_cancel = false;
+    /// Whether it stops asking once all tries were rejected, and whether it
+    /// cancels what is accepted.
+    bool gives_up = false;
+    bool cancels = false;
+    /// Some try was not rejected.
+    bool may_be_taken = false;
     bool over = false;
   };
 
-  Task<> HandIn(Known* known);
-  Task<> Follow(Known* known, bool cancel);
-  Task<> Cancel(Known* known);
-  Task<> KeepHandingIn(Millis pause);
-  Task<HttpReply> Call(std::string method,
-                       const Known& known,
-                       std::string body);
+  /// Status 0: no answer.
+  using Answered = std::function<void(const HttpReply&)>;
+
+  void HandIn(Known* known, int tries_left);
+  void OnHandedIn(Known* known, int tries_left, const HttpReply& reply);
+  void Look(Known* known);
+  void OnState(Known* known, const HttpReply& reply);
+  void Cancel(Known* known);
+  void KeepHandingIn(Millis pause);
+  void Call(std::string method,
+            const Known& known,
+            std::string body,
+            Answered done);
+  void AwaitUntil(int64_t until, const std::function<void()>& done);
   Known* Add(platform::SoakJob job);
   bool IsSettled(const Known& known) const;
   uint64_t Draw(uint64_t below) { return random_() % below; }
--- a/src/soak/fault_player.cpp
+++ b/src/soak/fault_player.cpp
@@ -10,7 +10,6 @@
 namespace doorwood::soak {
 namespace {
 
-constexpr Millis kLook{50};
 constexpr Millis kDelay{150};
 constexpr Millis kSlow{300};
 // A worker that went without a word stays in the store so long.
@@ -34,19 +33,25 @@
 
 }  // namespace
 
-Task<> FaultPlayer::Play(std::vector<Fault> plan) {
-  const int64_t began = world_.Now();
+void FaultPlayer::Play(const std::vector<Fault>& plan,
+                       std::function<void()> done) {
+  done_ = std::move(done);
+  left_ = plan.size() + 1;
   for (const Fault& fault : plan) {
-    const int64_t left = began + fault.at.count() - world_.Now();
-    if (left > 0) {
-      co_await Sleep(world_.context(), Millis(left));
-    }
-    ++under_way_;
-    Spawn(world_.context(),
-          IsAtWorker(fault.kind) ? PlayAtWorker(fault) : PlayOne(fault));
+    world_.After(fault.at, [this, fault] {
+      if (IsAtWorker(fault.kind)) {
+        PlayAtWorker(fault);
+      } else {
+        PlayOne(fault);
+      }
+    });
   }
-  while (under_way_ > 0) {
-    co_await Sleep(world_.context(), kLook);
+  OnOver();
+}
+
+void FaultPlayer::OnOver() {
+  if (--left_ == 0) {
+    done_();
   }
 }
 
@@ -55,7 +60,7 @@
   return fault.leader ? world_.Leader().value_or(picked) : picked;
 }
 
-Task<> FaultPlayer::PlayOne(Fault fault) {
+void FaultPlayer::PlayOne(const Fault& fault) {
   const size_t instance = InstanceOf(fault);
   const std::string what = std::string(ToString(fault.kind)) + ", " +
                            world_.NameOf(instance) +
@@ -65,16 +70,18 @@
              std::to_string(static_cast<int>(fault.way)) + ", old after " +
              std::to_string(fault.old_after.count()));
   if (fault.kind == FaultKind::kCutCentreInSteps) {
-    co_await CutInSteps(world_, World::CentreOf(instance), StepsOf(fault));
-  } else {
-    const Undo undo = Begin(fault, instance);
-    co_await Sleep(world_.context(), fault.lasts);
+    CutInSteps(world_, World::CentreOf(instance), StepsOf(fault),
+               [this] { OnOver(); });
+    return;
+  }
+  const Undo undo = Begin(fault, instance);
+  world_.After(fault.lasts, [this, undo, what] {
     if (undo) {
       undo();
     }
-  }
-  world_.Log("fault over: " + what);
-  --under_way_;
+    world_.Log("fault over: " + what);
+    OnOver();
+  });
 }
 
 Links FaultPlayer::CutLinks(const Fault& fault, size_t instance) const {
@@ -188,32 +195,40 @@
   return [this, instance] { world_.Resume(instance); };
 }
 
-Task<> FaultPlayer::PlayAtWorker(Fault fault) {
+void FaultPlayer::PlayAtWorker(const Fault& fault) {
   const size_t worker = fault.pick % world_.workers();
   if (!busy_workers_.insert(worker).second) {
-    --under_way_;
-    co_return;
+    OnOver();
+    return;
   }
   const std::string id = world_.WorkerId(worker);
   world_.Log("fault begins: " + std::string(ToString(fault.kind)) + ", " + id);
+  if (fault.kind == FaultKind::kCrashWorker) {
+    LoseWorker(fault, worker);
+    return;
+  }
   if (fault.kind == FaultKind::kWorkerLeaves) {
     world_.AnnounceLeaving(worker);
-  } else if (fault.kind == FaultKind::kDropEntry) {
+  } else {
     world_.DropEntry(id);
   }
-  if (fault.kind != FaultKind::kCrashWorker) {
-    co_await Sleep(world_.context(), kLeastDrain + fault.lasts / 2);
-  }
+  world_.After(kLeastDrain + fault.lasts / 2,
+               [this, fault, worker] { LoseWorker(fault, worker); });
+}
+
+// It comes back as another life; the old one's entry goes sooner or later.
+void FaultPlayer::LoseWorker(const Fault& fault, size_t worker) {
+  const std::string id = world_.WorkerId(worker);
   world_.Log(id + " is gone");
   world_.CrashWorker(worker);
-  co_await Sleep(world_.context(), fault.lasts / 4);
-  world_.BootWorker(worker);
-  if (fault.kind == FaultKind::kCrashWorker) {
-    co_await Sleep(world_.context(), kEntryOutlives);
-  }
-  world_.DropEntry(id);
-  busy_workers_.erase(worker);
-  --under_way_;
+  const Millis back = fault.lasts / 4;
+  world_.After(back, [this, worker] { world_.BootWorker(worker); });
+  const bool crashed = fault.kind == FaultKind::kCrashWorker;
+  world_.After(crashed ? kEntryOutlives : back, [this, worker, id] {
+    world_.DropEntry(id);
+    busy_workers_.erase(worker);
+    OnOver();
+  });
 }
 
 }  // namespace doorwood::soak
--- a/src/soak/fault_player.h
+++ b/src/soak/fault_player.h
@@ -20,14 +20,15 @@
  public:
   explicit FaultPlayer(World& world) : world_(world) {}
 
-  /// Ends once every fault is over.
-  Task<> Play(std::vector<Fault> plan);
+  /// `done` is called once every fault is over.
+  void Play(const std::vector<Fault>& plan, std::function<void()> done);
 
  private:
   /// What ends a fault.
   using Undo = std::function<void()>;
 
-  Task<> PlayOne(Fault fault);
+  void PlayOne(const Fault& fault);
+  void OnOver();
   size_t InstanceOf(const Fault& fault) const;
   /// Nothing: the fault needs no end.
   Undo Begin(const Fault& fault, size_t instance);
@@ -35,11 +36,14 @@
   Undo BeginAtProcess(const Fault& fault, size_t instance);
   Undo Cut(const Fault& fault, Links links);
   Links CutLinks(const Fault& fault, size_t instance) const;
-  Task<> PlayAtWorker(Fault fault);
+  void PlayAtWorker(const Fault& fault);
+  void LoseWorker(const Fault& fault, size_t worker);
 
   World& world_;
   std::set<size_t> busy_workers_;
-  size_t under_way_ = 0;
+  /// Faults that are not over yet.
+  size_t left_ = 0;
+  std::function<void()> done_;
 };
 
 }  // namespace doorwood::soak
--- a/src/soak/http_door.cpp
+++ b/src/soak/http_door.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <memory>
 #include <utility>
 
 #include "soak/link.h"
@@ -12,8 +13,6 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using asio::redirect_error;
-using asio::use_awaitable;
 using boost::system::error_code;
 
 namespace {
@@ -24,76 +23,102 @@
   return {text.data(), text.size()};
 }
 
-DoorRequest Decode(Message message, const std::string& life_header) {
+DoorRequest Decode(Message* message, const std::string& life_header) {
   DoorRequest decoded;
   HttpRequest& request = decoded.request;
-  request.method = ToText(message.method_string());
-  const std::string target = ToText(message.target());
+  request.method = ToText(message->method_string());
+  const std::string target = ToText(message->target());
   const size_t mark = target.find('?');
   request.path = target.substr(0, mark);
   if (mark != std::string::npos) {
     request.query = target.substr(mark + 1);
   }
-  decoded.expected_life = ToText(message[life_header]);
-  request.body = std::move(message.body());
+  decoded.expected_life = ToText((*message)[life_header]);
+  request.body = std::move(message->body());
   return decoded;
 }
 
 }  // namespace
 
+// One connection, kept alive by its own open operations and by the answers
+// that are still due.
+class HttpDoor::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(const HttpDoor& door, asio::ip::tcp::socket socket)
+      : door_(door), socket_(std::move(socket)) {
+    error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  }
+
+  void Read() {
+    message_ = {};
+    http::async_read(
+        socket_, buffer_, message_,
+        [self = shared_from_this()](const error_code& error, size_t) {
+          if (!error) {
+            self->Handle();
+          }
+        });
+  }
+
+ private:
+  void Handle() {
+    door_.handler_(
+        Decode(&message_, door_.life_header_),
+        [self = shared_from_this()](std::optional<HttpResponse> response) {
+          if (response) {
+            self->Write(std::move(*response));
+          } else {
+            BreakOff(&self->socket_);
+          }
+        });
+  }
+
+  void Write(HttpResponse response) {
+    response_ = {};
+    response_.version(11);
+    response_.result(static_cast<unsigned>(response.status));
+    response_.set(http::field::content_type, response.content_type);
+    response_.body() = std::move(response.body);
+    response_.keep_alive(true);
+    response_.prepare_payload();
+    http::async_write(
+        socket_, response_,
+        [self = shared_from_this()](const error_code& error, size_t) {
+          if (!error) {
+            self->Read();
+          }
+        });
+  }
+
+  const HttpDoor& door_;
+  asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  Message message_;
+  http::response<http::string_body> response_;
+};
+
 HttpDoor::HttpDoor(asio::io_context& context,
                    const std::string& address,
                    std::string life_header,
                    Handler handler)
-    : context_(context),
-      acceptor_(context, ParseEndpoint(address)),
+    : acceptor_(context, ParseEndpoint(address)),
       life_header_(std::move(life_header)),
       handler_(std::move(handler)) {
-  Spawn(context_, Accept());
-}
-
-Task<> HttpDoor::Accept() {
-  for (;;) {
-    asio::ip::tcp::socket socket(context_);
-    error_code error;
-    co_await acceptor_.async_accept(socket,
-                                    redirect_error(use_awaitable, error));
-    if (!error) {
-      Spawn(context_, Serve(std::move(socket)));
-    }
-  }
+  Accept();
 }
 
-Task<> HttpDoor::Serve(asio::ip::tcp::socket socket) {
-  error_code error;
-  socket.set_option(asio::ip::tcp::no_delay(true), error);
-  boost::beast::flat_buffer buffer;
-  for (;;) {
-    Message message;
-    co_await http::async_read(socket, buffer, message,
-                              redirect_error(use_awaitable, error));
-    if (error) {
-      co_return;
-    }
-    DoorRequest request = Decode(std::move(message), life_header_);
-    std::optional<HttpResponse> answer = co_await handler_(std::move(request));
-    if (!answer) {
-      socket.set_option(asio::socket_base::linger(true, 0), error);
-      co_return;
-    }
-    http::response<http::string_body> response;
-    response.version(11);
-    response.result(static_cast<unsigned>(answer->status));
-    response.set(http::field::content_type, answer->content_type);
-    response.body() = std::move(answer->body);
-    response.keep_alive(true);
-    response.prepare_payload();
-    co_await http::async_write(socket, response,
-                               redirect_error(use_awaitable, error));
-    if (error) {
-      co_return;
-    }
-  }
+void HttpDoor::Accept() {
+  acceptor_.async_accept(
+      [this](const error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          std::make_shared<Session>(*this, std::move(socket))->Read();
+        }
+        Accept();
+      });
 }
 
 }  // namespace doorwood::soak
--- a/src/soak/http_door.h
+++ b/src/soak/http_door.h
@@ -1,19 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// A small HTTP server whose handlers see headers, may wait, and may break a
-/// connection off instead of answering.
+/// A small HTTP server whose handlers see a header and may break a connection
+/// off instead of answering.
 
 #ifndef DOORWOOD_SOAK_HTTP_DOOR_H_
 #define DOORWOOD_SOAK_HTTP_DOOR_H_
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <optional>
 #include <string>
 
 #include "loop.adapter/http_server.h"
-#include "soak/coroutines.h"
 
 namespace doorwood::soak {
 
@@ -25,9 +25,9 @@
 
 class HttpDoor {
  public:
-  using Answer = Task<std::optional<HttpResponse>>;
   /// No response: the connection breaks off.
-  using Handler = std::function<Answer(DoorRequest)>;
+  using Respond = std::function<void(std::optional<HttpResponse>)>;
+  using Handler = std::function<void(DoorRequest, Respond)>;
 
   /// `life_header` names the header behind `expected_life`.
   HttpDoor(boost::asio::io_context& context,
@@ -38,10 +38,10 @@
   HttpDoor& operator=(const HttpDoor&) = delete;
 
  private:
-  Task<> Accept();
-  Task<> Serve(boost::asio::ip::tcp::socket socket);
+  class Session;
+
+  void Accept();
 
-  boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   const std::string life_header_;
   const Handler handler_;
--- a/src/soak/link.h
+++ b/src/soak/link.h
@@ -7,19 +7,24 @@
 #ifndef DOORWOOD_SOAK_LINK_H_
 #define DOORWOOD_SOAK_LINK_H_
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
-#include "soak/coroutines.h"
+#include "doorwood/types.h"
 
 namespace doorwood::soak {
 
 enum class Way { kThere, kBack, kBoth };
 
 boost::asio::ip::tcp::endpoint ParseEndpoint(const std::string& address);
+/// Ends a connection with a reset.
+void BreakOff(boost::asio::ip::tcp::socket* socket);
 
 /// Cuts of one link add up: it is open once each of them is healed. Bytes on
 /// the way during a cut are held up and arrive once it is healed, unless their
@@ -46,15 +51,21 @@
 
  private:
   struct Pair;
+  /// One direction of a pair.
+  struct Flow;
   using Socket = boost::asio::ip::tcp::socket;
+  using FlowPtr = std::shared_ptr<Flow>;
 
-  Task<> Accept();
-  Task<> Connect(std::shared_ptr<Pair> pair);
-  Task<> Pump(std::shared_ptr<Pair> pair,
-              Socket& from,
-              Socket& to,
-              const int& cuts);
-  Task<> Passable(std::shared_ptr<Pair> pair, const int& cuts);
+  void Accept();
+  void Connect(const std::shared_ptr<Pair>& pair);
+  void Read(const FlowPtr& flow);
+  void PassOn(const FlowPtr& flow, size_t size);
+  void Write(const FlowPtr& flow, size_t size);
+  /// Calls once bytes of the pair may move; never if it is broken off.
+  void WhenPassable(const std::shared_ptr<Pair>& pair,
+                    const int& cuts,
+                    std::function<void()> function);
+  void After(Instant time, std::function<void()> function);
   bool IsCut() const { return cuts_there_ > 0 || cuts_back_ > 0; }
   void FillQueue();
   void WakeAll();
@@ -62,12 +73,14 @@
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::ip::tcp::endpoint target_;
-  boost::asio::steady_timer changed_;
+  bool accepting_ = false;
   int cuts_there_ = 0;
   int cuts_back_ = 0;
   bool refuse_ = false;
   Millis delay_{0};
   std::list<std::weak_ptr<Pair>> pairs_;
+  /// What waits for the end of a cut.
+  std::vector<std::function<void()>> waiting_;
   /// Fills the queue of new connections.
   std::optional<Socket> filler_;
 };
--- a/src/soak/link_test.cpp
+++ b/src/soak/link_test.cpp
@@ -97,6 +97,16 @@
   BOOST_TEST(arrived == 0);
 }
 
+// A caller's connection waits in the queue already: the cut does not wait for
+// a place in it.
+BOOST_AUTO_TEST_CASE(Link_CutWhileACallerConnects_ReturnsAtOnce) {
+  boost::asio::ip::tcp::socket caller(context);
+  caller.connect(ParseEndpoint(kThroughLink));
+  const Instant began = std::chrono::steady_clock::now();
+  link->Cut(Way::kBoth);
+  BOOST_TEST((std::chrono::steady_clock::now() - began < kLong));
+}
+
 BOOST_AUTO_TEST_CASE(Link_OldConnectionsResumeLate_NewOnesAtOnce) {
   BOOST_TEST(Call(kLong) == kOk);
   link->Cut(Way::kBoth);
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <vector>
 
+#include "loop.adapter/loop_executor.h"
 #include "soak/callers.h"
 #include "soak/fault_player.h"
 #include "soak/scenario.h"
@@ -36,59 +37,99 @@
 constexpr Millis kBetweenJobs{200};
 constexpr Millis kSettleTime{40'000};
 
-Task<> PlayRegainedStore(World& world,
-                         Callers& callers,
-                         const Options& options) {
+std::vector<RegainedStore> CoursesOf(const Options& options) {
+  std::vector<RegainedStore> courses;
   for (const int silent : options.silent_before) {
     for (const int cut : options.cuts) {
       RegainedStore course;
       course.silent_before = Millis(silent);
       course.cut = Millis(cut);
       course.old_after = Millis(options.old_after);
-      const size_t broken = co_await Play(world, callers, course);
-      std::cout << "regained-store silent " << silent << " cut " << cut
-                << " old_after " << options.old_after << ": " << broken
-                << " broken" << std::endl;
+      courses.push_back(course);
     }
   }
+  return courses;
 }
 
-Task<> PlayAll(World& world, Callers& callers, const Options& options) {
-  world.StartAll();
-  callers.AddLasting(options.lasting_jobs, kLastingTasks, kLastingCpu);
-  if (options.scenario == "regained-store") {
-    co_await PlayRegainedStore(world, callers, options);
-  } else if (co_await AwaitCalm(world, callers)) {
-    callers.Start(kBetweenJobs);
-    FaultPlayer player(world);
-    co_await player.Play(
-        MakeFaultPlan(options.seed, std::chrono::seconds(options.seconds)));
-  } else {
-    world.Break("no calm to begin with");
+class Soak {
+ public:
+  Soak(boost::asio::io_context& context, const Options& options)
+      : options_(options),
+        executor_(context),
+        world_(context, executor_, options.world),
+        callers_(world_, options.seed),
+        faults_(world_) {}
+
+  void Begin() {
+    world_.StartAll();
+    callers_.AddLasting(options_.lasting_jobs, kLastingTasks, kLastingCpu);
+    if (options_.scenario == "random") {
+      AwaitCalm(world_, callers_, [this] { PlayRandom(); });
+    } else {
+      PlayCourses(CoursesOf(options_), 0);
+    }
   }
-  callers.Stop();
-  co_await callers.AwaitAll(kSettleTime);
-  co_await world.StopAll();
-  world.context().stop();
-}
+
+  World& world() { return world_; }
+
+  void Summarize() const {
+    std::cout << "seed " << options_.seed << ": " << callers_.accepted()
+              << " jobs accepted, " << callers_.refused() << " refused, "
+              << world_.watch().starts() << " starts, " << world_.broken()
+              << " broken; logs in " << options_.world.folder << std::endl;
+  }
+
+ private:
+  void PlayRandom() {
+    callers_.Start(kBetweenJobs);
+    faults_.Play(
+        MakeFaultPlan(options_.seed, std::chrono::seconds(options_.seconds)),
+        [this] { Finish(); });
+  }
+
+  void PlayCourses(const std::vector<RegainedStore>& courses, size_t next) {
+    if (next == courses.size()) {
+      Finish();
+      return;
+    }
+    const RegainedStore course = courses[next];
+    Play(world_, callers_, course,
+         [this, courses, next, course](size_t broken) {
+           std::cout << "regained-store silent " << course.silent_before.count()
+                     << " cut " << course.cut.count() << " old_after "
+                     << course.old_after.count() << ": " << broken << " broken"
+                     << std::endl;
+           PlayCourses(courses, next + 1);
+         });
+  }
+
+  void Finish() {
+    callers_.Stop();
+    callers_.AwaitAll(kSettleTime, [this] {
+      world_.StopAll([this] { world_.context().stop(); });
+    });
+  }
+
+  const Options& options_;
+  LoopExecutor executor_;
+  World world_;
+  Callers callers_;
+  FaultPlayer faults_;
+};
 
 int Run(const Options& options) {
   std::filesystem::create_directories(options.world.folder);
   boost::asio::io_context context(1);
-  World world(context, options.world);
-  Callers callers(world, options.seed);
-  Spawn(context, PlayAll(world, callers, options));
+  Soak soak(context, options);
+  soak.Begin();
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](const auto&, int) {
-    world.Break("asked to stop before the end");
+    soak.world().Break("asked to stop before the end");
     context.stop();
   });
   context.run();
-  std::cout << "seed " << options.seed << ": " << callers.accepted()
-            << " jobs accepted, " << callers.refused() << " refused, "
-            << world.watch().starts() << " starts, " << world.broken()
-            << " broken; logs in " << options.world.folder << std::endl;
-  return world.broken() == 0 ? 0 : 1;
+  soak.Summarize();
+  return soak.world().broken() == 0 ? 0 : 1;
 }
 
 }  // namespace
--- a/src/soak/scenario.cpp
+++ b/src/soak/scenario.cpp
@@ -12,32 +12,48 @@
 // After all is healed: for what is still decided then.
 constexpr Millis kAfterwards{3000};
 
-}  // namespace
-
-void CutAll(const Links& links, Way way) {
+void CutAll(const Links& links) {
   for (Link* link : links) {
-    link->Cut(way);
+    link->Cut(Way::kBoth);
   }
 }
 
-void HealAll(const Links& links, Way way, Millis old_after) {
+void HealAll(const Links& links, Millis old_after) {
   for (Link* link : links) {
-    link->Heal(way, old_after);
+    link->Heal(Way::kBoth, old_after);
   }
 }
 
-Task<bool> AwaitCalm(World& world, const Callers& callers) {
-  const int64_t until = world.Now() + kCalmPatience.count();
-  while (world.Now() < until) {
-    if (world.Leader() && callers.AllLastingRun()) {
-      co_return true;
-    }
-    co_await Sleep(world.context(), kLook);
+void AwaitCalmUntil(World& world,
+                    const Callers& callers,
+                    int64_t until,
+                    const std::function<void()>& done) {
+  if (world.Leader() && callers.AllLastingRun()) {
+    done();
+    return;
   }
-  co_return false;
+  if (world.Now() >= until) {
+    world.Break("no calm to begin with");
+    done();
+    return;
+  }
+  world.After(kLook, [&world, &callers, until, done] {
+    AwaitCalmUntil(world, callers, until, done);
+  });
 }
 
-Task<> CutInSteps(World& world, size_t centre, RegainedStore course) {
+}  // namespace
+
+void AwaitCalm(World& world,
+               const Callers& callers,
+               std::function<void()> done) {
+  AwaitCalmUntil(world, callers, world.Now() + kCalmPatience.count(), done);
+}
+
+void CutInSteps(World& world,
+                size_t centre,
+                RegainedStore course,
+                std::function<void()> done) {
   const Links silent = world.LinksToWorkersElsewhere(centre);
   const Links border = world.BorderLinks(centre);
   Links stores;
@@ -52,31 +68,40 @@
   }
   const std::string who = "data centre " + std::to_string(centre + 1);
   world.Log("workers elsewhere fall silent to " + who);
-  CutAll(silent, Way::kBoth);
-  co_await Sleep(world.context(), course.silent_before);
-  world.Log("cut off: " + who);
-  CutAll(border, Way::kBoth);
-  co_await Sleep(world.context(), course.cut);
-  world.Log("reaches the store again: " + who);
-  HealAll(stores, Way::kBoth, course.old_after);
-  co_await Sleep(world.context(), course.workers_later);
-  world.Log("reaches all again: " + who);
-  HealAll(others, Way::kBoth, course.old_after);
-  HealAll(silent, Way::kBoth, course.old_after);
+  CutAll(silent);
+  Millis at = course.silent_before;
+  world.After(at, [&world, who, border] {
+    world.Log("cut off: " + who);
+    CutAll(border);
+  });
+  at += course.cut;
+  world.After(at, [&world, who, stores, course] {
+    world.Log("reaches the store again: " + who);
+    HealAll(stores, course.old_after);
+  });
+  at += course.workers_later;
+  world.After(at, [&world, who, others, silent, course, done] {
+    world.Log("reaches all again: " + who);
+    HealAll(others, course.old_after);
+    HealAll(silent, course.old_after);
+    done();
+  });
 }
 
-Task<size_t> Play(World& world, Callers& callers, RegainedStore course) {
-  const size_t broken_before = world.broken();
-  if (!co_await AwaitCalm(world, callers)) {
-    world.Break("no calm to begin with");
-    co_return world.broken() - broken_before;
-  }
-  co_await Sleep(world.context(), kAfterwards);
-  const size_t leader = world.Leader().value_or(0);
-  world.Log(World::NameOf(leader) + " leads");
-  co_await CutInSteps(world, World::CentreOf(leader), course);
-  co_await Sleep(world.context(), kAfterwards);
-  co_return world.broken() - broken_before;
+void Play(World& world,
+          const Callers& callers,
+          RegainedStore course,
+          std::function<void(size_t)> done) {
+  const size_t before = world.broken();
+  const auto after = [&world, before, done] { done(world.broken() - before); };
+  const auto healed = [&world, after] { world.After(kAfterwards, after); };
+  AwaitCalm(world, callers, [&world, course, healed] {
+    world.After(kAfterwards, [&world, course, healed] {
+      const size_t leader = world.Leader().value_or(0);
+      world.Log(World::NameOf(leader) + " leads");
+      CutInSteps(world, World::CentreOf(leader), course, healed);
+    });
+  });
 }
 
 }  // namespace doorwood::soak
--- a/src/soak/scenario.h
+++ b/src/soak/scenario.h
@@ -6,14 +6,13 @@
 #ifndef DOORWOOD_SOAK_SCENARIO_H_
 #define DOORWOOD_SOAK_SCENARIO_H_
 
+#include <functional>
+
 #include "soak/callers.h"
 #include "soak/world.h"
 
 namespace doorwood::soak {
 
-void CutAll(const Links& links, Way way);
-void HealAll(const Links& links, Way way, Millis old_after);
-
 /// A data centre loses workers elsewhere, then everything, and regains the
 /// store first.
 struct RegainedStore {
@@ -27,15 +26,24 @@
   Millis old_after{0};
 };
 
-/// Until all is healed.
-Task<> CutInSteps(World& world, size_t centre, RegainedStore course);
+/// `done` is called once all is healed.
+void CutInSteps(World& world,
+                size_t centre,
+                RegainedStore course,
+                std::function<void()> done);
 
 /// The same with the leader's data centre, from calm to a while afterwards;
 /// tells how many rules were broken meanwhile.
-Task<size_t> Play(World& world, Callers& callers, RegainedStore course);
-
-/// Until somebody leads and every lasting task runs; false: not in time.
-Task<bool> AwaitCalm(World& world, const Callers& callers);
+void Play(World& world,
+          const Callers& callers,
+          RegainedStore course,
+          std::function<void(size_t broken)> done);
+
+/// Until somebody leads and every lasting task runs; if that takes too long, it
+/// is told as broken.
+void AwaitCalm(World& world,
+               const Callers& callers,
+               std::function<void()> done);
 
 }  // namespace doorwood::soak
 
--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -48,13 +48,16 @@
 
 }  // namespace
 
-World::World(boost::asio::io_context& context, const WorldOptions& options)
+World::World(boost::asio::io_context& context,
+             Executor& executor,
+             const WorldOptions& options)
     : context_(context),
+      executor_(executor),
       options_(options),
       began_(std::chrono::steady_clock::now()),
       log_(options.folder + "/world.log"),
       watch_([this](const std::string& sentence) { Break(sentence); }),
-      store_(context, [this] { return Now(); }) {
+      store_(context, executor, [this] { return Now(); }) {
   store_.Put(platform::kSoakConfigKey, platform::EncodeSoakConfig());
   for (size_t worker = 0; worker < options.workers; ++worker) {
     AddWorker(worker);
@@ -108,7 +111,7 @@
 void World::AddWorker(size_t worker) {
   const double share = 1 - kSlowestClock * static_cast<double>(worker % 3) / 2;
   workers_.push_back(std::make_unique<platform::SoakWorker>(
-      context_, At(Host(kKept, kFirstWorker + worker), kWorkerPort),
+      context_, executor_, At(Host(kKept, kFirstWorker + worker), kWorkerPort),
       "worker-" + std::to_string(worker + 1), share, [this] { return Now(); },
       watch_, [this] { AdvanceWorkers(); }));
   BootWorker(worker);
@@ -145,7 +148,7 @@
 std::string World::WriteSettings(size_t instance) const {
   const int caller = kFirstCaller + static_cast<int>(instance);
   const std::string host = Host(caller, kFirstInstance + instance);
-  const std::string path = options_.folder + "/" + NameOf(instance) + ".yaml";
+  std::string path = options_.folder + "/" + NameOf(instance) + ".yaml";
   std::ofstream file(path);
   file << "instance: " << NameOf(instance) << "\n"
        << "data_centre: " << kCentres[CentreOf(instance)] << "\n"
@@ -164,7 +167,7 @@
       Break("can't start " + options_.program);
     }
   }
-  Spawn(context_, Tick());
+  Tick();
 }
 
 // --- What goes on by itself ---
@@ -175,14 +178,12 @@
   }
 }
 
-Task<> World::Tick() {
-  for (;;) {
-    AdvanceWorkers();
-    for (size_t i = 0; i < instances(); ++i) {
-      Supervise(i);
-    }
-    co_await Sleep(context_, kTick);
+void World::Tick() {
+  AdvanceWorkers();
+  for (size_t i = 0; i < instances(); ++i) {
+    Supervise(i);
   }
+  After(kTick, [this] { Tick(); });
 }
 
 void World::Supervise(size_t index) {
@@ -206,27 +207,32 @@
   instance.is_ending = true;
   instance.stop_since = 0;
   if (!ending_) {
-    Spawn(context_, Restart(index));
+    After(kRestartAfter, [this, index] { Restart(index); });
   }
 }
 
-Task<> World::Restart(size_t instance) {
-  co_await Sleep(context_, kRestartAfter);
+void World::Restart(size_t instance) {
   if (!ending_ && instances_[instance]->child.Start()) {
     instances_[instance]->is_ending = false;
     Log(NameOf(instance) + " is started again");
   }
 }
 
-Task<> World::StopAll() {
+void World::StopAll(std::function<void()> done) {
   ending_ = true;
   for (size_t i = 0; i < instances(); ++i) {
     Stop(i);
   }
+  AwaitEnds(done);
+}
+
+void World::AwaitEnds(const std::function<void()>& done) {
   const auto runs = [](const auto& instance) { return instance->child.runs(); };
-  while (std::any_of(instances_.begin(), instances_.end(), runs)) {
-    co_await Sleep(context_, kTick);
+  if (std::none_of(instances_.begin(), instances_.end(), runs)) {
+    done();
+    return;
   }
+  After(kTick, [this, done] { AwaitEnds(done); });
 }
 
 // --- Faults ---
--- a/src/soak/world.h
+++ b/src/soak/world.h
@@ -14,11 +14,10 @@
 #include <string>
 #include <vector>
 
-#include "loop.adapter/loop_executor.h"
+#include "doorwood/executor.h"
 #include "platform/standin/soak_store.h"
 #include "platform/standin/soak_worker.h"
 #include "soak/child.h"
-#include "soak/coroutines.h"
 #include "soak/link.h"
 #include "soak/task_watch.h"
 
@@ -42,7 +41,9 @@
 
 class World {
  public:
-  World(boost::asio::io_context& context, const WorldOptions& options);
+  World(boost::asio::io_context& context,
+        Executor& executor,
+        const WorldOptions& options);
   World(const World&) = delete;
   World& operator=(const World&) = delete;
 
@@ -101,8 +102,12 @@
   TaskWatch& watch() { return watch_; }
   const TaskWatch& watch() const { return watch_; }
   boost::asio::io_context& context() { return context_; }
+  Executor& executor() { return executor_; }
+  void After(Millis time, std::function<void()> function) {
+    executor_.Schedule(time, std::move(function));
+  }
   /// Stops all processes; what takes too long is told.
-  Task<> StopAll();
+  void StopAll(std::function<void()> done);
 
  private:
   struct Instance {
@@ -127,11 +132,13 @@
   void AddInstance(size_t instance);
   void AdvanceWorkers();
   void ResetLinksTo(size_t worker);
-  Task<> Tick();
+  void Tick();
   void Supervise(size_t instance);
-  Task<> Restart(size_t instance);
+  void Restart(size_t instance);
+  void AwaitEnds(const std::function<void()>& done);
 
   boost::asio::io_context& context_;
+  Executor& executor_;
   const WorldOptions options_;
   const Instant began_;
   std::ofstream log_;
--- a/src/standin/record_store_model.cpp
+++ b/src/standin/record_store_model.cpp
@@ -50,10 +50,9 @@
   const auto first = std::partition_point(
       history_.begin(), history_.end(),
       [after](const StoreItem& item) { return item.revision <= after; });
-  std::copy_if(first, history_.end(), std::back_inserter(events->items),
-               [&](const StoreItem& item) {
-                 return item.key.starts_with(prefix);
-               });
+  std::copy_if(
+      first, history_.end(), std::back_inserter(events->items),
+      [&](const StoreItem& item) { return item.key.starts_with(prefix); });
   return {};
 }
 
