--- a/src/soak/link.cpp
+++ b/src/soak/link.cpp
@@ -107,8 +107,8 @@
   error_code ignored;
   filler_->native_non_blocking(true, ignored);
   const tcp::endpoint full = acceptor_.local_endpoint();
-  ::connect(filler_->native_handle(), full.data(),
-            static_cast<socklen_t>(full.size()));
+  (void)::connect(filler_->native_handle(), full.data(),
+                  static_cast<socklen_t>(full.size()));
 }
 
 void Link::Reset() {
