--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -11,6 +11,7 @@
 constexpr Millis kPatience{3000};
 constexpr Millis kBetweenTries{300};
 constexpr Millis kBetweenLooks{900};
+constexpr Millis kLossSlack{200};
 constexpr int kMostTries = 40;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -205,7 +206,7 @@
                        [](const auto& entry) { return entry.second.accepted; });
 }
 
-size_t Callers::refused() const {
+size_t Callers::not_taken() const {
   return jobs_.size() - accepted();
 }
 
--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -27,13 +27,16 @@
   /// Hands in jobs that end, one in each pause, until `Stop`.
   void Start(Millis pause) { KeepHandingIn(pause); }
   void Stop() { stopped_ = true; }
+  /// From now on a call that breaks off without an answer is told as lost: for
+  /// times without faults but planned stops.
+  void ExpectAnswers() { expects_answers_ = true; }
   /// Waits until every accepted job is as it must be; tells what is not.
   void AwaitAll(Millis patience, std::function<void()> done);
   /// Every lasting task runs.
   bool AllLastingRun() const;
 
   size_t accepted() const;
-  size_t refused() const;
+  size_t not_taken() const;
 
  private:
   struct Known {
@@ -62,6 +65,9 @@
             const Known& known,
             std::string body,
             Answered done);
+  void OnBrokenOff(const std::string& what,
+                   std::error_code error,
+                   Millis after);
   void AwaitUntil(int64_t until, const std::function<void()>& done);
   Known* Add(platform::SoakJob job);
   bool IsSettled(const Known& known) const;
@@ -72,6 +78,7 @@
   std::mt19937_64 random_;
   std::map<std::string, Known> jobs_;
   bool stopped_ = false;
+  bool expects_answers_ = false;
 };
 
 }  // namespace doorwood::soak
--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -36,9 +36,11 @@
 constexpr uint64_t kLongestPause = 1800;    // ms
 constexpr uint64_t kShortestFault = 400;    // ms
 constexpr uint64_t kLongestFault = 9000;    // ms
-constexpr uint64_t kShortestSteps = 6000;   // ms
-constexpr uint64_t kLongestSteps = 13'000;  // ms
+constexpr uint64_t kShortestSteps = 8000;   // ms
+constexpr uint64_t kLongestSteps = 14'000;  // ms
 constexpr uint64_t kLongestResume = 6000;   // ms
+// A stopped instance is back after about 3.5 s.
+constexpr Millis kBetweenStops{2500};
 
 // Numbers that depend on nothing but the seed; those of the standard's
 // distributions may differ from library to library.
@@ -101,4 +103,17 @@
   }
 }
 
+std::vector<Fault> MakeStopPlan(Millis length) {
+  std::vector<Fault> plan;
+  for (Millis at = kBetweenStops; at <= length; at += kBetweenStops) {
+    Fault fault;
+    fault.at = at;
+    fault.kind = FaultKind::kPlannedStop;
+    fault.pick = static_cast<uint32_t>(plan.size());
+    fault.leader = plan.size() % 3 == 0;
+    plan.push_back(fault);
+  }
+  return plan;
+}
+
 }  // namespace doorwood::soak
--- a/src/soak/fault_plan.h
+++ b/src/soak/fault_plan.h
@@ -57,6 +57,9 @@
 /// Sorted by time; all are over after `length`.
 std::vector<Fault> MakeFaultPlan(uint64_t seed, Millis length);
 
+/// Planned stops of one instance after the other, and of who leads.
+std::vector<Fault> MakeStopPlan(Millis length);
+
 }  // namespace doorwood::soak
 
 #endif  // DOORWOOD_SOAK_FAULT_PLAN_H_
--- a/src/soak/fault_plan_test.cpp
+++ b/src/soak/fault_plan_test.cpp
@@ -44,5 +44,21 @@
   BOOST_TEST(kinds.size() == static_cast<size_t>(FaultKind::kCount));
 }
 
+BOOST_AUTO_TEST_CASE(StopPlan_Long_StopsEachInstanceAndTheLeader) {
+  constexpr uint32_t kInstances = 8;
+  std::set<uint32_t> stopped;
+  size_t leaders = 0;
+  for (const Fault& fault : MakeStopPlan(kLength)) {
+    BOOST_TEST((fault.kind == FaultKind::kPlannedStop));
+    if (fault.leader) {
+      ++leaders;
+    } else {
+      stopped.insert(fault.pick % kInstances);
+    }
+  }
+  BOOST_TEST(stopped.size() == kInstances);
+  BOOST_TEST(leaders > 0);
+}
+
 }  // namespace
 }  // namespace doorwood::soak
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -35,6 +35,7 @@
 constexpr int kLastingTasks = 4;
 constexpr int kLastingCpu = 1500;
 constexpr Millis kBetweenJobs{200};
+constexpr Millis kBetweenJobsAtStops{50};
 constexpr Millis kSettleTime{40'000};
 
 std::vector<RegainedStore> CoursesOf(const Options& options) {
@@ -63,8 +64,12 @@
   void Begin() {
     world_.StartAll();
     callers_.AddLasting(options_.lasting_jobs, kLastingTasks, kLastingCpu);
+    const Millis length = std::chrono::seconds(options_.seconds);
     if (options_.scenario == "random") {
-      AwaitCalm(world_, callers_, [this] { PlayRandom(); });
+      PlayFaults(MakeFaultPlan(options_.seed, length), kBetweenJobs);
+    } else if (options_.scenario == "planned-stops") {
+      callers_.ExpectAnswers();
+      PlayFaults(MakeStopPlan(length), kBetweenJobsAtStops);
     } else {
       PlayCourses(CoursesOf(options_), 0);
     }
@@ -74,17 +79,17 @@
 
   void Summarize() const {
     std::cout << "seed " << options_.seed << ": " << callers_.accepted()
-              << " jobs accepted, " << callers_.refused() << " refused, "
+              << " jobs accepted, " << callers_.not_taken() << " not taken, "
               << world_.watch().starts() << " starts, " << world_.broken()
               << " broken; logs in " << options_.world.folder << std::endl;
   }
 
  private:
-  void PlayRandom() {
-    callers_.Start(kBetweenJobs);
-    faults_.Play(
-        MakeFaultPlan(options_.seed, std::chrono::seconds(options_.seconds)),
-        [this] { Finish(); });
+  void PlayFaults(const std::vector<Fault>& plan, Millis between_jobs) {
+    AwaitCalm(world_, callers_, [this, plan, between_jobs] {
+      callers_.Start(between_jobs);
+      faults_.Play(plan, [this] { Finish(); });
+    });
   }
 
   void PlayCourses(const std::vector<RegainedStore>& courses, size_t next) {
@@ -147,7 +152,9 @@
   app.add_option("--workers", options.world.workers);
   app.add_option("--block", options.world.block,
                  "third number of all addresses");
-  app.add_option("--scenario", options.scenario, "random or regained-store");
+  app.add_option("--scenario", options.scenario,
+                 "random, planned-stops or regained-store")
+      ->check(CLI::IsMember({"random", "planned-stops", "regained-store"}));
   app.add_option("--silent-before", options.silent_before, "ms, each")
       ->delimiter(',');
   app.add_option("--cut", options.cuts, "ms, each")->delimiter(',');
