--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -32,6 +32,8 @@
     "crash of a worker",
     "a worker leaves",
     "a worker's entry goes"};
+// One in so many is a cut in steps, which needs time to tell.
+constexpr uint64_t kStepsAmong = 8;
 constexpr uint64_t kShortestPause = 100;    // ms
 constexpr uint64_t kLongestPause = 1800;    // ms
 constexpr uint64_t kShortestFault = 400;    // ms
@@ -65,7 +67,9 @@
 
 Fault DrawFault(Draws* draws) {
   Fault fault;
-  fault.kind = static_cast<FaultKind>(draws->Below(kKinds));
+  fault.kind = draws->Below(kStepsAmong) == 0
+                   ? FaultKind::kCutCentreInSteps
+                   : static_cast<FaultKind>(draws->Below(kKinds));
   // Most are short, some outlast every lease.
   const uint64_t longest =
       draws->Below(2) == 0 ? kLongestFault / 4 : kLongestFault;
