--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -73,9 +73,6 @@
   /// waits this long, and a run's lease, before it starts what an unheard
   /// worker may still run.
   Millis unsure_patience{3000};
-  /// While the store is down for all, how long orders may be given and leases
-  /// prolonged without asking the others once more.
-  Millis outage_patience{500};
   /// While workers are unheard after a takeover, how often that is recorded.
   Millis unheard_interval{1000};
   /// Most looks a second that watching what disturbs what may take: a large
@@ -149,6 +146,10 @@
   void OnHandedOver(int64_t epoch);
 
   bool leading() const { return stage_ == Stage::kLeading; }
+  /// How long ago the store was heard, for a leader that goes on only while
+  /// nobody can follow it. Nothing: this instance does not hear the store, but
+  /// leads or tries to, so it must not be taken for one that can't.
+  std::optional<Millis> StoreHeardAgo(Instant now) const;
   int64_t epoch() const { return epoch_; }
   const std::string& cell() const { return options_.cell; }
 
@@ -277,6 +278,9 @@
   void DropMembers();
   /// Until when orders may be given and leases prolonged.
   Instant OrdersUntil() const;
+  /// Moves that on, with the key or, while it has not passed, with what others
+  /// say: once it has, somebody may have led, and only the key tells.
+  void RenewOrders();
   bool MayOrder() const;
   /// The key was seen to stand lately.
   bool IsSure() const;
@@ -305,6 +309,8 @@
   void StopRunsOf(const Job& job);
   void StopRunsOfTask(const std::string& task);
   int MaxAttempts(const Job& job) const;
+  /// Number of the run of the task that a worker has, as far as is known.
+  std::optional<uint32_t> NumberOfPlacedRun(const std::string& task) const;
   /// The queue as configured, or as it last was; null: never heard of.
   const Queue* QueueOf(const Job& job) const;
   void MarkDirty(Job* job, bool urgent);
@@ -378,12 +384,14 @@
   /// dropped.
   uint64_t generation_ = 0;
   int64_t epoch_ = 0;
-  /// Written with the lead key, to know an unanswered win by.
-  uint64_t campaign_nonce_ = 0;
+  /// Written with the lead key, to know an unanswered win by: drawn once for
+  /// the life of the process.
+  const uint64_t nonce_;
   Instant led_since_{};
   /// When it was last recorded for how long workers are unheard.
   Instant unheard_recorded_{};
   Instant last_tick_{};
+  Instant orders_until_{};
   /// The process stood still: its lead must be confirmed before it orders.
   bool unsure_after_pause_ = false;
   /// Since when this instance might try for a lead that nobody has; zero: it
