--- a/src/libdoorwood/cell/cell_run_number_test.cpp
+++ b/src/libdoorwood/cell/cell_run_number_test.cpp
@@ -9,30 +9,18 @@
 #include <string>
 
 #include "fakes/cell_world.h"
+#include "libdoorwood/cell/cell_world_steps.h"
 
 namespace doorwood {
 namespace {
 
 using fakes::CellWorld;
+using fakes::CutAllFrom;
+using fakes::RunnerOf;
 using fakes::WorldInstance;
 
 constexpr char kJob[] = "00112233aabbccdd";
 
-std::string RunnerOf(CellWorld& world, const std::string& task) {
-  for (const auto& [id, worker] : world.workers()) {
-    if (worker->model.Runs(task)) {
-      return id;
-    }
-  }
-  return "";
-}
-
-void CutAllFrom(CellWorld& world, const std::string& worker) {
-  for (const auto& [name, instance] : world.instances()) {
-    instance->cut_from.insert(worker);
-  }
-}
-
 BOOST_AUTO_TEST_CASE(ThirdLeader_HearsLapsedRunOfSameNumber_TaskRunsOnce) {
   const std::string task = std::string(kJob) + ".0.0.0";
   int played = 0;
--- a/src/libdoorwood/cell/cell_successors_test.cpp
+++ b/src/libdoorwood/cell/cell_successors_test.cpp
@@ -9,25 +9,22 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "libdoorwood/cell/cell_world_steps.h"
 #include "libdoorwood/cell/lead_trial_fixture.h"
 
 namespace doorwood {
 namespace {
 
 using fakes::CellWorld;
+using fakes::CutAllFrom;
 using fakes::LeadTrial;
+using fakes::RunnerOf;
 using fakes::Tally;
 using fakes::WorldInstance;
 
 constexpr char kSecondJob[] = "00112233aabbccee";
 constexpr Millis kAfterwards{16'000};
 
-void CutAllFrom(CellWorld& world, const std::string& worker) {
-  for (const auto& [name, instance] : world.instances()) {
-    instance->cut_from.insert(worker);
-  }
-}
-
 WorldInstance* Next(CellWorld& world, WorldInstance* before) {
   world.Kill(before->name);
   WorldInstance* next = world.WaitForLeader();
@@ -134,15 +131,6 @@
   return failures;
 }
 
-std::string RunnerOf(CellWorld& world, const std::string& task) {
-  for (const auto& [id, worker] : world.workers()) {
-    if (worker->model.Runs(task)) {
-      return id;
-    }
-  }
-  return "";
-}
-
 // Two runs fail, of which the store has heard of one or none; the worker of one
 // is cut off from the second leader, and from the third or not.
 void PlayAttempts(bool within_wait) {
--- /dev/null
+++ b/src/libdoorwood/cell/cell_world_steps.h
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What several tests look up or do in a world of leaders and workers.
+
+#ifndef DOORWOOD_CELL_WORLD_STEPS_H_
+#define DOORWOOD_CELL_WORLD_STEPS_H_
+
+#include <string>
+
+#include "fakes/cell_world.h"
+
+namespace doorwood::fakes {
+
+/// The worker that runs the task; empty: none does.
+inline std::string RunnerOf(CellWorld& world, const std::string& task) {
+  for (const auto& [id, worker] : world.workers()) {
+    if (worker->model.Runs(task)) {
+      return id;
+    }
+  }
+  return "";
+}
+
+/// No instance that is there now reaches the worker any more.
+inline void CutAllFrom(CellWorld& world, const std::string& worker) {
+  for (const auto& [name, instance] : world.instances()) {
+    instance->cut_from.insert(worker);
+  }
+}
+
+}  // namespace doorwood::fakes
+
+#endif  // DOORWOOD_CELL_WORLD_STEPS_H_
--- /dev/null
+++ b/src/libdoorwood/cell/quiet_listener.h
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// For tests: a session's listener that takes no notice and adopts nothing.
+
+#ifndef DOORWOOD_QUIET_LISTENER_H_
+#define DOORWOOD_QUIET_LISTENER_H_
+
+#include <optional>
+
+#include "doorwood/worker_session.h"
+
+namespace doorwood::fakes {
+
+struct QuietListener : public WorkerSessionListener {
+  void OnRunEnded(WorkerSession&, const Run&, RunEnd, bool) override {}
+  void OnUnknownEnd(WorkerSession&, const EndedRun&) override {}
+  std::optional<Run> OnUnknownRun(WorkerSession&, const ActiveRun&) override {
+    return std::nullopt;
+  }
+  void OnStartRefused(WorkerSession&, const Run&, std::error_code) override {}
+  void OnReport(WorkerSession&) override {}
+  void OnFenced(WorkerSession&) override {}
+};
+
+}  // namespace doorwood::fakes
+
+#endif  // DOORWOOD_QUIET_LISTENER_H_
--- a/src/libdoorwood/cell/worker_address_test.cpp
+++ b/src/libdoorwood/cell/worker_address_test.cpp
@@ -10,6 +10,7 @@
 
 #include "doorwood/worker_session.h"
 #include "fakes/fakes.h"
+#include "libdoorwood/cell/quiet_listener.h"
 #include "standin/run_worker_model.h"
 
 namespace doorwood {
@@ -80,7 +81,7 @@
   Executor& executor_;
 };
 
-struct AddressFixture : public WorkerSessionListener {
+struct AddressFixture : public fakes::QuietListener {
   AddressFixture() : executor(time, 1), worker(time, executor) {
     session = std::make_shared<WorkerSession>(
         executor, worker, log, *this, WorkerSessionOptions{}, LifeAt("a"), 5);
@@ -101,13 +102,6 @@
   void OnRunEnded(WorkerSession&, const Run&, RunEnd, bool) override {
     ++ended;
   }
-  void OnUnknownEnd(WorkerSession&, const EndedRun&) override {}
-  std::optional<Run> OnUnknownRun(WorkerSession&, const ActiveRun&) override {
-    return std::nullopt;
-  }
-  void OnStartRefused(WorkerSession&, const Run&, std::error_code) override {}
-  void OnReport(WorkerSession&) override {}
-  void OnFenced(WorkerSession&) override {}
 
   void Open() {
     session->Open();
--- a/src/libdoorwood/cell/worker_lease_clock_test.cpp
+++ b/src/libdoorwood/cell/worker_lease_clock_test.cpp
@@ -12,6 +12,7 @@
 
 #include "doorwood/worker_session.h"
 #include "fakes/fakes.h"
+#include "libdoorwood/cell/quiet_listener.h"
 #include "standin/run_worker_model.h"
 
 namespace doorwood {
@@ -68,17 +69,6 @@
   int64_t longest_lease_ = 0;
 };
 
-struct SilentListener : public WorkerSessionListener {
-  void OnRunEnded(WorkerSession&, const Run&, RunEnd, bool) override {}
-  void OnUnknownEnd(WorkerSession&, const EndedRun&) override {}
-  std::optional<Run> OnUnknownRun(WorkerSession&, const ActiveRun&) override {
-    return std::nullopt;
-  }
-  void OnStartRefused(WorkerSession&, const Run&, std::error_code) override {}
-  void OnReport(WorkerSession&) override {}
-  void OnFenced(WorkerSession&) override {}
-};
-
 struct NoLog : public EventLog {
   bool IsEnabled(std::string_view) const override { return false; }
   void Write(std::string_view,
@@ -92,7 +82,7 @@
     fakes::VirtualTime time;
     fakes::FakeExecutor executor(time, 1);
     SlowWorkers workers(time, executor);
-    SilentListener listener;
+    fakes::QuietListener listener;
     NoLog log;
     const WorkerSessionOptions options;
     WorkerLife life;
--- a/src/libdoorwood/cell/worker_overtaking_test.cpp
+++ b/src/libdoorwood/cell/worker_overtaking_test.cpp
@@ -14,6 +14,7 @@
 
 #include "doorwood/worker_session.h"
 #include "fakes/fakes.h"
+#include "libdoorwood/cell/quiet_listener.h"
 #include "standin/run_worker_model.h"
 
 namespace doorwood {
@@ -93,7 +94,7 @@
   }
 };
 
-struct WalkFixture : public WorkerSessionListener {
+struct WalkFixture : public fakes::QuietListener {
   WalkFixture(Millis step, const std::string& payload)
       : step(step), executor(time, 1) {
     WorkerLife life;
@@ -123,16 +124,10 @@
     over = true;
     wrong = wrong || (!told && workers.MayRun());
   }
-  void OnUnknownEnd(WorkerSession&, const EndedRun&) override {}
-  std::optional<Run> OnUnknownRun(WorkerSession&, const ActiveRun&) override {
-    return std::nullopt;
-  }
   void OnStartRefused(WorkerSession&, const Run&, std::error_code) override {
     over = true;
     wrong = wrong || workers.MayRun();
   }
-  void OnReport(WorkerSession&) override {}
-  void OnFenced(WorkerSession&) override {}
 
   // What may happen next; steps of a call are in order, calls in any.
   std::vector<std::function<void()>> Choices() {
--- a/src/loop.adapter/http_peers_test.cpp
+++ b/src/loop.adapter/http_peers_test.cpp
@@ -26,19 +26,13 @@
     std::optional<std::error_code> result;
     peers.Submit(lead, plan,
                  [&](std::error_code error, AcceptOutcome) { result = error; });
-    return Wait(&result);
+    return WaitFor(context, result);
   }
   std::error_code Cancel() {
     std::optional<std::error_code> result;
     peers.Cancel(lead, "00112233aabbccdd",
                  [&](std::error_code error) { result = error; });
-    return Wait(&result);
-  }
-  std::error_code Wait(std::optional<std::error_code>* result) {
-    while (!*result) {
-      context.run_one();
-    }
-    return **result;
+    return WaitFor(context, result);
   }
 
   boost::asio::io_context context;
--- a/src/loop.adapter/scripted_server.h
+++ b/src/loop.adapter/scripted_server.h
@@ -150,6 +150,15 @@
   std::shared_ptr<Shared> shared_;
 };
 
+/// Plays the context until a call's outcome is there.
+inline std::error_code WaitFor(boost::asio::io_context& context,
+                               const std::optional<std::error_code>& result) {
+  while (!result) {
+    context.run_one();
+  }
+  return *result;
+}
+
 }  // namespace doorwood
 
 #endif  // DOORWOOD_LOOP_ADAPTER_SCRIPTED_SERVER_H_
