refactor(cell): judging places, and tests of lost workers, in files of their own

Their fixture is cell_fixture.h, which the tests of foreign entries use with their own seed and instances.

--- /dev/null
+++ b/src/libdoorwood/cell/cell_fixture.h
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// A small cell that is led, for tests of what its leader does.
+
+#ifndef DOORWOOD_CELL_FIXTURE_H_
+#define DOORWOOD_CELL_FIXTURE_H_
+
+#include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "fakes/cell_world.h"
+
+namespace doorwood::fakes {
+
+inline constexpr char kCellJob[] = "00112233aabbccdd";
+
+/// Three workers, and instances in different data centres, one of which leads.
+/// Ends with a check that no rule of the world was broken.
+struct CellFixture {
+  /// A data centre of an instance, by the instance's name.
+  using Centres = std::map<std::string, std::string>;
+
+  explicit CellFixture(uint64_t seed = 11,
+                       const Centres& instances = {{"a1", "plaka"},
+                                                   {"b1", "kerameikos"},
+                                                   {"c1", "pireas"}})
+      : world(seed) {
+    world.SetTable({MakeQueue("queue", 3)});
+    for (const char* id : {"w1", "w2", "w3"}) {
+      world.AddWorker(id, 8000);
+    }
+    for (const auto& [name, centre] : instances) {
+      world.AddInstance(name, centre);
+    }
+    world.WaitForLeader();
+    world.Run(Millis(1000));
+  }
+  ~CellFixture() {
+    for (const std::string& rule : world.broken()) {
+      BOOST_ERROR(rule);
+    }
+  }
+  CellFixture(const CellFixture&) = delete;
+  CellFixture& operator=(const CellFixture&) = delete;
+
+  std::string State(const std::string& job = kCellJob) {
+    const auto state = world.StateOf(job);
+    return state ? std::string(ToString(*state)) : "not known";
+  }
+
+  void CutAllWorkers() {
+    for (const auto& [id, worker] : world.workers()) {
+      for (const auto& [name, instance] : world.instances()) {
+        instance->cut_from.insert(id);
+      }
+    }
+  }
+  void HealAllWorkers() {
+    for (const auto& [name, instance] : world.instances()) {
+      instance->cut_from.clear();
+    }
+  }
+  void ExpectStartedOnce(int tasks) const {
+    for (int index = 0; index < tasks; ++index) {
+      BOOST_TEST(world.starts(std::string(kCellJob) + ".0.0." +
+                              std::to_string(index)) == 1);
+    }
+  }
+
+  CellWorld world;
+};
+
+}  // namespace doorwood::fakes
+
+#endif  // DOORWOOD_CELL_FIXTURE_H_
--- a/src/libdoorwood/cell/cell_foreign_test.cpp
+++ b/src/libdoorwood/cell/cell_foreign_test.cpp
@@ -8,8 +8,9 @@
 #include <string>
 
 #include "doorwood/cell_leader.h"
-#include "fakes/cell_world.h"
 #include "fakes/mutate.h"
+#include "libdoorwood/cell/cell_fixture.h"
+#include "libdoorwood/cell/cell_world_steps.h"
 
 namespace doorwood {
 namespace {
@@ -18,33 +19,10 @@
 constexpr char kOtherJob[] = "00112233aabbccde";
 constexpr char kTask[] = "00112233aabbccdd.0.0.0";
 
-struct ForeignFixture {
-  ForeignFixture() : world(29) {
-    world.SetTable({fakes::MakeQueue("queue", 3)});
-    for (const char* id : {"w1", "w2", "w3"}) {
-      world.AddWorker(id, 8000);
-    }
-    world.AddInstance("a1", "plaka");
-    world.AddInstance("b1", "kerameikos");
-    world.WaitForLeader();
-    world.Run(Millis(1000));
-  }
-  ~ForeignFixture() {
-    for (const std::string& rule : world.broken()) {
-      BOOST_ERROR(rule);
-    }
-  }
-  ForeignFixture(const ForeignFixture&) = delete;
-  ForeignFixture& operator=(const ForeignFixture&) = delete;
+struct ForeignFixture : public fakes::CellFixture {
+  ForeignFixture() : CellFixture(29, {{"a1", "plaka"}, {"b1", "kerameikos"}}) {}
 
-  std::string Runner() {
-    for (const auto& [id, worker] : world.workers()) {
-      if (worker->model.Runs(kTask)) {
-        return id;
-      }
-    }
-    return "";
-  }
+  std::string Runner() { return fakes::RunnerOf(world, kTask); }
   fakes::WorldWorker& StartLastingTask() {
     JobPlan plan = fakes::MakePlan(kJob, 1, 1, "");
     plan.steps[0].lasting = true;
@@ -71,7 +49,6 @@
     BOOST_TEST(!world.store().Commit(transaction, &ignored));
   }
 
-  fakes::CellWorld world;
   std::string first;
 };
 
--- /dev/null
+++ b/src/libdoorwood/cell/cell_places.cpp
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// What a cell's leader knows of the places for its work: the room on each
+// worker, how a step's places are judged, and what is told of steps that wait.
+
+#include <utility>
+
+#include "doorwood/cell_leader.h"
+
+namespace doorwood {
+namespace {
+
+// What a worker is known to have room for is worked out anew after so long
+// even if nothing was heard: new work counts fully only after a while.
+constexpr Millis kRoomAge{200};
+// A step that can't be placed is logged this often.
+constexpr Millis kWaitingToTell{1500};
+// Between two such lines: each one judges all workers once more, which is to
+// stay a small part of what passes cost.
+constexpr Millis kPauseOfTellings{50};
+
+std::string_view RackOf(const WorkerLife& life) {
+  return life.labels.empty() ? std::string_view() : life.labels.back();
+}
+
+}  // namespace
+
+void CellLeader::RefreshRoom(const std::string& id, Member* member) {
+  const WorkerSession& session = *member->session;
+  const Instant now = executor_.Now();
+  if (member->room_version == session.version() &&
+      now - member->room_at < kRoomAge) {
+    return;
+  }
+  const WorkerLife& life = session.life();
+  WorkerRoom& room = member->room;
+  room.id = id;
+  room.service = life.service;
+  room.rack = RackOf(life);
+  room.labels = life.labels;
+  room.capacity = life.capacity;
+  room.reserved = session.reserved();
+  room.fill_cpu = session.fill_cpu();
+  room.serving = session.serving();
+  room.serving_cpu = session.serving_cpu();
+  room.strains = CollectStrains(session);
+  room.changed_in = pass_;
+  member->room_version = session.version();
+  member->room_at = now;
+}
+
+std::vector<WorkerRoom*> CellLeader::CollectRooms() {
+  std::vector<WorkerRoom*> rooms;
+  rooms.reserve(members_.size());
+  const Instant now = executor_.Now();
+  for (auto& [id, member] : members_) {
+    RefreshRoom(id, &member);
+    const WorkerSession& session = *member.session;
+    const bool open = IsRecorded(member) && !member.told_unheard &&
+                      member.listed && session.responsive() &&
+                      !session.life().draining && now >= member.rests_until &&
+                      now >= member.emptied_until && !IsClosed(member) &&
+                      trust_.Allows(id, now);
+    if (open != member.room.open) {
+      member.room.open = open;
+      member.room.changed_in = pass_;
+    }
+    rooms.push_back(&member.room);
+  }
+  return rooms;
+}
+
+std::string CellLeader::RackOfStep(const Job& job, int time, int step) const {
+  const std::string name = StepName(job, time, step);
+  for (const auto& [id, member] : members_) {
+    if (member.session->CountOfStep(name) > 0) {
+      return std::string(RackOf(member.session->life()));
+    }
+  }
+  return "";
+}
+
+void CellLeader::JudgePlace(const ReadyStep& ready,
+                            const TaskNeed& need,
+                            const WorkerRoom& room,
+                            size_t place,
+                            int planned,
+                            StepPlaces* places) const {
+  places->Judge(place, need, planned);
+  const StepPlan& plan = ready.job->plan.steps[ready.step];
+  if (plan.most_per_worker == 0 || !places->IsGood(place)) {
+    return;
+  }
+  const auto member = members_.find(std::string(room.id));
+  const std::string step = StepName(*ready.job, ready.time, ready.step);
+  const int there = member->second.session->CountOfStep(step);
+  if (there > 0) {
+    places->Judge(place, need, there + planned);
+  }
+}
+
+void CellLeader::JudgeChanged(const ReadyStep& ready,
+                              const TaskNeed& need,
+                              const std::vector<WorkerRoom*>& rooms,
+                              uint64_t pass,
+                              StepPlaces* places) const {
+  for (size_t place = 0; place < rooms.size(); ++place) {
+    if (rooms[place]->changed_in > pass) {
+      JudgePlace(ready, need, *rooms[place], place, /*planned=*/0, places);
+    }
+  }
+}
+
+bool CellLeader::IsTimeToTell(const ReadyStep& ready) {
+  ++waiting_steps_;
+  const Instant now = executor_.Now();
+  StepState& step = ready.job->times[ready.time].steps[ready.step];
+  if (now - step.waiting_told < kWaitingToTell ||
+      now - waiting_told_ < kPauseOfTellings) {
+    return false;
+  }
+  const bool first = step.waiting_told == Instant{};
+  step.waiting_told = now;
+  if (!first) {
+    waiting_told_ = now;
+  }
+  return !first;  // otherwise it waits only since now
+}
+
+void CellLeader::TellWaiting(const Task& task,
+                             const StepRank& rank,
+                             const ProblemCounts& problems) {
+  const StepPlan& plan = task.plan();
+  Json counts = Json::object();
+  for (const auto& [problem, count] : problems) {
+    counts[std::string(ToString(problem))] = count;
+  }
+  log_.Write("info", "cell", "step waits for a place",
+             {{"task", task.name()},
+              {"rank", rank.group},
+              {"steps_ahead", waiting_steps_ - 1},
+              {"waited_ms", std::chrono::duration_cast<Millis>(executor_.Now() -
+                                                               task.ready_since)
+                                .count()},
+              {"cpu", plan.size.cpu_millis},
+              {"memory", plan.size.memory_mib},
+              {"most_per_worker", plan.most_per_worker},
+              {"workers", std::move(counts)}});
+}
+
+}  // namespace doorwood
