docs(cell, membership): comments that a newcomer had to ask about

Members' noted and recorded addresses, until when orders may be given, what a session waits for to be proved, what an instance says of the store, the depth of JSON: said in full. A local function in live_directory.cpp is named by what it does.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -146,9 +146,10 @@
   void OnHandedOver(int64_t epoch);
 
   bool leading() const { return stage_ == Stage::kLeading; }
-  /// How long ago the store was heard, for a leader that goes on only while
-  /// nobody can follow it. Nothing: this instance does not hear the store, but
-  /// leads or tries to, so it must not be taken for one that can't.
+  /// How long ago this instance heard the store: asked by a leader that does
+  /// not hear it and goes on only while nobody can follow it. Nothing: this
+  /// instance does not hear the store, but leads or tries to, so it must not be
+  /// taken for one that can't.
   std::optional<Millis> StoreHeardAgo(Instant now) const;
   int64_t epoch() const { return epoch_; }
   const std::string& cell() const { return options_.cell; }
@@ -198,9 +199,11 @@
   enum class Stage { kStandby, kCampaigning, kReading, kLeading, kLeft };
   struct Member {
     std::shared_ptr<WorkerSession> session;
-    /// Address under which the workers' key was last to name the worker, and
-    /// under which it names it; nothing: it doesn't.
+    /// Its address in the list that was last given to the journal for the
+    /// workers' key; empty: in none yet.
     std::string noted_at;
+    /// Its address in the workers' key, as the store has it; nothing: the key
+    /// doesn't name it.
     std::optional<std::string> recorded_at;
     /// The directory lists it; if not, since when.
     bool listed = false;
@@ -262,8 +265,10 @@
   void OnWorkers(std::vector<WorkerLife> lives);
   /// Takes over what a known worker's entry says, if it may be its own.
   void TakeEntry(const WorkerLife& life, Member* member);
+  /// A worker that is not known yet may be taken in.
   bool MayJoin(const WorkerLife& life);
   bool IsNamedService(const std::string& service) const;
+  /// Drops from `over_` what is no longer listed.
   void ForgetOver(const std::vector<WorkerLife>& lives);
   void NoteUnlisted();
   void AddMember(const WorkerLife& life, bool from_takeover);
@@ -278,12 +283,15 @@
   void DropMembers();
   /// Until when orders may be given and leases prolonged.
   Instant OrdersUntil() const;
-  /// Moves that on, with the key or, while it has not passed, with what others
-  /// say: once it has, somebody may have led, and only the key tells.
+  /// Moves `orders_until_` on, with the key or with other instances' word that
+  /// nobody can lead. That word counts only until that moment: once it has
+  /// passed, somebody may have led, and only the key tells.
   void RenewOrders();
   bool MayOrder() const;
   /// The key was seen to stand lately.
   bool IsSure() const;
+  /// Tells the worker's session until when it may prolong leases, and until
+  /// when this instance surely led.
   void TellSession(const Member& member, Instant orders_until) const;
   Millis WatchingWait() const;
   void Tick();
@@ -315,7 +323,8 @@
   const Queue* QueueOf(const Job& job) const;
   void MarkDirty(Job* job, bool urgent);
 
-  // cell_scheduling.cpp: starting and moving; cell_pacing.cpp: pacing
+  // cell_scheduling.cpp: starting and moving; cell_places.cpp: room, and how
+  // places are judged; cell_pacing.cpp: pacing
   void WakeScheduler();
   void Schedule();
   std::vector<ReadyStep> CollectReady();
@@ -391,6 +400,7 @@
   /// When it was last recorded for how long workers are unheard.
   Instant unheard_recorded_{};
   Instant last_tick_{};
+  /// See `OrdersUntil`, which also heeds that this process stood still.
   Instant orders_until_{};
   /// The process stood still: its lead must be confirmed before it orders.
   bool unsure_after_pause_ = false;
--- a/src/include/doorwood/json_reader.h
+++ b/src/include/doorwood/json_reader.h
@@ -42,7 +42,7 @@
 /// For numbers that only name something and are never counted with.
 inline constexpr WholeRange kAnyName{0, std::numeric_limits<int64_t>::max()};
 
-/// A whole number, also one written as 7.0; `field` only names it.
+/// A whole number, also one written as 7.0; `field` is named by the error.
 int64_t ToWhole(const Json& value, const char* field, WholeRange range = {});
 /// Text that is not empty.
 std::string ToText(const Json& value, const char* field);
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -78,8 +78,8 @@
   /// How long an answer counts.
   Millis answer_counts{1500};
   /// How long an instance whose key is gone is still asked, since the store may
-  /// serve it again and let it lead. One that is gone for good ends the
-  /// exception for an outage of the store meanwhile.
+  /// serve it again and let it lead. While one that is gone for good counts, no
+  /// outage of the store is taken for one for all.
   Millis gone_counts{60'000};
   /// After this silence, and a renewal that failed, an instance is turned away
   /// by the store if another one hears it: two renewals' time.
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -172,7 +172,8 @@
   /// over. What comes later proves nothing yet: a successor may have adopted
   /// the runs, kept them, or started them again.
   void SetLedUntil(Instant until) { led_until_ = until; }
-  /// Something is over if this leader still leads.
+  /// This life, or all that runs there, is over if nobody else had led before;
+  /// the lead's proof does not reach so far yet.
   bool awaits_proof() const { return OverSince() >= led_until_; }
   /// This life is over, and nobody else led before that was heard.
   bool proved_dead() const { return dead_ && died_at_ < led_until_; }
--- a/src/libdoorwood/base/json_codec.cpp
+++ b/src/libdoorwood/base/json_codec.cpp
@@ -11,11 +11,11 @@
                                                     "backend"};
 constexpr std::array<std::string_view, 3> kOrders = {"start", "stop", "forget"};
 
-// No message here nests half as deep. Copies and writing take the stack's room
-// for each level.
+// Copying and writing JSON take room on the stack for each level, so deeper
+// text is refused. No message of ours nests half as deep.
 constexpr int kMostDepth = 64;
 
-// Counts without regard to what is no JSON: the parser refuses that.
+// The count may be wrong for text that is no JSON: the parser refuses that.
 bool IsTooDeep(std::string_view text) {
   int depth = 0;
   bool in_text = false;
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -14,9 +14,9 @@
   return !known.empty() && !told.empty() && known != told;
 }
 
-// An id is one life of a worker, and none of these changes within a life: an
-// entry that says so is another writer's. Empty: not as it should be, or the
-// name of the field.
+// What an entry says that can't be true of the known life; empty: nothing. An
+// id names one life of a worker, and none of these changes within a life, so
+// such an entry is another writer's.
 std::string_view FindContradiction(const WorkerLife& known,
                                    const WorkerLife& told) {
   if (Differs(known.address, told.address)) {
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -113,7 +113,7 @@
     return Instant{};  // nobody to ask
   }
   Instant asked = Instant::max();
-  const auto count = [&](const std::string& name) {
+  const auto take_word = [&](const std::string& name) {
     // Each one for itself: the store may serve some and refuse their
     // neighbours, and any one that hears it may take the lead.
     const auto told = deaf_at_.find(name);
@@ -121,11 +121,11 @@
   };
   for (const auto& [name, instance] : instances_) {
     if (name != self_.name) {
-      count(name);
+      take_word(name);
     }
   }
   for (const auto& [name, instance] : gone_) {
-    count(name);
+    take_word(name);
   }
   const bool heard_since = store_heard_at_ + options_.silence_to_ask > asked;
   return heard_since ? Instant{} : asked + options_.answer_counts;
