fix(live_directory): an instance that went over a minute ago no longer ends the exception for an outage

Cause: keys that went were forgotten only when another one went, so a machine gone for good kept the exception from holding for ever. The own key was noted as well. Change: they are forgotten with the regular asking, and the own one is not noted.

--- a/src/libdoorwood/cell/cell_outage_test.cpp
+++ b/src/libdoorwood/cell/cell_outage_test.cpp
@@ -125,5 +125,30 @@
   }
 }
 
+// A machine that is gone for good ends the exception for a minute, since it
+// might be served and lead; later what is ready goes on as before.
+BOOST_AUTO_TEST_CASE(Outage_MachineWentLongAgo_DependentWorkGoesOn) {
+  for (const int gone_for : {70, 300}) {
+    fakes::CellWorld world(7);
+    world.SetTable({fakes::MakeQueue("queue", 4)});
+    world.AddWorker("w1", 8000);
+    for (const char* name : {"a1", "b1", "c1", "d1"}) {
+      world.AddInstance(name, LeadTrial::CentreOf(name));
+    }
+    const fakes::WorldInstance* leader = world.WaitForLeader();
+    BOOST_REQUIRE(leader != nullptr);
+    world.Kill(leader->name == "d1" ? "c1" : "d1");
+    world.Run(Millis(gone_for * 1000));
+    BOOST_REQUIRE(
+        world.Submit(fakes::MakePlan(fakes::kTrialJob, 3, 1, "ms=4000")));
+    for (const auto& [name, instance] : world.instances()) {
+      instance->store_faults.down = true;
+    }
+    world.Run(Millis(14'000));
+    BOOST_TEST(world.starts(std::string(fakes::kTrialJob) + ".0.2.0") == 1,
+               "gone for " << gone_for << " s");
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -155,8 +155,12 @@
     return;
   }
   executor_.Schedule(options_.ask_interval, [this] { AskOthers(); });
+  const Instant now = executor_.Now();
+  std::erase_if(gone_, [&](const auto& entry) {
+    return now - entry.second.since > options_.gone_counts;
+  });
   if (failing_since_ == Instant{} &&
-      executor_.Now() - store_heard_at_ < options_.silence_to_ask) {
+      now - store_heard_at_ < options_.silence_to_ask) {
     return;
   }
   for (const auto& [name, instance] : instances_) {
@@ -387,11 +391,9 @@
 // It may be served again at any time, and lead, without this process hearing of
 // it.
 void LiveDirectory::NoteGone(const LiveInstance& instance) {
-  const Instant now = executor_.Now();
-  gone_.try_emplace(instance.name, GoneInstance{instance, now});
-  std::erase_if(gone_, [&](const auto& entry) {
-    return now - entry.second.since > options_.gone_counts;
-  });
+  if (instance.name != self_.name) {
+    gone_.try_emplace(instance.name, GoneInstance{instance, executor_.Now()});
+  }
 }
 
 void LiveDirectory::Replace(const StoreItems& items) {
