--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "doorwood/cell_journal.h"
+#include "doorwood/cell_options.h"
 #include "doorwood/cell_policy.h"
 #include "doorwood/event_log.h"
 #include "doorwood/executor.h"
@@ -38,51 +39,6 @@
 
 namespace doorwood {
 
-struct CellOptions {
-  std::string cell;
-  /// Whose workers and leaders the cell has; empty: those of all.
-  std::string data_centre;
-  WorkerSessionOptions sessions;
-  JournalOptions journal;
-  LeadProofOptions proof;
-  PolicyOptions policy;
-  WaveOptions waves;
-  /// How often the list of workers is read while leading.
-  Millis list_interval{450};
-  /// How often it is read which data centres are closed to new work. The
-  /// platform's bound is 5 s; with a store that takes 0.4 s to answer, what is
-  /// known is 1.1 s old at most.
-  Millis closed_interval{700};
-  Millis tick{100};
-  /// How long a finished job can be asked for.
-  Millis keep_finished{150'000};
-  /// Pause before a candidate tries again, a step of its rank.
-  Millis campaign_step{120};
-  /// An instance that has just registered waits so long for the keys of others
-  /// that registered at the same time. Machines start within 0.3 s of each
-  /// other; a leader of 0.12 processors in place of one of 0.5 cost 540 workers
-  /// half of what callers got for as long as it led.
-  Millis campaign_settle{300};
-  /// How often a candidate, or a reader of the records, tries again.
-  Millis retry_pause{150};
-  /// How long after its key was last seen to stand a leader is sure enough to
-  /// give orders that nothing fences.
-  Millis sure_for{2000};
-  /// How long after its key was last seen to stand a leader goes on giving
-  /// orders, where others may hear the store and take the lead. A successor
-  /// waits this long, and a run's lease, before it starts what an unheard
-  /// worker may still run.
-  Millis unsure_patience{3000};
-  /// While workers are unheard after a takeover, how often that is recorded.
-  Millis unheard_interval{1000};
-  /// Most looks a second that watching what disturbs what may take: a large
-  /// cell looks less often. A look costs a leader some 60 us.
-  int watching_looks = 700;
-  /// A worker that the list has not named for so long is taken to be leaving:
-  /// entries that an outage of the store took are back within 2 s.
-  Millis unlisted_patience{2200};
-};
-
 enum class JobPhase { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
 std::string_view ToString(JobPhase state);
@@ -98,20 +54,6 @@
   double cores = 0;
 };
 
-/// Figures for the metrics page.
-struct CellCounters {
-  uint64_t accepted = 0;
-  uint64_t starts = 0;
-  uint64_t starts_refused = 0;
-  uint64_t ends_done = 0;
-  uint64_t ends_failed = 0;
-  uint64_t ends_lost = 0;
-  uint64_t stops = 0;
-  uint64_t paces = 0;
-  uint64_t takeovers = 0;
-  uint64_t step_downs = 0;
-};
-
 class CellLeader : public WorkerSessionListener,
                    public JournalOwner,
                    public LeadProofListener,
@@ -146,9 +88,10 @@
   void OnHandedOver(int64_t epoch);
 
   bool leading() const { return stage_ == Stage::kLeading; }
-  /// How long ago the store was heard, for a leader that goes on only while
-  /// nobody can follow it. Nothing: this instance does not hear the store, but
-  /// leads or tries to, so it must not be taken for one that can't.
+  /// How long ago this instance heard the store: asked by a leader that does
+  /// not hear it and goes on only while nobody can follow it. Nothing: this
+  /// instance does not hear the store, but leads or tries to, so it must not be
+  /// taken for one that can't.
   std::optional<Millis> StoreHeardAgo(Instant now) const;
   int64_t epoch() const { return epoch_; }
   const std::string& cell() const { return options_.cell; }
@@ -198,9 +141,11 @@
   enum class Stage { kStandby, kCampaigning, kReading, kLeading, kLeft };
   struct Member {
     std::shared_ptr<WorkerSession> session;
-    /// Address under which the workers' key was last to name the worker, and
-    /// under which it names it; nothing: it doesn't.
+    /// Its address in the list that was last given to the journal for the
+    /// workers' key; empty: in none yet.
     std::string noted_at;
+    /// Its address in the workers' key, as the store has it; nothing: the key
+    /// doesn't name it.
     std::optional<std::string> recorded_at;
     /// The directory lists it; if not, since when.
     bool listed = false;
@@ -262,8 +207,10 @@
   void OnWorkers(std::vector<WorkerLife> lives);
   /// Takes over what a known worker's entry says, if it may be its own.
   void TakeEntry(const WorkerLife& life, Member* member);
+  /// A worker that is not known yet may be taken in.
   bool MayJoin(const WorkerLife& life);
   bool IsNamedService(const std::string& service) const;
+  /// Drops from `over_` what is no longer listed.
   void ForgetOver(const std::vector<WorkerLife>& lives);
   void NoteUnlisted();
   void AddMember(const WorkerLife& life, bool from_takeover);
@@ -278,12 +225,15 @@
   void DropMembers();
   /// Until when orders may be given and leases prolonged.
   Instant OrdersUntil() const;
-  /// Moves that on, with the key or, while it has not passed, with what others
-  /// say: once it has, somebody may have led, and only the key tells.
+  /// Moves `orders_until_` on, with the key or with other instances' word that
+  /// nobody can lead. That word counts only until that moment: once it has
+  /// passed, somebody may have led, and only the key tells.
   void RenewOrders();
   bool MayOrder() const;
   /// The key was seen to stand lately.
   bool IsSure() const;
+  /// Tells the worker's session until when it may prolong leases, and until
+  /// when this instance surely led.
   void TellSession(const Member& member, Instant orders_until) const;
   Millis WatchingWait() const;
   void Tick();
@@ -315,7 +265,8 @@
   const Queue* QueueOf(const Job& job) const;
   void MarkDirty(Job* job, bool urgent);
 
-  // cell_scheduling.cpp: starting and moving; cell_pacing.cpp: pacing
+  // cell_scheduling.cpp: starting and moving; cell_places.cpp: room, and how
+  // places are judged; cell_pacing.cpp: pacing
   void WakeScheduler();
   void Schedule();
   std::vector<ReadyStep> CollectReady();
@@ -391,6 +342,7 @@
   /// When it was last recorded for how long workers are unheard.
   Instant unheard_recorded_{};
   Instant last_tick_{};
+  /// See `OrdersUntil`, which also heeds that this process stood still.
   Instant orders_until_{};
   /// The process stood still: its lead must be confirmed before it orders.
   bool unsure_after_pause_ = false;
