feat(cell_ends, cell_overdue): say which ends are not counted, and which runs take far too long

In all four jobs one or two tasks of the first step are not done in the leader's books: run 1 'is over without the worker's word', run 2 has no end. Two hypotheses, which the log could not tell apart: the worker's late 'done' of run 1 is dropped without a word; run 2 stands still on its worker, or its end is dropped.

Counted: ends of runs given up, by end; overdue runs. No logic is changed.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -252,6 +252,8 @@
                 uint32_t run,
                 RunEnd end,
                 const std::string& checkpoint);
+  /// Counts the end of a run that this leader did not know, or had given up.
+  void CountLateEnd(RunEnd end);
   void LearnRunTime(Task* task, const Run& run);
   /// What a task of each step is expected to take.
   std::vector<Millis> ExpectRunTimes(const Job& job, int time) const;
@@ -265,6 +267,11 @@
   const Queue* QueueOf(const Job& job) const;
   void MarkDirty(Job* job, bool urgent);
 
+  // cell_overdue.cpp: runs that take far longer than expected
+  void TellOverdue();
+  void TellOverdueAt(WorkerSession& session, int* lines);
+  bool IsOverdue(const Run& run, Millis* expected) const;
+
   // cell_scheduling.cpp: starting and moving; cell_places.cpp: room, and how
   // places are judged; cell_pacing.cpp: pacing
   void WakeScheduler();
@@ -362,6 +369,8 @@
   Instant summarized_{};
   /// When old jobs were last looked for.
   Instant forgot_{};
+  /// When runs that take far too long were last looked for.
+  Instant overdue_looked_{};
   Executor::TimerId tick_timer_ = 0;
   bool schedule_posted_ = false;
   /// No pass before then: passes may take only a part of the processor.
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -70,6 +70,12 @@
   uint64_t ends_done = 0;
   uint64_t ends_failed = 0;
   uint64_t ends_lost = 0;
+  /// Ends of runs that the leader had given up before, in the worker's words.
+  uint64_t late_done = 0;
+  uint64_t late_failed = 0;
+  uint64_t late_other = 0;
+  /// Times at which a run was found to take far longer than expected.
+  uint64_t overdue = 0;
   uint64_t stops = 0;
   uint64_t paces = 0;
   uint64_t takeovers = 0;
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -77,6 +77,8 @@
   bool pace_under_way = false;
   /// Since when it is held below its full speed; zero: it isn't.
   Instant paced_since{};
+  /// When it was last logged that it takes far longer than expected.
+  Instant overdue_told{};
   /// It began from a checkpoint, or was held below its full speed, or was
   /// ordered by another leader: how long it takes tells little.
   bool odd_time = false;
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -48,6 +48,16 @@
   if (effect == EndEffect::kIgnored) {
     // It may still be a failure that counts.
     MarkDirty(job, /*urgent=*/false);
+    log_.Write("info", "cell", "end of a run not counted",
+               {{"task", task->name()},
+                {"run", run},
+                {"counted_run", task->counted_run},
+                {"last_run", task->last_run},
+                {"placed", task->placed},
+                {"task_done", task->done},
+                {"worker", session.life().id},
+                {"end", ToString(end)},
+                {"epoch", epoch_}});
     return;
   }
   log_.Write("info", "cell", "run ended",
@@ -136,6 +146,7 @@
   // may be the end of another run than the one that is placed.
   const auto placed = NumberOfPlacedRun(end.task);
   const uint32_t number = placed && end.run >= *placed ? *placed - 1 : end.run;
+  CountLateEnd(end.end);
   CountEnd(task, session, number, end.end, end.checkpoint);
   auto& told = task->told_runs;
   if (!accounted_ &&
@@ -148,6 +159,19 @@
   WakeScheduler();
 }
 
+void CellLeader::CountLateEnd(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      ++counters_.late_done;
+      break;
+    case RunEnd::kFailed:
+      ++counters_.late_failed;
+      break;
+    default:
+      ++counters_.late_other;
+  }
+}
+
 std::optional<uint32_t> CellLeader::NumberOfPlacedRun(
     const std::string& task) const {
   for (const auto& [id, member] : members_) {
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -337,6 +337,7 @@
     forgot_ = now;
     ForgetOldJobs();
   }
+  TellOverdue();
   if (now - summarized_ >= kSummaryAge) {
     summarized_ = now;
     summary_ = Summarize();
