test(cell_late_done, job_table): a late 'done' of a run given up counts; fails

The row 'done after its lease was proved over does not count' was wrong: the worker ended the run within its lease, or it would say lapsed. What is bound by the platform is the start after a noted 'done', and a task that is done is never started. In its place stand five rows, and one test of saved texts, which the same line drops.

--- a/src/libdoorwood/job/job_table_test.cpp
+++ b/src/libdoorwood/job/job_table_test.cpp
@@ -57,8 +57,33 @@
        true,
        1,
        JobOutcome::kCompleted},
-      {"done after its lease was proved over does not count",
+      // The worker's word is later than the leader's own count, and truer.
+      {"done, heard after its lease was proved over",
        {{1, RunEnd::kLapsed}, {1, RunEnd::kDone}},
+       true,
+       0,
+       JobOutcome::kCompleted},
+      {"done, heard after a later run had lapsed as well",
+       {{1, RunEnd::kLapsed}, {2, RunEnd::kLapsed}, {1, RunEnd::kDone}},
+       true,
+       0,
+       JobOutcome::kCompleted},
+      {"done, heard after a later run had failed",
+       {{1, RunEnd::kLapsed}, {2, RunEnd::kFailed}, {1, RunEnd::kDone}},
+       true,
+       1,
+       JobOutcome::kCompleted},
+      {"done, heard after the attempts were used up",
+       {{1, RunEnd::kLapsed},
+        {2, RunEnd::kFailed},
+        {3, RunEnd::kFailed},
+        {4, RunEnd::kFailed},
+        {1, RunEnd::kDone}},
+       true,
+       3,
+       JobOutcome::kFailed},
+      {"stopped, heard after its lease was proved over",
+       {{1, RunEnd::kLapsed}, {1, RunEnd::kStopped}},
        false,
        0,
        JobOutcome::kOpen},
@@ -79,6 +104,37 @@
   }
 }
 
+struct SavedRow {
+  const char* name;
+  /// Runs whose ends were counted before, none with a saved text.
+  std::vector<uint32_t> lapsed;
+  bool placed;
+  const char* checkpoint;
+};
+
+// A run that was given up worked on until its lease was over; what it saved
+// meanwhile comes with its end.
+BOOST_AUTO_TEST_CASE(CountEnd_SavedTextOfARunGivenUp_CountsWhileItIsTheNewest) {
+  const SavedRow rows[] = {
+      {"no later run", {1}, false, "later"},
+      {"a later run is placed", {1}, true, "earlier"},
+      {"a later run has ended", {1, 2}, false, "earlier"},
+  };
+  for (const SavedRow& row : rows) {
+    JobTable table;
+    table.Add(fakes::MakePlan(kId, 1, 1, ""));
+    Task* task = table.FindTask(std::string(kId) + ".0.0.0");
+    for (const uint32_t run : row.lapsed) {
+      table.CountEnd(task, run, RunEnd::kLapsed, "earlier", kAttempts);
+    }
+    JobTable::SetPlaced(task, row.placed);
+    table.CountEnd(task, 1, RunEnd::kLapsed, "later", kAttempts);
+    BOOST_TEST_CONTEXT(row.name) {
+      BOOST_TEST(task->checkpoint == row.checkpoint);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CountEnd_LastingTaskFails_HasNoLimit) {
   JobTable table;
   JobPlan plan = fakes::MakePlan(kId, 1, 1, "");
