fix(worker_session): a worker whose last look failed is not taken for an idle one

Cause: responsive() let a session with no runs and no look under way pass, as one that is never asked; the lapse had just emptied it. Mend: not while the newest look failed; a look that fails beside an answered one is followed by another, so that this state always ends with an answer. Ruled out: Start() sets heard_at_ for an empty session, but only after the worker was chosen.

--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -202,7 +202,7 @@
   bool fenced() const { return fenced_; }
   /// This life is over: another one answers at its address.
   bool dead() const { return dead_; }
-  /// Heard of lately, or not asked.
+  /// Heard of lately, or idle and not asked since it last answered.
   bool responsive() const;
   Instant heard_at() const { return heard_at_; }
   /// Since when it answers again after a silence; zero: it was not silent.
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -94,7 +94,10 @@
   if (dead_ || !fenced_) {
     return false;
   }
-  if (runs_.empty() && !look_under_way_) {
+  // An idle worker is not asked. One whose runs were just ended for its silence
+  // is idle too, but it was asked: up to 814 starts a day with cuts went there,
+  // each of them lost for a lease of 6 s.
+  if (runs_.empty() && !look_under_way_ && !look_failed_) {
     return true;
   }
   return executor_.Now() - heard_at_ < options_.silence + options_.long_wait;
@@ -210,7 +213,9 @@
   }
   if (error) {
     look_failed_ = true;
-    if (newest) {
+    // Also where a newer look was answered meanwhile: only an answer tells that
+    // the worker is well.
+    if (!look_under_way_) {
       ScheduleLook(stranger_answers_ ? options_.stranger_pause
                                      : options_.retry_pause);
     }
