fix(live_directory): a process that starts knows whom the store may serve again

Cause: an outage of the store for all is believed if every other instance that is or lately was known says so. A process that was started again knows only those whose keys stand at that moment; the store may serve one of the others alone, which then leads while the old leader prolongs. Mend: with its leased key each instance writes one that no lease takes away; who reads the directory counts such an instance as gone lately, and asks it. The leader removes it a minute after the instance went. An outage for all is still believed after a restart (test), and a minute after one is gone for good (test). Weighed: believing no outage for a minute after each start (would end all runs of an outage that follows a rolling restart). Left: an instance that registers for the first time after the leader lost the store.

--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -163,6 +163,10 @@
   void AskOthers();
   void Ask(const LiveInstance& instance);
   void NoteGone(const LiveInstance& instance);
+  void ApplySeen(const std::string& name, const StoreItem& item);
+  /// It went so lately that it may be back, and lead.
+  bool Counts(const GoneInstance& gone) const;
+  void ForgetOneSeen();
   /// Leads that are taken to be this instance's.
   size_t CountOwnLeads() const;
 
@@ -184,6 +188,10 @@
   int64_t at_ = 0;
   std::map<std::string, LiveInstance> instances_;
   std::map<std::string, GoneInstance> gone_;
+  /// Instances that have ever registered, but those gone for good: the revision
+  /// of the key that says so.
+  std::map<std::string, int64_t> seen_;
+  bool forgetting_ = false;
   std::map<std::string, CellLead> leads_;
   /// By instance: when it last said that it does not hear the store.
   std::map<std::string, Instant> deaf_at_;
--- a/src/libdoorwood/cell/cell_restarted_leader_test.cpp
+++ b/src/libdoorwood/cell/cell_restarted_leader_test.cpp
@@ -84,5 +84,30 @@
   }
 }
 
+// One that is gone for good is forgotten after a minute, also by those that
+// start later; until then it may be the one that the store serves.
+BOOST_AUTO_TEST_CASE(
+    RestartedLeader_AnotherIsGoneForGood_IsForgottenInAMinute) {
+  for (const bool early : {true, false}) {
+    BOOST_TEST_CONTEXT((early ? "at once" : "after a minute")) {
+      LeadTrial trial;
+      auto& world = trial.world;
+      world.Kill("c1");
+      world.Run(early ? Millis(5000) : Millis(65'000));
+      RestartLeader(&trial);
+      world.Run(kLeadsAgain);
+      BOOST_REQUIRE(world.Leader() == trial.old);
+      for (const auto& [name, instance] : world.instances()) {
+        instance->store_faults.down = true;
+      }
+      world.Run(kAfterwards);
+      const size_t kept = early ? 0U : 2U;
+      BOOST_TEST(world.workers().at("old_only")->model.running() == kept);
+      BOOST_TEST(world.logged("an instance is gone for good") ==
+                 (early ? 0 : 1));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -12,6 +12,14 @@
 
 constexpr std::string_view kInstanceFolder = "instance/";
 constexpr std::string_view kLeadFolder = "lead/";
+// Whoever registers leaves a key there that no lease takes away: a process that
+// starts later learns from it whom the store may serve again.
+constexpr std::string_view kSeenFolder = "seen/";
+
+std::string SeenKey(std::string_view instance) {
+  return std::string(kLivePrefix) + std::string(kSeenFolder) +
+         std::string(instance);
+}
 
 std::string EncodeInstance(const LiveInstance& instance) {
   return Json{{"data_centre", instance.data_centre},
@@ -108,10 +116,11 @@
   return now - store_heard_at_ >= options_.silence_to_ask;
 }
 
+bool LiveDirectory::Counts(const GoneInstance& gone) const {
+  return executor_.Now() - gone.since <= options_.gone_counts;
+}
+
 Instant LiveDirectory::OutageUntil() const {
-  if (instances_.size() + gone_.size() <= 1) {
-    return Instant{};  // nobody to ask
-  }
   Instant asked = Instant::max();
   const auto take_word = [&](const std::string& name) {
     // Each one for itself: the store may serve some and refuse their
@@ -124,8 +133,13 @@
       take_word(name);
     }
   }
-  for (const auto& [name, instance] : gone_) {
-    take_word(name);
+  for (const auto& [name, gone] : gone_) {
+    if (Counts(gone)) {
+      take_word(name);
+    }
+  }
+  if (asked == Instant::max()) {
+    return Instant{};  // nobody to ask
   }
   const bool heard_since = store_heard_at_ + options_.silence_to_ask > asked;
   return heard_since ? Instant{} : asked + options_.answer_counts;
@@ -156,9 +170,7 @@
   }
   executor_.Schedule(options_.ask_interval, [this] { AskOthers(); });
   const Instant now = executor_.Now();
-  std::erase_if(gone_, [&](const auto& entry) {
-    return now - entry.second.since > options_.gone_counts;
-  });
+  ForgetOneSeen();
   if (failing_since_ == Instant{} &&
       now - store_heard_at_ < options_.silence_to_ask) {
     return;
@@ -169,8 +181,40 @@
     }
   }
   for (const auto& [name, gone] : gone_) {
-    Ask(gone.instance);
+    if (Counts(gone)) {
+      Ask(gone.instance);
+    }
+  }
+}
+
+// Of an instance that is gone for good; done by whoever leads.
+void LiveDirectory::ForgetOneSeen() {
+  std::erase_if(gone_, [this](const auto& entry) {
+    return !Counts(entry.second) && !seen_.contains(entry.first);
+  });
+  if (forgetting_ || CountOwnLeads() == 0 || IsDeaf(executor_.Now())) {
+    return;
+  }
+  const auto old =
+      std::find_if(gone_.begin(), gone_.end(),
+                   [this](const auto& entry) { return !Counts(entry.second); });
+  if (old == gone_.end()) {
+    return;
   }
+  forgetting_ = true;
+  StoreTransaction transaction;
+  // One that has registered since has a newer key.
+  transaction.expected.push_back({SeenKey(old->first), seen_.at(old->first)});
+  transaction.removes.push_back(SeenKey(old->first));
+  store_.Commit(transaction, [this, name = old->first](std::error_code error,
+                                                       const StoreCommit&) {
+    forgetting_ = false;
+    log_.Write("info", "live", "an instance is gone for good",
+               {{"instance", name}, {"forgotten", !error}});
+    if (!error) {
+      seen_.erase(name);
+    }
+  });
 }
 
 void LiveDirectory::Ask(const LiveInstance& instance) {
@@ -229,6 +273,7 @@
   StoreTransaction transaction;
   transaction.puts.push_back(
       {InstanceKey(self_.name), EncodeInstance(self_), *lease_});
+  transaction.puts.push_back({SeenKey(self_.name), EncodeInstance(self_), 0});
   const int64_t lease = *lease_;
   store_.Commit(transaction,
                 [this, lease](std::error_code error, const StoreCommit&) {
@@ -374,6 +419,10 @@
     }
     return;
   }
+  if (rest.starts_with(kSeenFolder)) {
+    ApplySeen(std::string(rest.substr(kSeenFolder.size())), item);
+    return;
+  }
   if (rest.starts_with(kLeadFolder)) {
     const std::string cell(rest.substr(kLeadFolder.size()));
     const auto known = leads_.find(cell);
@@ -388,6 +437,18 @@
   }
 }
 
+void LiveDirectory::ApplySeen(const std::string& name, const StoreItem& item) {
+  const auto instance = DecodeInstance(name, item);
+  if (!instance) {
+    seen_.erase(name);
+    return;
+  }
+  seen_[name] = item.revision;
+  if (!instances_.contains(name)) {
+    NoteGone(*instance);
+  }
+}
+
 // It may be served again at any time, and lead, without this process hearing of
 // it.
 void LiveDirectory::NoteGone(const LiveInstance& instance) {
@@ -408,6 +469,7 @@
   const auto before = std::move(instances_);
   instances_.clear();
   leads_.clear();
+  seen_.clear();
   for (const StoreItem& item : items.items) {
     Apply(item);
   }
