test(pacing): filling work that is held keeps its place; fails

CollectStrains counts what is fresh or shows in figures; what is held is neither. The sum moves to policy/ unchanged; its test is red, listed.

--- a/src/include/doorwood/pacing.h
+++ b/src/include/doorwood/pacing.h
@@ -52,6 +52,10 @@
                                       const InterferenceModel& model,
                                       const PolicyOptions& options);
 
+/// Processors that a fill will take beyond what the newest figures show: all of
+/// a `fresh` one's, whose figures are still to come.
+double CoresToCome(double full_cores, bool fresh, int pace);
+
 }  // namespace doorwood
 
 #endif  // DOORWOOD_PACING_H_
--- a/src/libdoorwood/cell/cell_pacing.cpp
+++ b/src/libdoorwood/cell/cell_pacing.cpp
@@ -65,10 +65,12 @@
     strains.push_back(serving);
   }
   for (const auto& [task, run] : session.runs()) {
-    if (!run.fills || now - run.ordered >= kFigureAge) {
+    if (!run.fills) {
       continue;
     }
-    const double cores = static_cast<double>(run.size.cpu_millis) / kMillis;
+    const double full = static_cast<double>(run.size.cpu_millis) / kMillis;
+    const bool fresh = now - run.ordered < kFigureAge;
+    const double cores = CoresToCome(full, fresh, run.wanted_pace);
     for (ServingStrain& serving : strains) {
       serving.strain += interference_.Press(serving.image, run.image) * cores;
     }
--- a/src/libdoorwood/policy/pacing.cpp
+++ b/src/libdoorwood/policy/pacing.cpp
@@ -124,4 +124,8 @@
   return LetGo(serving, fills, model, options);
 }
 
+double CoresToCome(double full_cores, bool fresh, int /*pace*/) {
+  return fresh ? full_cores : 0.0;
+}
+
 }  // namespace doorwood
--- a/src/libdoorwood/policy/pacing_test.cpp
+++ b/src/libdoorwood/policy/pacing_test.cpp
@@ -92,5 +92,42 @@
   BOOST_TEST(decisions[0].pace == options.pace_step);
 }
 
+// Filling work that does not save its progress was held still beside serving
+// work for up to 20 s, nine tenths done, while newer filling work was started
+// on the same worker at full speed and ended: what is held presses on nobody,
+// so its place looked free. The newer ones then used up what it waited for.
+//
+// What showed it: "a run takes far longer than expected" with pace 0, paced_ms
+// 20,129 and progress 90, and ten "start ordered" and "run ended" pairs on that
+// worker meanwhile.
+BOOST_AUTO_TEST_CASE(CoresToCome_HeldFill_KeepsItsPlace) {
+  struct Row {
+    const char* name;
+    bool fresh;
+    int pace;
+    double cores;
+  };
+  const Row rows[] = {
+      {"just ordered", true, 100, 4.0},
+      {"just ordered and held", true, 25, 4.0},
+      {"its figures tell all", false, 100, 0.0},
+      {"held still", false, 0, 4.0},
+      {"held at a quarter", false, 25, 3.0},
+  };
+  for (const Row& row : rows) {
+    BOOST_TEST(CoresToCome(4.0, row.fresh, row.pace) == row.cores, row.name);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(HeldFill_NewerOneBesideIt_WouldDisturb, PacingFixture) {
+  WorkerRoom room;
+  room.strains = {{serving, 0.40, 0.60}};
+  // There is room for the light one as long as the heavy one is held for good.
+  BOOST_TEST(ExcessStrain(room, light, 4.0, model) < 0);
+  room.strains[0].strain +=
+      model.Press(serving, heavy) * CoresToCome(4.0, /*fresh=*/false, 0);
+  BOOST_TEST(ExcessStrain(room, light, 4.0, model) > 0);
+}
+
 }  // namespace
 }  // namespace doorwood
