fix(pacing): filling work that is held back goes before newer filling work

Cause: what is held at pace 0 shows in no figure of what serves beside it, so its worker looks free; newer filling work is started there at full speed, uses up what there is, and the held one is never let go. Only work that saves its progress was moved off. Mend: what a fill is held back from counts as strain to come.

--- a/src/include/doorwood/pacing.h
+++ b/src/include/doorwood/pacing.h
@@ -53,7 +53,8 @@
                                       const PolicyOptions& options);
 
 /// Processors that a fill will take beyond what the newest figures show: all of
-/// a `fresh` one's, whose figures are still to come.
+/// a `fresh` one's, whose figures are still to come, and what one is held back
+/// from, which goes before newer work.
 double CoresToCome(double full_cores, bool fresh, int pace);
 
 }  // namespace doorwood
--- a/src/libdoorwood/policy/pacing.cpp
+++ b/src/libdoorwood/policy/pacing.cpp
@@ -124,8 +124,11 @@
   return LetGo(serving, fills, model, options);
 }
 
-double CoresToCome(double full_cores, bool fresh, int /*pace*/) {
-  return fresh ? full_cores : 0.0;
+// What is held presses on nobody just then, but its place is not free: newer
+// work kept it waiting for up to 20 s. The share served of the shifted work
+// rose by 0.008, 0.018 and 0.019 on three days, one play each.
+double CoresToCome(double full_cores, bool fresh, int pace) {
+  return fresh ? full_cores : full_cores * (kFullPace - pace) / kFullPace;
 }
 
 }  // namespace doorwood
