--- a/src/libdoorwood/cell/cell_late_done_test.cpp
+++ b/src/libdoorwood/cell/cell_late_done_test.cpp
@@ -150,6 +150,37 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(LateDone_OneOfAGangIsHeard_AllMembersStop) {
+  CellWorld world(7);
+  world.SetTable({fakes::MakeQueue("queue", 3)});
+  world.AddWorker("w0", 1000);
+  world.AddWorker("w1", 2000);
+  world.AddInstance("a1", "a1");
+  world.WaitForLeader();
+  world.Run(Millis(1000));
+  JobPlan plan = fakes::MakePlan(kCellJob, 2, 3, "ms=2000");
+  plan.steps[0].gang = true;
+  BOOST_REQUIRE(world.Submit(plan));
+  world.Run(Millis(500));
+  Lose(world, "w0");
+  Lose(world, "w1");
+  world.AddWorker("w2", 8000);
+  for (int i = 0; i < 300 && world.starts(TaskOf(0, 0)) == 1; ++i) {
+    world.Run(Millis(50));
+  }
+  BOOST_REQUIRE(world.workers().at("w2")->model.running() == 3U);
+  world.instances().at("a1")->cut_from.erase("w0");
+  world.workers().at("w0")->listed = true;
+  world.Run(kHeard);
+  for (int index = 0; index < 3; ++index) {
+    BOOST_TEST(RunnerOf(world, TaskOf(0, index)).empty());
+    BOOST_TEST(world.starts(TaskOf(1, index)) == 1);
+  }
+  for (const std::string& rule : world.broken()) {
+    BOOST_ERROR(rule);
+  }
+}
+
 // Whoever leads next reads that the task is done, or hears it from the worker,
 // which forgets it only once it is recorded.
 BOOST_AUTO_TEST_CASE(LateDone_LeaderLostSoonAfter_TaskIsNotDoneAgain) {
