test(soak): configurations and changed settings in series, beside the faults; calls that break off

New: a configuration after the other, single and up to five within 250 ms, and SIGHUP after a settings file was written anew, both overlapping with the faults. Checked: a process never forgets a route that it served; at the end each one serves the newest.

--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -85,13 +85,28 @@
   call.body = std::move(body);
   call.timeout = kPatience;
   call.repeatable = false;
+  std::string what = call.method + " " + call.target + " at " + call.address;
   client_.Send(
       std::move(call),
-      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
+      [this, what = std::move(what), sent = world_.Now(),
+       done = std::move(done)](std::error_code error, const HttpReply& reply) {
+        OnBrokenOff(what, error, Millis(world_.Now() - sent));
         done(error ? HttpReply{} : reply);
       });
 }
 
+// The platform's rule: what ends sooner may have crossed the stop on its way.
+void Callers::OnBrokenOff(const std::string& what,
+                          std::error_code error,
+                          Millis after) {
+  const bool broken_off = error == make_error_code(PeerErrc::kNoAnswer) &&
+                          after > kLossSlack && after < kPatience;
+  if (expects_answers_ && broken_off) {
+    world_.Break("broken off after " + std::to_string(after.count()) +
+                 " ms: " + what);
+  }
+}
+
 void Callers::HandIn(Known* known, int tries_left) {
   if (tries_left == 0) {
     return;
--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr size_t kKinds = static_cast<size_t>(FaultKind::kCount);
+constexpr size_t kFaultKinds = static_cast<size_t>(FaultKind::kConfigure);
 constexpr std::array<std::string_view, kKinds> kNames = {
     "cut from the store",
     "cut from workers elsewhere",
@@ -31,7 +32,9 @@
     "planned stop",
     "crash of a worker",
     "a worker leaves",
-    "a worker's entry goes"};
+    "a worker's entry goes",
+    "a new configuration",
+    "settings are read again"};
 // One in so many is a cut in steps, which needs time to tell.
 constexpr uint64_t kStepsAmong = 8;
 constexpr uint64_t kShortestPause = 100;    // ms
@@ -41,6 +44,13 @@
 constexpr uint64_t kShortestSteps = 8000;   // ms
 constexpr uint64_t kLongestSteps = 14'000;  // ms
 constexpr uint64_t kLongestResume = 6000;   // ms
+constexpr uint64_t kShortestCalm = 300;     // ms
+constexpr uint64_t kLongestCalm = 3000;     // ms
+constexpr uint64_t kLongestSeries = 5;      // changes
+constexpr uint64_t kShortestBetween = 5;    // ms
+constexpr uint64_t kLongestBetween = 250;   // ms
+// So that the two plans of a seed do not begin alike.
+constexpr uint64_t kChangesSeed = 0x636f6e666967;
 // A stopped instance is back after about 3.5 s.
 constexpr Millis kBetweenStops{2500};
 
@@ -69,7 +79,7 @@
   Fault fault;
   fault.kind = draws->Below(kStepsAmong) == 0
                    ? FaultKind::kCutCentreInSteps
-                   : static_cast<FaultKind>(draws->Below(kKinds));
+                   : static_cast<FaultKind>(draws->Below(kFaultKinds));
   // Most are short, some outlast every lease.
   const uint64_t longest =
       draws->Below(2) == 0 ? kLongestFault / 4 : kLongestFault;
@@ -107,6 +117,29 @@
   }
 }
 
+std::vector<Fault> MakeChangePlan(uint64_t seed, Millis length) {
+  Draws draws(seed ^ kChangesSeed);
+  std::vector<Fault> plan;
+  Millis at{0};
+  for (;;) {
+    at += draws.Between(kShortestCalm, kLongestCalm);
+    const uint64_t series = 1 + draws.Below(kLongestSeries);
+    Fault change;
+    change.kind =
+        draws.Below(2) == 0 ? FaultKind::kConfigure : FaultKind::kHangUp;
+    change.leader = draws.Below(2) == 0;
+    change.pick = static_cast<uint32_t>(draws.Below(UINT32_MAX));
+    for (uint64_t i = 0; i < series; ++i) {
+      at += draws.Between(kShortestBetween, kLongestBetween);
+      if (at > length) {
+        return plan;
+      }
+      change.at = at;
+      plan.push_back(change);
+    }
+  }
+}
+
 std::vector<Fault> MakeStopPlan(Millis length) {
   std::vector<Fault> plan;
   for (Millis at = kBetweenStops; at <= length; at += kBetweenStops) {
--- a/src/soak/fault_plan.h
+++ b/src/soak/fault_plan.h
@@ -36,6 +36,9 @@
   kCrashWorker,
   kWorkerLeaves,
   kDropEntry,
+  /// Not drawn among the faults: see MakeChangePlan.
+  kConfigure,
+  kHangUp,
   kCount,
 };
 
@@ -57,6 +60,10 @@
 /// Sorted by time; all are over after `length`.
 std::vector<Fault> MakeFaultPlan(uint64_t seed, Millis length);
 
+/// Configurations and changed settings, single and in quick series, to be
+/// played beside the faults.
+std::vector<Fault> MakeChangePlan(uint64_t seed, Millis length);
+
 /// Planned stops of one instance after the other, and of who leads.
 std::vector<Fault> MakeStopPlan(Millis length);
 
--- a/src/soak/fault_plan_test.cpp
+++ b/src/soak/fault_plan_test.cpp
@@ -40,10 +40,26 @@
     for (const Fault& fault : MakeFaultPlan(seed, kLength)) {
       kinds.insert(fault.kind);
     }
+    for (const Fault& change : MakeChangePlan(seed, kLength)) {
+      kinds.insert(change.kind);
+    }
   }
   BOOST_TEST(kinds.size() == static_cast<size_t>(FaultKind::kCount));
 }
 
+BOOST_AUTO_TEST_CASE(ChangePlan_AnySeed_HasSeriesAndIsOverInTime) {
+  size_t series = 0;
+  for (uint64_t seed = 0; seed < 50; ++seed) {
+    Millis last{0};
+    for (const Fault& change : MakeChangePlan(seed, kLength)) {
+      BOOST_TEST((change.at >= last && change.at <= kLength));
+      series += change.at - last < Millis(250) ? 1 : 0;
+      last = change.at;
+    }
+  }
+  BOOST_TEST(series > 50U);
+}
+
 BOOST_AUTO_TEST_CASE(StopPlan_Long_StopsEachInstanceAndTheLeader) {
   constexpr uint32_t kInstances = 8;
   std::set<uint32_t> stopped;
--- a/src/soak/fault_player.cpp
+++ b/src/soak/fault_player.cpp
@@ -134,9 +134,13 @@
         }
       };
     }
+    case FaultKind::kConfigure:
+      world_.Configure();
+      return nullptr;
     case FaultKind::kKill:
     case FaultKind::kPause:
     case FaultKind::kPlannedStop:
+    case FaultKind::kHangUp:
       return BeginAtProcess(fault, instance);
     default:
       return BeginAtStore(fault, instance);
@@ -189,6 +193,10 @@
     world_.Stop(instance);
     return nullptr;
   }
+  if (fault.kind == FaultKind::kHangUp) {
+    world_.HangUp(instance);
+    return nullptr;
+  }
   if (!world_.Pause(instance)) {
     return nullptr;
   }
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -13,6 +13,7 @@
 
 #include "loop.adapter/loop_executor.h"
 #include "soak/callers.h"
+#include "soak/config_watch.h"
 #include "soak/fault_player.h"
 #include "soak/scenario.h"
 #include "soak/world.h"
@@ -59,6 +60,7 @@
         executor_(context),
         world_(context, executor_, options.world),
         callers_(world_, options.seed),
+        configurations_(world_),
         faults_(world_) {}
 
   void Begin() {
@@ -66,7 +68,7 @@
     callers_.AddLasting(options_.lasting_jobs, kLastingTasks, kLastingCpu);
     const Millis length = std::chrono::seconds(options_.seconds);
     if (options_.scenario == "random") {
-      PlayFaults(MakeFaultPlan(options_.seed, length), kBetweenJobs);
+      PlayFaults(MakePlan(length), kBetweenJobs);
     } else if (options_.scenario == "planned-stops") {
       callers_.ExpectAnswers();
       PlayFaults(MakeStopPlan(length), kBetweenJobsAtStops);
@@ -85,8 +87,16 @@
   }
 
  private:
+  std::vector<Fault> MakePlan(Millis length) const {
+    auto plan = MakeFaultPlan(options_.seed, length);
+    const auto changes = MakeChangePlan(options_.seed, length);
+    plan.insert(plan.end(), changes.begin(), changes.end());
+    return plan;
+  }
+
   void PlayFaults(const std::vector<Fault>& plan, Millis between_jobs) {
     AwaitCalm(world_, callers_, [this, plan, between_jobs] {
+      configurations_.Start();
       callers_.Start(between_jobs);
       faults_.Play(plan, [this] { Finish(); });
     });
@@ -111,7 +121,9 @@
   void Finish() {
     callers_.Stop();
     callers_.AwaitAll(kSettleTime, [this] {
-      world_.StopAll([this] { world_.context().stop(); });
+      configurations_.AwaitNewest(kSettleTime, [this] {
+        world_.StopAll([this] { world_.context().stop(); });
+      });
     });
   }
 
@@ -119,6 +131,7 @@
   LoopExecutor executor_;
   World world_;
   Callers callers_;
+  ConfigWatch configurations_;
   FaultPlayer faults_;
 };
 
--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -58,7 +58,8 @@
       log_(options.folder + "/world.log"),
       watch_([this](const std::string& sentence) { Break(sentence); }),
       store_(context, executor, [this] { return Now(); }) {
-  store_.Put(platform::kSoakConfigKey, platform::EncodeSoakConfig());
+  store_.Put(platform::kSoakConfigKey,
+             platform::EncodeSoakConfig(config_version_));
   for (size_t worker = 0; worker < options.workers; ++worker) {
     AddWorker(worker);
   }
@@ -214,6 +215,7 @@
 void World::Restart(size_t instance) {
   if (!ending_ && instances_[instance]->child.Start()) {
     instances_[instance]->is_ending = false;
+    ++instances_[instance]->lives;
     Log(NameOf(instance) + " is started again");
   }
 }
@@ -351,6 +353,23 @@
   instances_[index]->child.Signal(SIGCONT);
 }
 
+bool World::HangUp(size_t index) {
+  Instance& instance = *instances_[index];
+  if (!instance.child.runs() || instance.is_ending || instance.paused) {
+    return false;
+  }
+  WriteSettings(index);
+  instance.child.Signal(SIGHUP);
+  return true;
+}
+
+void World::Configure() {
+  ++config_version_;
+  Log("configuration " + std::to_string(config_version_));
+  store_.Put(platform::kSoakConfigKey,
+             platform::EncodeSoakConfig(config_version_));
+}
+
 void World::ResetLinksTo(size_t worker) {
   for (const auto& instance : instances_) {
     instance->workers[worker]->Reset();
--- a/src/soak/world.h
+++ b/src/soak/world.h
@@ -88,6 +88,16 @@
   bool Pause(size_t instance);
   void Resume(size_t instance);
 
+  /// Its settings file is written anew, and it is told so.
+  bool HangUp(size_t instance);
+  /// How often the instance's process has been started again.
+  int LivesOf(size_t instance) const { return instances_[instance]->lives; }
+
+  // --- Configuration ---
+  /// Puts the next version into the store.
+  void Configure();
+  int config_version() const { return config_version_; }
+
   // --- Workers ---
   void CrashWorker(size_t worker);
   void BootWorker(size_t worker);
@@ -115,6 +125,7 @@
         : child(std::move(program), std::move(settings), std::move(log)) {}
 
     Child child;
+    int lives = 0;
     /// Told to end, so that its end is no surprise.
     bool is_ending = false;
     bool paused = false;
@@ -146,6 +157,7 @@
   platform::SoakStore store_;
   std::vector<std::unique_ptr<platform::SoakWorker>> workers_;
   std::vector<std::unique_ptr<Instance>> instances_;
+  int config_version_ = 1;
   bool ending_ = false;
   size_t broken_ = 0;
 };
