fix(cell_members): a silent worker's wait is recorded, and not served again

Cause: only what a leader never heard was recorded as unheard; of a worker that it had heard, and that fell silent, the successor had to think the worst. Mend: after 4 s without a promise it is recorded with that time; nothing is prolonged there until the record says otherwise, and once it does a look prolongs at once. Ruled out: the successor's own reading (the lost workers stand in the record); the entries (they had gone).

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -220,6 +220,10 @@
   static bool IsRecorded(const Member& member);
   /// Nothing of this leader has reached it, nor will before it is heard.
   bool IsUnheard(const Member& member) const;
+  /// It was heard, and has been silent for most of its runs' lease.
+  bool IsLongSilent(const Member& member) const;
+  /// For how long nobody has prolonged anything there; zero: it is heard.
+  Millis UnheardFor(const Member& member) const;
   Millis LedFor() const;
   void RecordUnheard();
   void DropMembers();
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -52,8 +52,14 @@
   /// waits this long, and a run's lease, before it starts what an unheard
   /// worker may still run.
   Millis unsure_patience{3000};
-  /// While workers are unheard after a takeover, how often that is recorded.
+  /// While workers are unheard after a takeover, or silent, how often that is
+  /// recorded.
   Millis unheard_interval{1000};
+  /// A worker that nothing was promised for so long, since it does not answer,
+  /// is recorded as unheard. Most of its runs' lease is over then: until the
+  /// record says otherwise nothing is prolonged there, also if it answers again
+  /// while the store does not.
+  Millis silence_recorded{4000};
   /// Most looks a second that watching what disturbs what may take: a large
   /// cell looks less often. A look costs a leader some 60 us.
   int watching_looks = 700;
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -169,6 +169,9 @@
   /// than one that is sent then: a successor counts on it. A moment and not a
   /// flag, so that a process that stood still needs nobody to tell it.
   void SetExtendUntil(Instant until) { extend_until_ = until; }
+  /// Looks at once, beside a look under way that may have been sent before it
+  /// was allowed to prolong anything.
+  void LookNow();
   /// Nobody else can have prolonged anything there before then, so that a lease
   /// that ran out earlier, or another life that answered earlier, proves runs
   /// over. What comes later proves nothing yet: a successor may have adopted
@@ -205,6 +208,11 @@
   /// Heard of lately, or idle and not asked since it last answered.
   bool responsive() const;
   Instant heard_at() const { return heard_at_; }
+  /// The newest look has failed, so nothing is prolonged there.
+  bool look_failed() const { return look_failed_; }
+  /// When the latest order was sent that may have prolonged anything there;
+  /// zero: none was.
+  Instant promised_at() const { return promised_at_; }
   /// Since when it answers again after a silence; zero: it was not silent.
   Instant answers_since() const { return answers_since_; }
   /// Reserved processors, memory and accelerators. Filling work reserves no
@@ -313,6 +321,7 @@
   Instant clock_at_{};
   /// The latest lease end that any order has carried.
   int64_t longest_until_ = 0;
+  Instant promised_at_{};
 };
 
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_members.cpp
+++ b/src/libdoorwood/cell/cell_members.cpp
@@ -223,9 +223,10 @@
   std::vector<KnownWorker> known;
   for (auto& [id, member] : members_) {
     KnownWorker worker{id, member.session->life().address, Millis(0)};
-    if (IsUnheard(member)) {
-      worker.unheard = member.unheard_before + LedFor();
+    worker.unheard = UnheardFor(member);
+    if (worker.unheard > Millis(0)) {
       member.told_unheard = true;
+      member.heard_recorded = false;
       member.session->SetExtendUntil(Instant{});
     }
     member.noted_at = worker.address;
@@ -245,23 +246,41 @@
          !member.session->proved_dead();
 }
 
+bool CellLeader::IsLongSilent(const Member& member) const {
+  const WorkerSession& session = *member.session;
+  return session.fenced() && session.look_failed() && !session.runs().empty() &&
+         executor_.Now() - session.promised_at() >= options_.silence_recorded;
+}
+
+Millis CellLeader::UnheardFor(const Member& member) const {
+  if (IsUnheard(member)) {
+    return member.unheard_before + LedFor();
+  }
+  if (!IsLongSilent(member)) {
+    return Millis(0);
+  }
+  return std::chrono::duration_cast<Millis>(executor_.Now() -
+                                            member.session->promised_at());
+}
+
 Millis CellLeader::LedFor() const {
   return std::chrono::duration_cast<Millis>(executor_.Now() - led_since_);
 }
 
 // A wait that is served once is not served again by the next leader: with three
 // workers gone for good, two takeovers in ten seconds held all stopped lasting
-// work back for eighteen.
+// work back for eighteen; with workers lost 6 s before their leader, one
+// takeover did for twenty.
 void CellLeader::RecordUnheard() {
   const Instant now = executor_.Now();
-  if (accounted_ || !IsSure() ||
-      now - unheard_recorded_ < options_.unheard_interval) {
+  if (!IsSure() || now - unheard_recorded_ < options_.unheard_interval) {
     return;
   }
   unheard_recorded_ = now;
-  const bool any = std::any_of(
-      members_.begin(), members_.end(),
-      [this](const auto& entry) { return IsUnheard(entry.second); });
+  const bool any =
+      std::any_of(members_.begin(), members_.end(), [this](const auto& entry) {
+        return IsUnheard(entry.second) || IsLongSilent(entry.second);
+      });
   if (any) {
     RecordMembers();
   }
@@ -277,6 +296,8 @@
     Member& member = found->second;
     if (worker.unheard == Millis(0) && member.told_unheard) {
       member.told_unheard = false;
+      TellSession(member, OrdersUntil());
+      member.session->LookNow();
       changed = true;
     }
     if (member.recorded_at != worker.address) {
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -129,6 +129,7 @@
       std::chrono::duration_cast<Millis>(at - clock_at_));
   const int64_t until = clock_ + (age + options_.run_lease).count();
   longest_until_ = std::max(longest_until_, until);
+  promised_at_ = std::max(promised_at_, at);
   return until;
 }
 
@@ -187,6 +188,12 @@
       });
 }
 
+void WorkerSession::LookNow() {
+  if (!closed_ && !dead_ && !runs_.empty()) {
+    Look(Millis(0));
+  }
+}
+
 void WorkerSession::OnLook(uint64_t sequence,
                            Instant sent,
                            std::error_code error,
@@ -228,6 +235,7 @@
     // What an earlier leader may have promised to runs that are adopted now.
     longest_until_ =
         std::max(longest_until_, report.clock + options_.run_lease.count());
+    promised_at_ = executor_.Now();
   }
   TakeReport(sent, std::move(report));
   if (closed_ || dead_ || !newest) {
