--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -23,6 +23,8 @@
 /// Keys of doorwood in the store.
 inline constexpr std::string_view kLivePrefix = "doorwood/live/";
 std::string InstanceKey(std::string_view instance);
+/// Stays when the instance's own key goes with its lease.
+std::string SeenKey(std::string_view instance);
 std::string LeadKey(std::string_view cell);
 
 struct LiveInstance {
