--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -65,6 +65,7 @@
 
   void Begin() {
     world_.StartAll();
+    configurations_.Start();
     callers_.AddLasting(options_.lasting_jobs, kLastingTasks, kLastingCpu);
     const Millis length = std::chrono::seconds(options_.seconds);
     if (options_.scenario == "random") {
@@ -96,7 +97,6 @@
 
   void PlayFaults(const std::vector<Fault>& plan, Millis between_jobs) {
     AwaitCalm(world_, callers_, [this, plan, between_jobs] {
-      configurations_.Start();
       callers_.Start(between_jobs);
       faults_.Play(plan, [this] { Finish(); });
     });
