feat(cell_takeover): say for whom a new leader waits

Once a second it now says which workers are unheard (eight at most, and their number), whether they are listed, for how long they had been unheard before, how long yet, and how many tasks wait for them. No decision changed; the check has a file of its own.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -242,7 +242,6 @@
   Millis WatchingWait() const;
   void Tick();
   void ForgetOldJobs();
-  void CheckTakeover();
   void AnswerCancels();
   bool HasRoomToLast(const JobPlan& plan);
   CellSummary Summarize() const;
@@ -250,6 +249,15 @@
   /// What other work asks of each service beside lasting work.
   void ObserveLoads();
 
+  // cell_takeover.cpp: what earlier leaders may have left running
+  void CheckTakeover();
+  /// For how long after the last order of an earlier leader a run may go on.
+  Millis LongestPromise() const;
+  /// For how long yet an unheard worker may run what an earlier leader ordered.
+  Millis WaitLeft(const Member& member) const;
+  /// Logs for whom it is waited.
+  void TellWait();
+
   // cell_ends.cpp: what becomes of runs
   void CountEnd(Task* task,
                 const WorkerSession& session,
@@ -352,6 +360,8 @@
   /// the life of the process.
   const uint64_t nonce_;
   Instant led_since_{};
+  /// When it was last logged for whom it is waited.
+  Instant wait_told_{};
   /// When it was last recorded for how long workers are unheard.
   Instant unheard_recorded_{};
   Instant last_tick_{};
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -18,9 +18,6 @@
 // asker took 4% of a leader's processor time.
 constexpr Millis kForgetInterval{1000};
 constexpr Millis kSummaryAge{300};
-// Slack on the time after which an unheard worker's runs are over, for the last
-// orders of the earlier leader.
-constexpr Millis kLastOrders{500};
 
 }  // namespace
 
@@ -350,39 +347,6 @@
   });
 }
 
-void CellLeader::CheckTakeover() {
-  if (accounted_) {
-    return;
-  }
-  // A further leader may have adopted what was waited for since the proof.
-  const auto proved =
-      std::chrono::duration_cast<Millis>(proof_.stood_at() - led_since_);
-  const Millis longest = LongestOnOurClock(options_.sessions.run_lease) +
-                         options_.unsure_patience + kLastOrders;
-  const bool accounted =
-      std::all_of(members_.begin(), members_.end(), [&](const auto& entry) {
-        const Member& member = entry.second;
-        return !IsUnheard(member) || member.unheard_before + proved > longest;
-      });
-  if (!accounted || workers_read_ == Instant{}) {
-    return;
-  }
-  const bool all_heard = std::none_of(
-      members_.begin(), members_.end(),
-      [this](const auto& entry) { return IsUnheard(entry.second); });
-  accounted_ = true;
-  for (const auto& [id, job] : jobs_.jobs()) {
-    ForEachTask(job.get(), [](Task* task) { task->unaccounted = false; });
-  }
-  log_.Write("info", "cell", "all earlier runs are accounted for",
-             {{"cell", options_.cell},
-              {"epoch", epoch_},
-              {"all_heard", all_heard},
-              {"after_ms",
-               std::chrono::duration_cast<Millis>(executor_.Now() - led_since_)
-                   .count()}});
-}
-
 void CellLeader::ForgetOldJobs() {
   const int64_t now = unix_millis_();
   std::vector<std::string> old;
--- /dev/null
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// What earlier leaders may have left running, and until when a new one must
+// reckon with it.
+
+#include <algorithm>
+#include <utility>
+
+#include "doorwood/cell_leader.h"
+
+namespace doorwood {
+namespace {
+
+// Slack on the time after which an unheard worker's runs are over, for the last
+// orders of the earlier leader.
+constexpr Millis kLastOrders{500};
+
+// While workers are unheard, for whom the leader waits is logged this often.
+constexpr Millis kWaitTold{1000};
+// Most workers that such a line names.
+constexpr size_t kWorkersNamed = 8;
+
+}  // namespace
+
+Millis CellLeader::LongestPromise() const {
+  return LongestOnOurClock(options_.sessions.run_lease) +
+         options_.unsure_patience + kLastOrders;
+}
+
+// A further leader may have adopted what is waited for since the proof, so only
+// time up to it counts.
+Millis CellLeader::WaitLeft(const Member& member) const {
+  if (!IsUnheard(member)) {
+    return Millis(0);
+  }
+  const auto proved =
+      std::chrono::duration_cast<Millis>(proof_.stood_at() - led_since_);
+  const Millis waited = member.unheard_before + proved;
+  return std::max(LongestPromise() + Millis(1) - waited, Millis(0));
+}
+
+void CellLeader::CheckTakeover() {
+  if (accounted_) {
+    return;
+  }
+  const bool accounted = std::all_of(
+      members_.begin(), members_.end(),
+      [&](const auto& entry) { return WaitLeft(entry.second) == Millis(0); });
+  if (!accounted || workers_read_ == Instant{}) {
+    TellWait();
+    return;
+  }
+  const bool all_heard = std::none_of(
+      members_.begin(), members_.end(),
+      [this](const auto& entry) { return IsUnheard(entry.second); });
+  accounted_ = true;
+  for (const auto& [id, job] : jobs_.jobs()) {
+    ForEachTask(job.get(), [](Task* task) { task->unaccounted = false; });
+  }
+  log_.Write("info", "cell", "all earlier runs are accounted for",
+             {{"cell", options_.cell},
+              {"epoch", epoch_},
+              {"all_heard", all_heard},
+              {"after_ms",
+               std::chrono::duration_cast<Millis>(executor_.Now() - led_since_)
+                   .count()}});
+}
+
+void CellLeader::TellWait() {
+  const Instant now = executor_.Now();
+  if (now - wait_told_ < kWaitTold) {
+    return;
+  }
+  wait_told_ = now;
+  Json workers = Json::array();
+  size_t count = 0;
+  for (const auto& [id, member] : members_) {
+    const Millis left = WaitLeft(member);
+    if (left == Millis(0)) {
+      continue;
+    }
+    if (++count <= kWorkersNamed) {
+      workers.push_back({{"worker", id},
+                         {"listed", member.listed},
+                         {"unheard_before_ms", member.unheard_before.count()},
+                         {"left_ms", left.count()}});
+    }
+  }
+  int held = 0;
+  for (const Job* job : jobs_.OpenJobs()) {
+    for (const TimeState& time : job->times) {
+      for (const StepState& step : time.steps) {
+        held += static_cast<int>(std::count_if(
+            step.tasks.begin(), step.tasks.end(), [](const Task& task) {
+              return task.unaccounted && !task.placed && !task.done;
+            }));
+      }
+    }
+  }
+  log_.Write("info", "cell", "waiting for unheard workers",
+             {{"cell", options_.cell},
+              {"epoch", epoch_},
+              {"led_ms", LedFor().count()},
+              {"unheard", count},
+              {"held_tasks", held},
+              {"workers", std::move(workers)}});
+}
+
+}  // namespace doorwood
