--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -84,6 +84,13 @@
   workers_.erase(id);
 }
 
+void CellWorld::TakeAway(const std::string& id) {
+  WorldWorker& worker = *workers_.at(id);
+  worker.model = standin::RunWorkerModel();
+  worker.up = false;
+  worker.listed = false;
+}
+
 void CellWorld::MakeMachines() {
   for (const auto& [id, worker] : workers_) {
     machines_["m-" + id].worker = id;
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -98,6 +98,8 @@
   /// Ends a process at once; its name may be added again.
   void Kill(const std::string& name);
   void CrashWorker(const std::string& id);
+  /// What runs there dies, and nobody answers at its address any more.
+  void TakeAway(const std::string& id);
   /// Makes a machine of each worker, named "m-" and the worker's id.
   void MakeMachines();
   void SetTable(const std::vector<Queue>& queues);
--- a/src/standin/run_worker_model.cpp
+++ b/src/standin/run_worker_model.cpp
@@ -28,8 +28,11 @@
   for (const auto& [task, active] : runs_) {
     const bool finished =
         active.duration > 0 && now_ >= active.started + active.duration;
+    const bool stopped = active.stops_at > 0 && now_ >= active.stops_at;
     if (finished) {
       over.emplace_back(task, active.fails ? RunEnd::kFailed : RunEnd::kDone);
+    } else if (stopped) {
+      over.emplace_back(task, RunEnd::kStopped);
     } else if (now_ >= lease_until_) {
       over.emplace_back(task, RunEnd::kLapsed);
     }
@@ -145,7 +148,10 @@
   }
   const auto running = runs_.find(order.task);
   if (running != runs_.end() && running->second.run <= order.run) {
-    End(order.task, RunEnd::kStopped);
+    if (running->second.stops_at == 0) {
+      running->second.stops_at = now_ + stop_takes_;
+    }
+    Advance(now_);
   }
   over_[order.task] = std::max(over_[order.task], order.run);
   return {};
--- a/src/standin/run_worker_model.h
+++ b/src/standin/run_worker_model.h
@@ -34,6 +34,8 @@
 class RunWorkerModel {
  public:
   void SetWatcher(RunWatcher* watcher) { watcher_ = watcher; }
+  /// How long a stopped run still runs.
+  void SetStopTakes(Millis time) { stop_takes_ = time.count(); }
 
   /// `now` is the worker's steady clock in milliseconds. Ends what is done and
   /// what has lapsed.
@@ -59,6 +61,8 @@
     /// 0: lasts until stopped.
     int64_t duration = 0;
     bool fails = false;
+    /// When it ends for having been stopped; 0: it wasn't.
+    int64_t stops_at = 0;
   };
 
   bool IsFenced(uint64_t token);
@@ -68,6 +72,7 @@
   void NoteLapsedFailures();
 
   RunWatcher* watcher_ = nullptr;
+  int64_t stop_takes_ = 0;
   int64_t now_ = 0;
   int64_t lease_until_ = 0;
   uint64_t token_ = 0;
