--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -31,7 +31,9 @@
 // A further leader may have adopted what is waited for since the proof, so only
 // time up to it counts.
 Millis CellLeader::WaitLeft(const Member& member) const {
-  if (!IsUnheard(member)) {
+  // Nothing runs on one that left with all its ends recorded.
+  const bool is_empty = member.runs_before && member.runs_before->empty();
+  if (!IsUnheard(member) || is_empty) {
     return Millis(0);
   }
   const auto proved =
