--- a/src/libdoorwood/cell/cell_member_records.cpp
+++ b/src/libdoorwood/cell/cell_member_records.cpp
@@ -18,9 +18,9 @@
 // 100 KB, a tenth of what the store takes.
 constexpr size_t kMostTasksNamed = 4000;
 
-// So long for each of them it is not written again, to bound what that takes of
-// a small machine's link.
-constexpr std::chrono::microseconds kPauseOfName{250};
+// The key is written whole. So long for each worker and each task in it, it is
+// not written again, to bound what that takes of a small machine's link.
+constexpr std::chrono::microseconds kPauseOfEntry{250};
 
 size_t CountOf(const KnownWorker& worker) {
   return worker.runs ? worker.runs->size() : 0;
@@ -64,10 +64,10 @@
 
 void CellLeader::RecordMembers() {
   std::vector<KnownWorker> known = DescribeMembers();
-  size_t named = 0;
+  size_t entries = known.size();
   for (const KnownWorker& worker : known) {
     Member& member = members_.at(worker.id);
-    named += CountOf(worker);
+    entries += CountOf(worker);
     if (worker.unheard > Millis(0)) {
       member.told_unheard = true;
       member.heard_recorded = false;
@@ -80,7 +80,7 @@
     member.noted_version =
         IsUnheard(member) ? kNeverNoted : member.session->tasks_version();
   }
-  next_runs_record_ = executor_.Now() + named * kPauseOfName;
+  next_runs_record_ = executor_.Now() + entries * kPauseOfEntry;
   journal_.SetWorkers(std::move(known));
 }
 
