fix(cell_leader, cell_journal): a busy leader that is stopped hands over at once

A leader gave its lead up once nothing waited to be recorded. Under load runs end all the time and there is no such moment: it went on until its grace time was over, and ended with records on their way (two of two planned stops with 350 workers, 5.3 s after the signal). Callers of that moment heard nothing certain.

Ends that are not recorded stay listed by their workers, which tell the successor.

Ruled out: ending the lead with whatever is on its way (unknown outcomes for callers).

--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -136,6 +136,12 @@
   void MarkDirty(const std::string& job, bool urgent);
   /// Replaces the workers under the workers' key.
   void SetWorkers(std::vector<KnownWorker> workers);
+  /// For a leader that hands over: what waits now, new jobs and what somebody
+  /// waits for, is still recorded; nothing that comes later is. Ends that are
+  /// not recorded stay listed by their workers.
+  void Seal();
+  /// After `Seal`: all that was to be recorded is, and no batch is under way.
+  bool settled() const;
   /// Removes all keys of a job that is long over.
   void Forget(const std::string& job);
 
@@ -189,6 +195,7 @@
   void Send();
   std::optional<size_t> LaneToSend() const;
   bool HasSomethingToSend() const;
+  bool HasLastUrgent() const;
   /// Nothing if there is only what other lanes carry already.
   std::optional<Batch> Build(size_t lane);
   void NoteEnds();
@@ -245,6 +252,8 @@
   std::deque<std::string> dirty_order_;
   /// Those of them that somebody waits for.
   std::set<std::string> urgent_;
+  /// Once sealed: those of them that are still to be recorded.
+  std::optional<std::set<std::string>> last_urgent_;
   /// Jobs that a lane carries a key of.
   std::set<std::string> under_way_;
   std::set<std::string> to_forget_;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -210,6 +210,8 @@
   void ReadRecords();
   void Restore(const StoreItems& items);
   void StepDown(std::string_view reason);
+  /// Starts nothing more and takes no calls: it hands over.
+  bool IsHandingOver() const;
   void GiveUpKey();
   void Resign(const LiveInstance& successor);
   void ReadWorkers();
@@ -422,6 +424,8 @@
   /// No pass before then: passes may take only a part of the processor.
   Instant next_pass_{};
   std::function<void()> on_left_;
+  /// Since when it is to hand over; zero: it isn't.
+  Instant leaving_since_{};
 
   std::shared_ptr<const QueueTable> table_;
   /// Every queue heard of, so that jobs of a removed one still finish.
--- a/src/libdoorwood/cell/cell_calls.cpp
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -145,9 +145,10 @@
 }
 
 void CellLeader::Cancel(const std::string& id, CancelCallback done) {
-  Job* job = leading() ? jobs_.Find(id) : nullptr;
+  const bool takes_calls = leading() && !IsHandingOver();
+  Job* job = takes_calls ? jobs_.Find(id) : nullptr;
   if (job == nullptr) {
-    done(leading() ? CoreErrc::kNotFound : CoreErrc::kNoOwner);
+    done(takes_calls ? CoreErrc::kNotFound : CoreErrc::kNoOwner);
     return;
   }
   if (job->outcome_recorded) {
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -171,6 +171,7 @@
   dirty_.clear();
   dirty_order_.clear();
   urgent_.clear();
+  last_urgent_.reset();
   under_way_.clear();
   to_forget_.clear();
   ends_.reset();
@@ -213,6 +214,23 @@
          !workers_changed_;
 }
 
+void CellJournal::Seal() {
+  if (!last_urgent_) {
+    last_urgent_ = urgent_;
+  }
+}
+
+bool CellJournal::HasLastUrgent() const {
+  return last_urgent_ && std::any_of(last_urgent_->begin(), last_urgent_->end(),
+                                     [this](const std::string& job) {
+                                       return urgent_.contains(job);
+                                     });
+}
+
+bool CellJournal::settled() const {
+  return flow_.under_way() == 0 && accepts_.empty() && !HasLastUrgent();
+}
+
 void CellJournal::Answer(PendingAccept* accept,
                          std::error_code error,
                          AcceptOutcome outcome) {
@@ -223,7 +241,7 @@
 }
 
 void CellJournal::Accept(JobPlan plan, AcceptCallback done) {
-  if (!open_) {
+  if (!open_ || (last_urgent_ && !IsRecording(plan.id))) {
     done(CoreErrc::kNoOwner, {});
     return;
   }
@@ -307,6 +325,9 @@
 }
 
 bool CellJournal::HasSomethingToSend() const {
+  if (last_urgent_) {
+    return !accepts_.empty() || HasLastUrgent();
+  }
   return !accepts_.empty() || !dirty_.empty() || !to_forget_.empty() ||
          (workers_changed_ && !workers_under_way_) || probing_ ||
          std::any_of(lanes_.begin(), lanes_.end(), [](const Lane& lane) {
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -12,6 +12,9 @@
 constexpr Millis kPauseNoticed{700};
 // How often a leaving leader looks whether all is recorded.
 constexpr Millis kIdleCheck{30};
+// After so long it hands over with what callers wait for; the rest is heard
+// again by its successor.
+constexpr Millis kLeavesWithAll{300};
 // All jobs are looked through this often for old ones, which stay for minutes,
 // and for what is told to other instances, who ask every 0.6 s, each of them:
 // with 29 instances and thousands of jobs, doing so at each tick and for each
@@ -186,6 +189,11 @@
   });
 }
 
+bool CellLeader::IsHandingOver() const {
+  return leaving_since_ != Instant{} &&
+         executor_.Now() - leaving_since_ >= kLeavesWithAll;
+}
+
 void CellLeader::Leave(std::function<void()> done) {
   if (stage_ != Stage::kLeading) {
     ++generation_;
@@ -193,7 +201,15 @@
     done();
     return;
   }
-  if (journal_.idle()) {
+  if (leaving_since_ == Instant{}) {
+    leaving_since_ = executor_.Now();
+  }
+  // A busy leader never has all recorded: ends keep coming. It would lead on
+  // until its grace time is over, and end with records on their way.
+  if (IsHandingOver()) {
+    journal_.Seal();
+  }
+  if (journal_.idle() || (IsHandingOver() && journal_.settled())) {
     on_left_ = std::move(done);
     StepDown("leaving");
     stage_ = Stage::kLeft;
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -46,7 +46,7 @@
   const auto pause = std::chrono::ceil<Millis>(next_pass_ - executor_.Now());
   executor_.Schedule(std::max(kScheduleDelay, pause), [this] {
     schedule_posted_ = false;
-    if (!MayOrder() || closed_read_ == Instant{}) {
+    if (!MayOrder() || closed_read_ == Instant{} || IsHandingOver()) {
       return;
     }
     const Instant begin = executor_.Now();
