fix(cell_member_records): a confirmed record binds also a member taken in since

What callers could have seen: a task that must run once runs twice. A record says that nothing runs on a worker; before its answer the worker is dropped and taken in again, and the new member knew nothing of it. The answer made it one that may be given work while the store excluded just that.

Ruled out: dropping a member only once no record of it is on its way (a store that is away would keep it for ever).

--- a/src/libdoorwood/cell/cell_member_records.cpp
+++ b/src/libdoorwood/cell/cell_member_records.cpp
@@ -194,7 +194,13 @@
       continue;
     }
     Member& member = found->second;
-    // Only if no later record says otherwise: it may be on its way.
+    // What stands binds also a member that was taken in after it was sent.
+    member.told_runs = member.told_runs || worker.runs.has_value();
+    if (worker.unheard > Millis(0) && !member.told_unheard) {
+      member.told_unheard = true;
+      TellSession(member, OrdersUntil());
+    }
+    // A later record that says otherwise may be on its way.
     const KnownWorker& newest = member.noted;
     if (!worker.runs && !newest.runs && member.told_runs) {
       member.told_runs = false;
