--- /dev/null
+++ b/src/libdoorwood/cell/cell_unheard_wait_test.cpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// A worker that nobody reaches, and on which nothing can run, holds everything
+// back after each takeover: one that the directory names and that no leader has
+// ever heard; one that an earlier leader has waited for in full; and, for tasks
+// that have failed, one whose record names nothing.
+//
+// What showed it: the time from the loss of a leader until a task that waits is
+// started was 11.9 s with such a worker, and 2.1 s without.
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <string>
+
+#include "libdoorwood/cell/cell_world_steps.h"
+
+namespace doorwood {
+namespace {
+
+using fakes::CellWorld;
+using fakes::CutAllFrom;
+using fakes::RunnerOf;
+
+constexpr char kJob[] = "00112233aabbccdd";
+const std::string kTask = std::string(kJob) + ".0.0.0";
+// What lasts is to be at work again so long after its last run.
+constexpr int kLongestAway = 6000;
+
+JobPlan Lasting(const std::string& id, int64_t cpu) {
+  JobPlan plan = fakes::MakePlan(id, 1, 1, "");
+  plan.steps[0].lasting = true;
+  plan.steps[0].size.cpu_millis = cpu;
+  return plan;
+}
+
+// How long after its leader was lost a task that waits is started.
+int WaitAfterLoss(bool far_listed, bool far_heard, int leaders) {
+  CellWorld world(5);
+  world.SetTable({fakes::MakeQueue("queue", 4)});
+  world.AddWorker("w1", 8000);
+  for (const char* name : {"a1", "b1", "c1", "d1"}) {
+    world.AddInstance(name, "plaka");
+  }
+  if (far_listed) {
+    world.AddWorker("far", 8000);
+    if (!far_heard) {
+      CutAllFrom(world, "far");
+    }
+  }
+  world.WaitForLeader();
+  world.Run(Millis(3000));
+  CutAllFrom(world, "far");
+  world.Run(Millis(20'000));
+  Millis waited{0};
+  for (int i = 1; i <= leaders; ++i) {
+    char id[17];
+    std::snprintf(id, sizeof(id), "%016x", 100 + i);
+    JobPlan plan = Lasting(id, 1000);
+    // Accepted, and its leader is lost before it is started.
+    world.workers().at("w1")->life.draining = true;
+    world.Run(Millis(1000));
+    BOOST_REQUIRE(world.Submit(plan));
+    world.Run(Millis(300));
+    world.workers().at("w1")->life.draining = false;
+    world.Kill(world.Leader()->name);
+    waited = Millis(0);
+    while (RunnerOf(world, std::string(id) + ".0.0.0").empty() &&
+           waited < Millis(30'000)) {
+      world.Run(Millis(50));
+      waited += Millis(50);
+    }
+    world.Run(Millis(20'000));
+  }
+  BOOST_TEST(world.broken().empty());
+  return static_cast<int>(waited.count());
+}
+
+BOOST_AUTO_TEST_CASE(Wait_WorkerListedNeverHeard_IsShort) {
+  BOOST_TEST(WaitAfterLoss(true, false, 1) <= kLongestAway);
+}
+
+BOOST_AUTO_TEST_CASE(Wait_WorkerUnheardForWholeTakeover_IsNotServedAgain) {
+  BOOST_TEST(WaitAfterLoss(true, true, 2) <= kLongestAway);
+  BOOST_TEST(WaitAfterLoss(true, true, 3) <= kLongestAway);
+}
+
+// A task fails just after its second takeover; a worker that left is gone, and
+// its record names another task only.
+BOOST_AUTO_TEST_CASE(Retry_GoneWorkerNamesAnotherTask_IsNotHeldBack) {
+  CellWorld world(5);
+  world.SetTable({fakes::MakeQueue("queue", 4)});
+  world.AddWorker("leaves", 8000);
+  for (const char* name : {"a1", "b1", "c1", "d1"}) {
+    world.AddInstance(name, "plaka");
+  }
+  world.WaitForLeader();
+  world.Run(Millis(2000));
+  BOOST_REQUIRE(
+      world.Submit(fakes::MakePlan("00112233aabbccee", 1, 1, "ms=100000")));
+  world.Run(Millis(500));
+  world.workers().at("leaves")->life.draining = true;
+  world.Run(Millis(1000));
+  BOOST_REQUIRE(world.Submit(fakes::MakePlan(kJob, 1, 1, "ms=6000 fails=17")));
+  world.Run(Millis(300));
+  // Its leader is lost before it is started, and the next one once it is.
+  world.Kill(world.Leader()->name);
+  world.AddWorker("stays", 8000);
+  for (int i = 0; i < 200 && RunnerOf(world, kTask).empty(); ++i) {
+    world.Run(Millis(50));
+  }
+  BOOST_REQUIRE(RunnerOf(world, kTask) == "stays");
+  world.Run(Millis(1500));
+  world.Kill(world.Leader()->name);
+  world.TakeAway("leaves");
+  for (int i = 0; i < 200 && !RunnerOf(world, kTask).empty(); ++i) {
+    world.Run(Millis(50));
+  }
+  int waited = 0;
+  for (; waited < 20'000 && RunnerOf(world, kTask).empty(); waited += 50) {
+    world.Run(Millis(50));
+  }
+  BOOST_TEST(waited <= 1000);
+  BOOST_TEST(world.broken().empty());
+}
+
+}  // namespace
+}  // namespace doorwood
