fix(cell_member_records): a worker that no leader has heard holds nothing back

Callers saw everything wait for 11.9 s after each takeover while one listed worker could be reached by nobody, and again for 11.6 s where an earlier leader had waited for it in full. Nothing was ever ordered there, or all that was is over, and the leader knew it; its record said that anything may run there.

A worker that this leader has not heard, and for which it need not wait any more, is recorded with no tasks; once it is heard a newer record opens it. cell_unheard_wait_test, its first two cases: 11,900, 11,900 and 11,600 ms before, within 6,000 ms now.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -249,7 +249,9 @@
   /// may run there, or will be started there.
   std::optional<std::vector<std::string>> RunsToRecord(
       const Member& member) const;
-  /// It leaves, has left, or has been silent for a while.
+  /// It leaves, has left, was never heard, or has been silent for a while. One
+  /// that has left goes on getting nothing until it is listed again. Not of one
+  /// that is unheard since a takeover.
   bool GetsNothingNew(const Member& member) const;
   bool HasNewsToRecord(const Member& member) const;
   /// Records what has changed of workers that get nothing new.
--- a/src/libdoorwood/cell/cell_member_records.cpp
+++ b/src/libdoorwood/cell/cell_member_records.cpp
@@ -103,7 +103,9 @@
   const Instant now = executor_.Now();
   const bool silent = session.fenced() && session.look_failed() &&
                       now - session.heard_at() >= kSilenceToName;
-  if (session.dead() || silent) {
+  // Nothing was started on one that this leader has not heard, and what earlier
+  // leaders may have left there is accounted for.
+  if (session.dead() || silent || !session.fenced()) {
     return true;
   }
   if (member.listed) {
