fix(cell_scheduling): a failed task waits only for workers that may have run it

After two takeovers in a row the numbers of runs have jumped, and any task that an unheard worker might have failed counts as being at its last attempt until all earlier runs are accounted for: a retry waited 7.35 s in the test for a worker whose record names another task. Failures that nobody has recorded can only be on a worker that is waited for and whose record names the task, or may run anything. cell_unheard_wait_test Retry_: 7,350 ms before, within 1,000 ms now; cell_successors_test and cell_doubt_test, which hold the attempts, pass.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -286,6 +286,8 @@
   Millis LongestPromise() const;
   /// For how long yet an unheard worker may run what an earlier leader ordered.
   Millis WaitLeft(const Member& member) const;
+  /// A worker that is waited for may run the task, or has ended it unheard.
+  bool MayRunUnheard(const Task& task) const;
   /// Logs for whom it is waited.
   void TellWait();
 
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -64,9 +64,10 @@
 
 // Failures that the earlier leader heard of, but could not record, are listed
 // by workers that a successor may not reach yet: until it has heard them, or
-// their leases are over, each such run counts as a failure.
+// their leases are over, or their records don't name the task, each such run
+// counts as a failure.
 bool CellLeader::MayBeAtLastAttempt(const Task& task) const {
-  const uint32_t unheard = accounted_ ? 0 : task.UnheardEnds();
+  const uint32_t unheard = MayRunUnheard(task) ? task.UnheardEnds() : 0;
   if (unheard == 0 || task.plan().lasting) {
     return false;
   }
--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -74,6 +74,13 @@
   WakeScheduler();
 }
 
+bool CellLeader::MayRunUnheard(const Task& task) const {
+  if (accounted_) {
+    return false;
+  }
+  return !released_ || held_.contains(task.name());
+}
+
 void CellLeader::CheckTakeover() {
   if (accounted_ || workers_read_ == Instant{}) {
     return;
