test(cell_large_takeover, cell_outage): the bound of the names, and a moment's silence before an outage; fail

With 5,000 runs on workers that have left, the record names 4,000, and one worker without names holds all tasks back for 9.9 s. A worker that was silent for 0.25 to 2 s is closed by the record until the store takes another one, so it gets nothing new for the whole of an outage that follows (8 of 9 rows).

--- /dev/null
+++ b/src/libdoorwood/cell/cell_large_takeover_test.cpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// A large cell: 7,500 runs on 60 workers. Two thirds of the workers leave and are
+// gone when the next leader takes over. The record names what may run on them, up
+// to a bound; one worker beyond it holds all tasks back for 9.9 s.
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <string>
+
+#include "fakes/cell_world.h"
+
+namespace doorwood {
+namespace {
+
+using fakes::CellWorld;
+
+constexpr char kJob[] = "00112233aabbccdd";
+constexpr int kSoon = 2000;
+
+// Two thirds of the workers are gone: how long after the takeover tasks go
+// free.
+int FreeAfter() {
+  CellWorld world(5);
+  world.SetTable({fakes::MakeQueue("queue", 4)});
+  for (int i = 0; i < 60; ++i) {
+    char id[16];
+    std::snprintf(id, sizeof(id), "i-%010x", 0x3fd08c + i * 7919);
+    world.AddWorker(id, 64'000);
+  }
+  world.AddInstance("a1", "plaka");
+  world.AddInstance("b1", "plaka");
+  world.WaitForLeader();
+  world.Run(Millis(2000));
+  for (int i = 0; i < 75; ++i) {
+    char id[17];
+    std::snprintf(id, sizeof(id), "%016x", 0x1000 + i);
+    JobPlan plan = fakes::MakePlan(id, 1, 100, "ms=600000");
+    plan.steps[0].size = {100, 100, 0};
+    BOOST_REQUIRE(world.Submit(plan));
+  }
+  world.Run(Millis(3000));
+  int count = 0;
+  for (const auto& [id, worker] : world.workers()) {
+    worker->life.draining = ++count % 3 != 0;
+  }
+  world.Run(Millis(3000));
+  BOOST_REQUIRE(world.Submit(fakes::MakePlan(kJob, 1, 1, "ms=1")));
+  const char* freeing = "tasks that unheard workers can't run are free";
+  const int before = world.logged(freeing);
+  world.Kill(world.Leader()->name);
+  for (const auto& [id, worker] : world.workers()) {
+    if (worker->life.draining) {
+      world.TakeAway(id);
+    }
+  }
+  BOOST_REQUIRE(world.WaitForLeader() != nullptr);
+  int freed = 0;
+  while (world.logged(freeing) == before && freed < 20'000) {
+    world.Run(Millis(50));
+    freed += 50;
+  }
+  BOOST_TEST(world.broken().empty());
+  return freed;
+}
+
+BOOST_AUTO_TEST_CASE(LargeTakeover_MostWorkersGone_TasksGoFreeSoon) {
+  BOOST_TEST(FreeAfter() <= kSoon);
+}
+
+}  // namespace
+}  // namespace doorwood
--- a/src/libdoorwood/cell/cell_outage_test.cpp
+++ b/src/libdoorwood/cell/cell_outage_test.cpp
@@ -150,5 +150,36 @@
   }
 }
 
+// What a leader records of a worker that is silent closes it until the store
+// has taken another record, which it can't while it is away.
+BOOST_AUTO_TEST_CASE(Outage_WorkerWasSilentForAMoment_GetsWork) {
+  for (int silent = 0; silent <= 2000; silent += 250) {
+    fakes::CellWorld world(5);
+    world.SetTable({fakes::MakeQueue("queue", 4)});
+    world.AddWorker("w1", 8000);
+    for (const char* name : {"a1", "b1", "c1"}) {
+      world.AddInstance(name, "plaka");
+    }
+    world.WaitForLeader();
+    world.Run(Millis(2000));
+    BOOST_REQUIRE(
+        world.Submit(fakes::MakePlan(fakes::kTrialJob, 8, 2, "ms=1000")));
+    world.Run(Millis(700));
+    const int before = world.workers().at("w1")->started;
+    for (const auto& [name, instance] : world.instances()) {
+      instance->cut_from.insert("w1");
+    }
+    world.Run(Millis(silent));
+    for (const auto& [name, instance] : world.instances()) {
+      instance->cut_from.clear();
+      instance->store_faults.down = true;
+    }
+    world.Run(Millis(20'000));
+    BOOST_TEST(world.workers().at("w1")->started > before,
+               "silent for " << silent);
+    BOOST_TEST(world.broken().empty());
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
