--- a/src/libdoorwood/cell/cell_member_records.cpp
+++ b/src/libdoorwood/cell/cell_member_records.cpp
@@ -11,13 +11,9 @@
 namespace doorwood {
 namespace {
 
-// A worker whose looks have failed for so long is recorded with what may run
-// there.
-constexpr Millis kSilenceToName{1000};
-// Tasks that the workers' key names at most: with 22 bytes each it stays within
-// 100 KB, a tenth of what the store takes.
-constexpr size_t kMostTasksNamed = 4000;
-
+// Tasks that the workers' key names at most: with 27 bytes each, and the
+// workers, it stays within a third of the megabyte that the store takes.
+constexpr size_t kMostTasksNamed = 12'000;
 // The key is written whole. So long for each worker and each task in it, it is
 // not written again, to bound what that takes of a small machine's link.
 constexpr std::chrono::microseconds kPauseOfEntry{250};
@@ -101,11 +97,9 @@
 bool CellLeader::GetsNothingNew(const Member& member) const {
   const WorkerSession& session = *member.session;
   const Instant now = executor_.Now();
-  const bool silent = session.fenced() && session.look_failed() &&
-                      now - session.heard_at() >= kSilenceToName;
   // Nothing was started on one that this leader has not heard, and what earlier
   // leaders may have left there is accounted for.
-  if (session.dead() || silent || !session.fenced()) {
+  if (session.dead() || IsLongSilent(member) || !session.fenced()) {
     return true;
   }
   if (member.listed) {
