--- a/src/libdoorwood/cell/cell_record_claim_test.cpp
+++ b/src/libdoorwood/cell/cell_record_claim_test.cpp
@@ -170,5 +170,33 @@
   }
 }
 
+// An older version of this program knows of no names and starts work on workers
+// whose rows it leaves as they are; then one of this version leads again.
+BOOST_AUTO_TEST_CASE(Row_OutlivesLeaderOfOlderVersion_NothingRunsTwice) {
+  CellWorld world(5);
+  world.SetTable({fakes::MakeQueue("queue", 4)});
+  world.AddWorker("w1", 8000);
+  for (const char* name : {"a1", "b1", "c1"}) {
+    world.AddInstance(name, "plaka");
+  }
+  world.WaitForLeader();
+  world.Run(Millis(2000));
+  BOOST_REQUIRE(world.Submit(Lasting(kJob, 1000)));
+  world.Run(Millis(1000));
+  BOOST_REQUIRE(RunnerOf(world, kTask) == "w1");
+  // What the older one leaves: the row as it was, and a batch of its own.
+  StoreTransaction transaction;
+  transaction.puts.push_back({WorkersKey("all"), R"([["w1","w1",0,[]]])"});
+  transaction.puts.push_back({ChainKey("all", 0), R"({"sequence":1000})"});
+  StoreCommit commit;
+  BOOST_REQUIRE(!world.store().Commit(transaction, &commit));
+  world.Kill(world.Leader()->name);
+  CutAllFrom(world, "w1");
+  world.AddWorker("w3", 8000);
+  world.Run(Millis(6000));
+  BOOST_TEST(world.broken().empty());
+  BOOST_TEST(world.starts(kTask) == 1);
+}
+
 }  // namespace
 }  // namespace doorwood
