fix(cell_member_records): a recorded silence needs no wait for later orders

Cause: a successor waits for a run lease, for 3 s in which its predecessor may go on ordering past its proof, and 0.5 s. It did so also where the predecessor's record says that the worker is silent, from which on the predecessor prolongs and starts nothing there before a newer record is confirmed.

Ruled out: starts that go to a lost worker.

Change: the time that is recorded for a silence contains these 3 s. The slack of 0.5 s stays.

Left: a leader that is lost before a silence is recorded (4 s after the last promise, looked at once a second) leaves the whole wait to its successor, as before.

--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -56,7 +56,9 @@
   std::string address;
   /// For how long the leaders since the last one that heard it have led without
   /// hearing it. None of them prolonged anything there, so that a successor
-  /// need not wait for this time once more.
+  /// need not wait for this time once more. Where the last one that heard it
+  /// recorded the silence itself: the time since its last promise there, and
+  /// what a successor would wait for its orders after that.
   Millis unheard{0};
   /// All tasks that may run there, or whose end there is not recorded, until a
   /// newer record says otherwise: no leader starts anything else there before.
--- a/src/libdoorwood/cell/cell_member_records.cpp
+++ b/src/libdoorwood/cell/cell_member_records.cpp
@@ -159,8 +159,11 @@
   if (!IsLongSilent(member)) {
     return Millis(0);
   }
+  // A successor counts from when it leads, as if until then orders had been
+  // given, and for `unsure_patience` more. This leader gives none from here on.
   return std::chrono::duration_cast<Millis>(executor_.Now() -
-                                            member.session->promised_at());
+                                            member.session->promised_at()) +
+         options_.unsure_patience;
 }
 
 Millis CellLeader::LedFor() const {
