--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -10,6 +10,20 @@
 #include "fakes/cell_world_ports.h"
 
 namespace doorwood::fakes {
+
+void DoneWatcher::OnEnded(const EndedRun& end) {
+  if (end.end == RunEnd::kDone) {
+    listed_.insert(end.task);
+  }
+}
+
+void DoneWatcher::OnNoted(const EndedRun& end) {
+  if (end.end == RunEnd::kDone) {
+    noted_->insert(end.task);
+    listed_.erase(listed_.find(end.task));
+  }
+}
+
 CellWorld::CellWorld(uint64_t seed) : random_(seed) {}
 
 CellWorld::~CellWorld() = default;
@@ -68,6 +82,8 @@
   worker->life.capacity = {cpu_millis, 1'000'000, 0};
   worker->life.labels = {"a", "r1"};
   worker->model.Advance(time_.millis());
+  worker->done = std::make_unique<DoneWatcher>(&noted_done_);
+  worker->model.SetWatcher(worker->done.get());
   WorldWorker& added = *worker;
   workers_[id] = std::move(worker);
   return added;
@@ -87,6 +103,7 @@
 void CellWorld::TakeAway(const std::string& id) {
   WorldWorker& worker = *workers_.at(id);
   worker.model = standin::RunWorkerModel();
+  worker.done = std::make_unique<DoneWatcher>(&noted_done_);
   worker.up = false;
   worker.listed = false;
 }
@@ -207,13 +224,18 @@
   return found == tickets_.end() ? "" : found->second;
 }
 
-void CellWorld::OnStarted(const std::string& worker, const StartOrder& order) {
+void CellWorld::OnStarted(const std::string& worker,
+                          const StartOrder& order,
+                          bool late) {
   ++starts_[order.task];
   tickets_[order.task] = order.ticket;
   Trace("world: " + order.task + " run " + std::to_string(order.run) +
         " starts on " + worker);
   AdvanceAll();
   CheckRuns(order.task);
+  if (!late) {
+    CheckDone(order.task);
+  }
 }
 
 void CellWorld::CheckRuns(const std::string& task) {
@@ -227,6 +249,22 @@
   }
 }
 
+// A worker whose lease has run out, and that nobody has heard since, may have
+// been given up.
+void CellWorld::CheckDone(const std::string& task) {
+  const bool listed =
+      std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+        const WorldWorker& worker = *entry.second;
+        return worker.done->Lists(task) &&
+               worker.model.lease_until() > worker.model.now();
+      });
+  if (listed || noted_done_.contains(task)) {
+    started_done_.push_back(task + (listed ? " listed" : " noted") +
+                            " as done, started at " +
+                            std::to_string(time_.millis()));
+  }
+}
+
 JobPlan MakePlan(const std::string& id,
                  int steps,
                  int count,
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -53,6 +53,9 @@
   /// Share of orders to workers that get no answer and are carried out
   /// seconds later.
   double late_orders = 0;
+  Millis orders_late_by{6000};
+  /// Share of orders to workers that are carried out at once, but not answered.
+  double order_answers_lost = 0;
   /// The next so many orders to machines are carried out but not answered.
   int machine_answers_lost = 0;
   /// Workers that it can't reach.
@@ -64,9 +67,26 @@
   bool alive = true;
 };
 
+/// Notes which tasks were done on a worker.
+class DoneWatcher : public standin::RunWatcher {
+ public:
+  explicit DoneWatcher(std::set<std::string>* noted) : noted_(noted) {}
+
+  void OnStarted(const StartOrder&) override {}
+  void OnEnded(const EndedRun& end) override;
+  void OnNoted(const EndedRun& end) override;
+  /// It was done here, and whoever holds the worker has not noted that yet.
+  bool Lists(const std::string& task) const { return listed_.contains(task); }
+
+ private:
+  std::set<std::string>* noted_;
+  std::multiset<std::string> listed_;
+};
+
 struct WorldWorker {
   WorkerLife life;
   standin::RunWorkerModel model;
+  std::unique_ptr<DoneWatcher> done;
   bool up = true;
   /// The directory names it.
   bool listed = true;
@@ -129,6 +149,9 @@
   /// Rules that were broken, in words.
   const std::vector<std::string>& broken() const { return broken_; }
   int starts(const std::string& task) const;
+  /// Starts of tasks that were done: noted as done, or listed as done by a
+  /// worker whose lease still holds. Not those that a worker carried out late.
+  const std::vector<std::string>& started_done() const { return started_done_; }
   /// Calls that another life or nobody answered.
   int calls_elsewhere() const { return calls_elsewhere_; }
   /// Lines of the log with this message, of all instances.
@@ -142,7 +165,7 @@
 
   // For the fakes.
   void TakeDown(const std::string& machine, int64_t wave);
-  void OnStarted(const std::string& worker, const StartOrder& order);
+  void OnStarted(const std::string& worker, const StartOrder& order, bool late);
   void AdvanceAll();
   double Chance();
   void CountCallElsewhere() { ++calls_elsewhere_; }
@@ -150,6 +173,7 @@
 
  private:
   void CheckRuns(const std::string& task);
+  void CheckDone(const std::string& task);
 
   VirtualTime time_;
   std::mt19937_64 random_;
@@ -168,6 +192,8 @@
   std::map<std::string, int> starts_;
   std::map<std::string, std::string> tickets_;
   std::vector<std::string> broken_;
+  std::set<std::string> noted_done_;
+  std::vector<std::string> started_done_;
 };
 
 /// A plan of `steps` dependent steps of `count` tasks each.
--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -158,11 +158,11 @@
              const StartOrder& order,
              Callback<int64_t> done) override {
     Order(worker, std::move(done),
-          [this, order, id = worker.id](WorldWorker& target) {
+          [this, order, id = worker.id](WorldWorker& target, bool late) {
             const bool ran = target.model.Runs(order.task);
             const auto error = target.model.Start(order);
             if (!error && !ran) {
-              world_.OnStarted(id, order);
+              world_.OnStarted(id, order, late);
               ++target.started;
             }
             return error;
@@ -171,14 +171,16 @@
   void Stop(const WorkerLife& worker,
             const StopOrder& order,
             Callback<int64_t> done) override {
-    Order(worker, std::move(done),
-          [order](WorldWorker& target) { return target.model.Stop(order); });
+    Order(worker, std::move(done), [order](WorldWorker& target, bool) {
+      return target.model.Stop(order);
+    });
   }
   void Pace(const WorkerLife& worker,
             const PaceOrder& order,
             Callback<int64_t> done) override {
-    Order(worker, std::move(done),
-          [order](WorldWorker& target) { return target.model.Pace(order); });
+    Order(worker, std::move(done), [order](WorldWorker& target, bool) {
+      return target.model.Pace(order);
+    });
   }
 
  private:
@@ -219,18 +221,24 @@
     }
     const double dice = world_.Chance();
     if (dice < self_.late_orders) {
-      world_.time().At(world_.time().now() + kLatest, [this, worker, effect] {
-        if (WorldWorker* later = Reach(worker)) {
-          world_.AdvanceAll();
-          effect(*later);
-        }
-      });
+      world_.time().At(world_.time().now() + self_.orders_late_by,
+                       [this, worker, effect] {
+                         if (WorldWorker* later = Reach(worker)) {
+                           world_.AdvanceAll();
+                           effect(*later, /*late=*/true);
+                         }
+                       });
       self_.executor->Deliver(
           kNoAnswer, [done = std::move(done)] { done(RunErrc::kNoAnswer, 0); });
       return;
     }
     target->model.Advance(world_.time().millis());
-    const auto error = effect(*target);
+    const auto error = effect(*target, /*late=*/false);
+    if (dice < self_.late_orders + self_.order_answers_lost) {
+      self_.executor->Deliver(
+          kNoAnswer, [done = std::move(done)] { done(RunErrc::kNoAnswer, 0); });
+      return;
+    }
     const int64_t clock = target->model.now();
     self_.executor->Deliver(
         kWorkerDelay,
