test(cell_many_ends): ends on several reports at a takeover; fails

A report lists 500 ends at most; the model of a worker listed all.

Cause: a worker counts as heard from its first answer on (`fenced`), so its tasks are let go although `more_ended` says that other ends wait. `ResolveMissing` heeds that, `CheckTakeover` and `ReleaseTasks` do not.

To mend: a worker of an earlier leader is told of only once a report without `more_ended` was taken in; until then every task is held back, for as long as its lease may go on.

--- /dev/null
+++ b/src/libdoorwood/cell/cell_many_ends_test.cpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// A worker with more ends than one report lists, when a new leader hears it for
+// the first time: what is not in the first report may have ended all the same.
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "libdoorwood/cell/lead_trial_fixture.h"
+
+namespace doorwood {
+namespace {
+
+using fakes::CellWorld;
+using fakes::WorldInstance;
+
+constexpr char kJob[] = "00112233aabbccdd";
+
+// All tasks end while the store is silent to the leader, which then goes.
+BOOST_AUTO_TEST_CASE(Successor_EndsOnSeveralReports_NothingDoneStartsAgain) {
+  for (const int tasks : {300, 499, 500, 501, 700, 1600}) {
+    CellWorld world(3);
+    world.SetTable({fakes::MakeQueue("queue", 4)});
+    world.AddWorker("large", 1'000'000);
+    for (const char* name : {"a1", "b1", "c1"}) {
+      world.AddInstance(name, fakes::LeadTrial::CentreOf(name));
+    }
+    WorldInstance* old = world.WaitForLeader();
+    world.Run(Millis(1000));
+    JobPlan plan = fakes::MakePlan(kJob, 1, tasks, "ms=1500");
+    plan.steps[0].size = {100, 10, 0};
+    BOOST_REQUIRE(world.Submit(plan));
+    world.Run(Millis(1000));
+    BOOST_REQUIRE(world.workers().at("large")->model.running() ==
+                  static_cast<size_t>(tasks));
+    old->store_faults.silent = true;
+    world.Run(Millis(1000));
+    BOOST_REQUIRE(world.workers().at("large")->model.running() == 0U);
+    world.Kill(old->name);
+    world.Run(Millis(12'000));
+    BOOST_TEST_CONTEXT(tasks << " tasks") {
+      BOOST_TEST(world.started_done().size() == 0U);
+      BOOST_TEST(world.broken().empty());
+      const auto state = world.StateOf(kJob);
+      BOOST_TEST((state ? ToString(*state) : "not known") == "completed");
+    }
+  }
+}
+
+}  // namespace
+}  // namespace doorwood
--- a/src/standin/run_worker_model.cpp
+++ b/src/standin/run_worker_model.cpp
@@ -4,11 +4,14 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstddef>
 
 namespace doorwood::standin {
 namespace {
 
 constexpr int kFullProgress = 100;
+// Ends that one report lists, as on the platform.
+constexpr size_t kMostEndsListed = 500;
 
 int64_t NumberAfter(const std::string& text, std::string_view word) {
   const size_t at = text.find(word);
@@ -101,7 +104,10 @@
   Extend(order.until);
   Forget(order.last_seen);
   report->clock = now_;
-  report->ended = ended_;
+  const size_t listed = std::min(ended_.size(), kMostEndsListed);
+  report->ended.assign(ended_.begin(),
+                       ended_.begin() + static_cast<std::ptrdiff_t>(listed));
+  report->more_ended = listed == kMostEndsListed;
   for (const auto& [task, active] : runs_) {
     ActiveRun row;
     row.task = task;
