test(cell_unheard_again): a served wait that is served again; fails

A leader waits to the end for a worker that is listed and that it never hears. When its workers are recorded next, because one joins, the third leader waits for that worker from the beginning: a job that waits for room starts 11.5 to 11.9 s after the second leader was killed, 2.6 to 3.0 s where nothing was recorded (trial, 2 s before the kill). Here 10 of 20 cases fail, those with a worker that joins.

Cause: once all earlier runs are accounted for, `IsUnheard` is false, so the row says 0 ms unheard and names nothing: any task may run there. From before rows named tasks: `IsUnheard` had the condition then.

--- /dev/null
+++ b/src/libdoorwood/cell/cell_unheard_again_test.cpp
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// A wait for an unheard worker that one leader has served to its end is not
+// served again by the next, also if the first has recorded its workers since.
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "libdoorwood/cell/cell_world_steps.h"
+#include "libdoorwood/cell/lead_trial_fixture.h"
+
+namespace doorwood {
+namespace {
+
+using fakes::CellWorld;
+using fakes::CutAllFrom;
+using fakes::RunnerOf;
+using fakes::WorldInstance;
+
+constexpr char kJob[] = "00112233aabbccdd";
+constexpr char kWaitingJob[] = "00112233aabbccee";
+constexpr char kWaitingTask[] = "00112233aabbccee.0.0.0";
+// The lead falls vacant for 3 s at most, and a leader that waits for nobody
+// starts within another 1.5 s.
+constexpr Millis kStartsWithin{4500};
+
+WorldInstance* Next(CellWorld& world, WorldInstance* before) {
+  world.Kill(before->name);
+  WorldInstance* next = world.WaitForLeader();
+  BOOST_REQUIRE(next != nullptr);
+  return next;
+}
+
+// The worker stays listed, and nobody hears it. The second leader leads for
+// longer than its wait; a worker joins then, so that all are recorded again.
+// The room for a job that waits comes when the third leads.
+BOOST_AUTO_TEST_CASE(ThirdLeader_SecondWaitedAndRecorded_DoesNotWaitAgain) {
+  for (int leads = 11'000; leads <= 20'000; leads += 1000) {
+    for (const bool joins : {false, true}) {
+      CellWorld world(7);
+      world.SetTable({fakes::MakeQueue("queue", 4)});
+      world.AddWorker("unheard", 4000);
+      for (const char* name : {"a1", "b1", "c1", "a2", "b2"}) {
+        world.AddInstance(name, fakes::LeadTrial::CentreOf(name));
+      }
+      WorldInstance* first = world.WaitForLeader();
+      world.Run(Millis(1000));
+      BOOST_REQUIRE(world.Submit(fakes::LeadTrial::Plan(kJob, 1)));
+      world.AddWorker("heard", 8000);
+      JobPlan large = fakes::MakePlan(kWaitingJob, 1, 1, "");
+      large.steps[0].size.cpu_millis = 12'000;
+      BOOST_REQUIRE(world.Submit(large));
+      world.Run(Millis(1000));
+      BOOST_REQUIRE(world.workers().at("unheard")->model.running() == 1U);
+      CutAllFrom(world, "unheard");
+      WorldInstance* second = Next(world, first);
+      world.Run(Millis(leads - 1000));
+      if (joins) {
+        world.AddWorker("joins", 1000);
+      }
+      world.Run(Millis(1000));
+      world.Kill(second->name);
+      world.AddWorker("large", 16'000);
+      world.Run(kStartsWithin);
+      BOOST_TEST_CONTEXT("second leads " << leads
+                                         << (joins ? ", a worker joins" : "")) {
+        BOOST_TEST(RunnerOf(world, kWaitingTask) == "large");
+        BOOST_TEST(world.broken().empty());
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace doorwood
