fix(cell_takeover): a worker is heard once it has listed all its ends

A worker of an earlier leader counts as heard once a report of it was the last one; until then every task is held back, for as long as its leases may go on after its last word, and its row stays as it was.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -284,6 +284,8 @@
   void ReleaseTasks();
   /// For how long after the last order of an earlier leader a run may go on.
   Millis LongestPromise() const;
+  /// A worker of an earlier leader has answered, and not listed all its ends.
+  bool HasMoreToTell(const Member& member) const;
   /// For how long yet an unheard worker may run what an earlier leader ordered.
   Millis WaitLeft(const Member& member) const;
   /// A worker that is waited for may run the task, or has ended it unheard.
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -209,6 +209,8 @@
   uint64_t tasks_version() const { return tasks_version_; }
   /// The worker has answered this leader at least once.
   bool fenced() const { return fenced_; }
+  /// It has listed all its ends to this leader: a report lists only so many.
+  bool told_all() const { return told_all_; }
   /// This life is over: another one answers at its address.
   bool dead() const { return dead_; }
   /// Heard of lately, or idle and not asked since it last answered.
@@ -302,6 +304,7 @@
   Instant died_at_{};
   bool fenced_ = false;
   bool fence_told_ = false;
+  bool told_all_ = false;
   bool silent_told_ = false;
   std::map<std::string, Run> runs_;
   Resources reserved_;
--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -28,9 +28,21 @@
          options_.unsure_patience + kLastOrders;
 }
 
+// A report lists only so many ends: any task may be among the others.
+bool CellLeader::HasMoreToTell(const Member& member) const {
+  const WorkerSession& session = *member.session;
+  return member.from_takeover && !accounted_ && session.fenced() &&
+         !session.told_all() && !session.dead();
+}
+
 // A further leader may have adopted what is waited for since the proof, so only
 // time up to it counts.
 Millis CellLeader::WaitLeft(const Member& member) const {
+  if (HasMoreToTell(member)) {
+    const auto silent = std::chrono::duration_cast<Millis>(
+        executor_.Now() - member.session->heard_at());
+    return std::max(LongestPromise() - silent, Millis(0));
+  }
   // Nothing runs on one that left with all its ends recorded.
   const bool is_empty = member.runs_before && member.runs_before->empty();
   if (!IsUnheard(member) || is_empty) {
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -287,6 +287,7 @@
     ++version_;
     TakeActive(report.active);
     if (!report.more_ended) {
+      told_all_ = true;
       ResolveMissing(sent, report.active);
     }
   }
