fix(cell_member_records): names are bounded by their bytes

The bound counted tasks and said 100 KB; 4,000 names with numbers of four digits took 110,713 bytes. It is 320 KB of names now, an option of the cell, so that its test needs no cell of thousands of runs; the rows of cell_known_workers_test keep their shapes with the counts that follow from a bound of 100,000 bytes.

--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -57,12 +57,11 @@
   self.live = std::make_unique<LiveDirectory>(*self.executor, *self.store,
                                               *self.hearing, *self.log,
                                               LiveOptions{}, live);
-  CellOptions options;
-  options.cell = "all";
+  options_.cell = "all";
   self.cell = std::make_unique<CellLeader>(
       *self.executor, *self.store, *self.directory, *self.workers,
       self.adviser.get(), self.machines.get(), *self.live, *self.log,
-      [this] { return time_.millis(); }, options);
+      [this] { return time_.millis(); }, options_);
   by_name_[name] = &self;
   instances_.push_back(std::move(instance));
   if (table_) {
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -133,6 +133,8 @@
   bool Submit(const JobPlan& plan);
   std::optional<JobPhase> StateOf(const std::string& job);
 
+  /// Of instances that are added from now on.
+  CellOptions& options() { return options_; }
   VirtualTime& time() { return time_; }
   standin::RecordStoreModel& store() { return store_; }
   std::map<std::string, WorldInstance*>& instances() { return by_name_; }
@@ -176,6 +178,7 @@
   void CheckNamed(const std::string& worker, const std::string& task);
   void CheckDone(const std::string& task);
 
+  CellOptions options_;
   VirtualTime time_;
   std::mt19937_64 random_;
   standin::RecordStoreModel store_;
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -6,6 +6,7 @@
 #ifndef DOORWOOD_CELL_OPTIONS_H_
 #define DOORWOOD_CELL_OPTIONS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -60,6 +61,10 @@
   /// record says otherwise nothing is prolonged there, also if it answers again
   /// while the store does not.
   Millis silence_recorded{4000};
+  /// Bytes that the names of tasks take at most under the workers' key: a third
+  /// of the value that the store takes. Beyond it any task may run on the
+  /// workers with most of them.
+  size_t most_name_bytes = 320'000;
   /// Most looks a second that watching what disturbs what may take: a large
   /// cell looks less often. A look costs a leader some 60 us.
   int watching_looks = 700;
--- a/src/libdoorwood/cell/cell_known_workers_test.cpp
+++ b/src/libdoorwood/cell/cell_known_workers_test.cpp
@@ -16,8 +16,9 @@
 
 using Names = std::vector<std::string>;
 
-// Tasks that all rows together name at most.
-constexpr size_t kMostNamed = 4000;
+constexpr size_t kManyNames = 4000;
+// A bound for the names of a small cell.
+constexpr size_t kNameBytes = 100'000;
 // What the store takes as one value.
 constexpr size_t kMostBytes = 1'048'576;
 // Of the names that a leader writes at most, and usual names.
@@ -152,7 +153,7 @@
   constexpr size_t kLongName = 200;
   constexpr int kWorkers = 1500;
   Names names;
-  for (size_t i = 0; i < kMostNamed; ++i) {
+  for (size_t i = 0; i < kManyNames; ++i) {
     names.push_back(std::string(kLongName - 5, 'f') +
                     std::to_string(10000 + i));
   }
@@ -171,6 +172,7 @@
 struct LargeCell {
   explicit LargeCell(const std::vector<int>& tasks) : world(5) {
     world.SetTable({fakes::MakeQueue("queue", 4)});
+    world.options().most_name_bytes = kNameBytes;
     world.AddInstance("a1", "plaka");
     world.WaitForLeader();
     world.Run(Millis(1000));
@@ -207,10 +209,12 @@
   std::vector<int> named;
 };
 
+// A name takes 25 bytes, with its quotes and a comma, for each of the first ten
+// tasks of a step, and 28 from the thousandth on.
 BOOST_AUTO_TEST_CASE(Record_ManyTasks_LargestRowsLoseTheirNames) {
   const BoundRow rows[] = {
-      {{100, 3900}, {100, 3900}},
-      {{100, 3901}, {100, -1}},
+      {{100, 3518}, {100, 3518}},
+      {{100, 3519}, {100, -1}},
       {{2100, 300, 1700}, {-1, 300, 1700}},
       {{2001, 2002, 1}, {2001, -1, 1}},
       {{4001, 10}, {-1, 10}},
--- a/src/libdoorwood/cell/cell_member_records.cpp
+++ b/src/libdoorwood/cell/cell_member_records.cpp
@@ -11,9 +11,6 @@
 namespace doorwood {
 namespace {
 
-// Tasks that the workers' key names at most: with 27 bytes each, and the
-// workers, it stays within a third of the megabyte that the store takes.
-constexpr size_t kMostTasksNamed = 12'000;
 // The key is written whole. So long for each worker and each task in it, it is
 // not written again, to bound what that takes of a small machine's link.
 constexpr std::chrono::microseconds kPauseOfEntry{250};
@@ -22,20 +19,30 @@
   return worker.runs ? worker.runs->size() : 0;
 }
 
+size_t BytesOf(const KnownWorker& worker) {
+  constexpr size_t kQuotesAndComma = 3;
+  size_t bytes = 0;
+  if (worker.runs) {
+    for (const std::string& task : *worker.runs) {
+      bytes += task.size() + kQuotesAndComma;
+    }
+  }
+  return bytes;
+}
+
 // Where there are too many, any task may run on the workers with most.
-void KeepWithinBound(std::vector<KnownWorker>* workers) {
-  std::vector<KnownWorker*> fewest_first;
+void KeepWithin(size_t most_bytes, std::vector<KnownWorker>* workers) {
+  std::vector<std::pair<size_t, KnownWorker*>> fewest_first;
   for (KnownWorker& worker : *workers) {
-    fewest_first.push_back(&worker);
+    fewest_first.emplace_back(BytesOf(worker), &worker);
   }
-  std::sort(fewest_first.begin(), fewest_first.end(),
-            [](const KnownWorker* a, const KnownWorker* b) {
-              return CountOf(*a) < CountOf(*b);
-            });
+  std::stable_sort(
+      fewest_first.begin(), fewest_first.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
   size_t named = 0;
-  for (KnownWorker* worker : fewest_first) {
-    named += CountOf(*worker);
-    if (named > kMostTasksNamed) {
+  for (const auto& [bytes, worker] : fewest_first) {
+    named += bytes;
+    if (named > most_bytes) {
       worker->runs.reset();
     }
   }
@@ -54,7 +61,7 @@
     worker.runs = RunsToRecord(member);
     known.push_back(std::move(worker));
   }
-  KeepWithinBound(&known);
+  KeepWithin(options_.most_name_bytes, &known);
   return known;
 }
 
@@ -85,7 +92,7 @@
 // less: what has ended there and is recorded holds nothing back.
 std::optional<std::vector<std::string>> CellLeader::RunsToRecord(
     const Member& member) const {
-  if (IsUnheard(member)) {
+  if (IsUnheard(member) || HasMoreToTell(member)) {
     return member.runs_before;
   }
   if (!GetsNothingNew(member)) {
