test(cell_silent_takeover): what relies on a recorded silence, seen to fail

A successor relies on the record of a silence alone now, with no 3 s beside it. Two cases for that: the worker answers the old leader again just when that one loses the store; and the store takes the leader's key away, so that the next one leads while the lease still lasts.

Both pass on the code (240 and 65 rows).

--- a/src/libdoorwood/cell/cell_silent_takeover_test.cpp
+++ b/src/libdoorwood/cell/cell_silent_takeover_test.cpp
@@ -137,6 +137,53 @@
   }
 }
 
+// The worker answers the old leader again just when that one loses the store,
+// so that the record goes on saying that it is unheard: a successor that
+// reaches only the other worker counts on it.
+BOOST_AUTO_TEST_CASE(Successor_WorkerBackWithoutTheStore_NothingRunsTwice) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    for (int silent = 3500; silent <= 6250; silent += 250) {
+      for (int later = 0; later <= 1500; later += 500) {
+        SilentTakeover trial(seed);
+        trial.LoseShared();
+        trial.world.Run(Millis(silent));
+        trial.old->store_faults.silent = true;
+        trial.old->cut_from_peers = true;
+        trial.world.Run(Millis(later));
+        trial.old->cut_from.erase("shared");
+        trial.world.Run(Millis(15'000));
+        trial.Heal();
+        trial.world.Run(Millis(3000));
+        trial.ExpectNothingBroken("seed " + std::to_string(seed) +
+                                  ", silent for " + std::to_string(silent) +
+                                  ", later " + std::to_string(later));
+      }
+    }
+  }
+}
+
+// The worker is well, and only the instances do not hear it. The store takes
+// the leader's key away, so that the next one leads at once, while the lease of
+// what runs there still lasts.
+BOOST_AUTO_TEST_CASE(Successor_LeadsAtOnce_NothingRunsTwice) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    for (int silent = 3500; silent <= 6500; silent += 250) {
+      SilentTakeover trial(seed);
+      trial.RunWithStarts(Millis(1000));
+      trial.LoseShared();
+      trial.RunWithStarts(Millis(silent));
+      const auto lease = trial.old->live->lease();
+      BOOST_REQUIRE(lease.has_value());
+      trial.world.store().Revoke(*lease);
+      trial.world.Run(Millis(12'000));
+      trial.Heal();
+      trial.world.Run(Millis(3000));
+      trial.ExpectNothingBroken("seed " + std::to_string(seed) +
+                                ", silent for " + std::to_string(silent));
+    }
+  }
+}
+
 // Its runs go on once it answers in time, also where the record lags. The last
 // promise ends 5.2 s into the silence; a look comes every 0.85 s, and until the
 // record says that the worker is heard, for up to 27 ms here, nothing is
