refactor(cell_campaign, cell_member_records): reading the records in parts; names that say tasks

Restore read jobs, chains and workers in one function of ninety lines; each has its own now. What the workers' key names are tasks, not runs, and the members' fields say so; "closed" is a worker that gets nothing new, since "idle" is elsewhere one that runs nothing. No behaviour changed but that two times of an earlier term as leader are not kept.

--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -245,9 +245,9 @@
     return;
   }
   for (const KnownWorker& row : DecodeWorkers(record.value)) {
-    if (row.id == worker && row.runs &&
-        std::find(row.runs->begin(), row.runs->end(), task) ==
-            row.runs->end()) {
+    if (row.id == worker && row.tasks &&
+        std::find(row.tasks->begin(), row.tasks->end(), task) ==
+            row.tasks->end()) {
       broken_.push_back("the record names what may run on " + worker +
                         " and not " + task + " at " +
                         std::to_string(time_.millis()));
--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -63,7 +63,7 @@
   /// All tasks that may run there, or whose end there is not recorded, until a
   /// newer record says otherwise: no leader starts anything else there before.
   /// Nothing: any task may.
-  std::optional<std::vector<std::string>> runs;
+  std::optional<std::vector<std::string>> tasks;
 };
 
 /// A chain key as it stands.
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -166,17 +166,17 @@
     Millis unheard_before{0};
     /// All that may run there by the record of an earlier leader; nothing: any
     /// task may.
-    std::optional<std::vector<std::string>> runs_before;
+    std::optional<std::vector<std::string>> tasks_before;
     /// The record may say that it is unheard: nothing is prolonged there before
     /// it says otherwise, since a successor counts on that.
     bool told_unheard = false;
     /// In `noted` it was one that gets nothing new, and what may run there was
     /// as of that version of the session.
-    bool noted_idle = false;
+    bool noted_closed = false;
     uint64_t noted_version = kNeverNoted;
     /// The record may name all that runs there: nothing is started there before
     /// it says otherwise, since a successor counts on that.
-    bool told_runs = false;
+    bool told_tasks = false;
     /// It is heard, and that is about to be recorded.
     bool heard_recorded = false;
     /// After a refusal it gets nothing new until then.
@@ -209,6 +209,12 @@
   void OnWon(int64_t epoch);
   void ReadRecords();
   void Restore(const StoreItems& items);
+  /// Returns how many are open.
+  int RestoreJobs(const StoreItems& items);
+  /// `keeps_to_names`: of whoever wrote the newest batch, see KeepsToNames.
+  std::map<size_t, ChainLink> ReadChains(const StoreItems& items,
+                                         bool* keeps_to_names) const;
+  std::vector<KnownWorker> ReadKnownWorkers(const StoreItems& items) const;
   void StepDown(std::string_view reason);
   /// Starts nothing more and takes no calls: it hands over.
   bool IsHandingOver() const;
@@ -247,7 +253,7 @@
   void RecordMembers();
   /// All that may run there, or has ended there unrecorded; nothing: any task
   /// may run there, or will be started there.
-  std::optional<std::vector<std::string>> RunsToRecord(
+  std::optional<std::vector<std::string>> TasksToRecord(
       const Member& member) const;
   /// It leaves, has left, was never heard, or has been silent for a while. One
   /// that has left goes on getting nothing until it is listed again. Not of one
@@ -255,7 +261,7 @@
   bool GetsNothingNew(const Member& member) const;
   bool HasNewsToRecord(const Member& member) const;
   /// Records what has changed of workers that get nothing new.
-  void RecordRuns();
+  void RecordTasks();
   /// Until when orders may be given and leases prolonged.
   Instant OrdersUntil() const;
   /// Moves `orders_until_` on, with the key or with other instances' word that
@@ -401,7 +407,7 @@
   Instant unheard_recorded_{};
   /// Not before then is it recorded again what may run on workers that get
   /// nothing new.
-  Instant next_runs_record_{};
+  Instant next_tasks_record_{};
   Instant last_tick_{};
   /// See `OrdersUntil`, which also heeds that this process stood still.
   Instant orders_until_{};
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -165,29 +165,19 @@
       });
 }
 
-void CellLeader::Restore(const StoreItems& items) {
+int CellLeader::RestoreJobs(const StoreItems& items) {
   const std::string plans = PlanKey(options_.cell, "");
   const std::string states = StateKey(options_.cell, "");
-  std::map<size_t, ChainLink> chains;
-  std::vector<KnownWorker> known;
-  const StoreItem* newest_batch = nullptr;
   jobs_.Clear();
   for (const StoreItem& item : items.items) {
-    if (const auto lane = LaneOfChainKey(options_.cell, item.key)) {
-      chains[*lane] = {item.revision, DecodeSequence(item.value)};
-      if (newest_batch == nullptr || item.revision > newest_batch->revision) {
-        newest_batch = &item;
-      }
-    } else if (item.key == WorkersKey(options_.cell)) {
-      known = DecodeWorkers(item.value);
-    } else if (item.key.starts_with(plans)) {
-      auto plan = ParsePlan(item.value);
-      if (plan) {
-        jobs_.Add(std::move(*plan));
-      } else {
-        log_.Write("error", "cell", "a plan can't be read",
-                   {{"key", item.key}});
-      }
+    if (!item.key.starts_with(plans)) {
+      continue;
+    }
+    auto plan = ParsePlan(item.value);
+    if (plan) {
+      jobs_.Add(std::move(*plan));
+    } else {
+      log_.Write("error", "cell", "a plan can't be read", {{"key", item.key}});
     }
   }
   for (const StoreItem& item : items.items) {
@@ -200,25 +190,57 @@
                  {{"key", item.key}});
     }
   }
-  if (newest_batch == nullptr || !KeepsToNames(newest_batch->value)) {
-    // A leader of an older version may have started work that they exclude.
-    for (KnownWorker& worker : known) {
-      worker.runs.reset();
-    }
-  }
-  int open = 0;
-  for (const auto& [id, job] : jobs_.jobs()) {
-    if (job->outcome != JobOutcome::kOpen) {
-      continue;
-    }
-    ++open;
-    ForEachTask(job.get(), [this](Task* task) {
+  const std::vector<Job*>& open = jobs_.OpenJobs();
+  for (Job* job : open) {
+    ForEachTask(job, [this](Task* task) {
       task->last_run += kRunsBetweenLeaders;
       task->unaccounted = !task->done;
       task->recorded_run = task->counted_run;
       task->ready_since = executor_.Now();
     });
   }
+  return static_cast<int>(open.size());
+}
+
+std::map<size_t, ChainLink> CellLeader::ReadChains(const StoreItems& items,
+                                                   bool* keeps_to_names) const {
+  std::map<size_t, ChainLink> chains;
+  const StoreItem* newest = nullptr;
+  for (const StoreItem& item : items.items) {
+    const auto lane = LaneOfChainKey(options_.cell, item.key);
+    if (!lane) {
+      continue;
+    }
+    chains[*lane] = {item.revision, DecodeSequence(item.value)};
+    if (newest == nullptr || item.revision > newest->revision) {
+      newest = &item;
+    }
+  }
+  *keeps_to_names = newest != nullptr && KeepsToNames(newest->value);
+  return chains;
+}
+
+std::vector<KnownWorker> CellLeader::ReadKnownWorkers(
+    const StoreItems& items) const {
+  for (const StoreItem& item : items.items) {
+    if (item.key == WorkersKey(options_.cell)) {
+      return DecodeWorkers(item.value);
+    }
+  }
+  return {};
+}
+
+void CellLeader::Restore(const StoreItems& items) {
+  bool keeps_to_names = false;
+  const std::map<size_t, ChainLink> chains = ReadChains(items, &keeps_to_names);
+  std::vector<KnownWorker> known = ReadKnownWorkers(items);
+  if (!keeps_to_names) {
+    // A leader of an older version may have started work that they exclude.
+    for (KnownWorker& worker : known) {
+      worker.tasks.reset();
+    }
+  }
+  const int open = RestoreJobs(items);
   stage_ = Stage::kLeading;
   accounted_ = false;
   released_ = false;
@@ -226,6 +248,8 @@
   led_since_ = executor_.Now();
   last_tick_ = led_since_;
   unheard_recorded_ = led_since_;
+  next_tasks_record_ = Instant{};
+  wait_told_ = Instant{};
   unsure_after_pause_ = false;
   orders_until_ = Instant{};
   workers_read_ = Instant{};
@@ -252,10 +276,10 @@
     Member& member = members_.at(worker.id);
     member.unheard_before = worker.unheard;
     member.told_unheard = worker.unheard > Millis(0);
-    member.runs_before = worker.runs;
-    member.told_runs = worker.runs.has_value();
+    member.tasks_before = worker.tasks;
+    member.told_tasks = worker.tasks.has_value();
     member.noted = worker;
-    member.noted_idle = worker.runs.has_value();
+    member.noted_closed = worker.tasks.has_value();
   }
   waves_.Open(live_.self().name, epoch_);
   RenewOrders();
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -250,9 +250,9 @@
       !member->second.heard_recorded) {
     member->second.heard_recorded = true;
     RecordMembers();
-  } else if (member != members_.end() && member->second.told_runs &&
+  } else if (member != members_.end() && member->second.told_tasks &&
              HasNewsToRecord(member->second)) {
-    RecordRuns();
+    RecordTasks();
   }
   // Ends that change nothing need no record.
   if (journal_.idle()) {
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -17,7 +17,7 @@
 constexpr const char* kKeepsToNames = "keeps_to_names";
 
 // Names of another form than a leader writes: any task may run there.
-std::optional<std::vector<std::string>> DecodeRuns(const Json& row) {
+std::optional<std::vector<std::string>> DecodeTasks(const Json& row) {
   std::vector<std::string> runs;
   for (const Json& name : row) {
     if (!name.is_string()) {
@@ -38,7 +38,7 @@
         row.size() > 2 ? ToWhole(row.at(2), "unheard", {0, kMostMillis}) : 0;
     worker.unheard = Millis(unheard);
     if (row.size() > 3) {
-      worker.runs = DecodeRuns(row.at(3));
+      worker.tasks = DecodeTasks(row.at(3));
     }
     const bool usable = IsPlainWord(worker.id) && IsPlainWord(worker.address);
     return usable ? std::optional(std::move(worker)) : std::nullopt;
@@ -112,8 +112,8 @@
   Json rows = Json::array();
   for (const KnownWorker& worker : workers) {
     Json row = {worker.id, worker.address, worker.unheard.count()};
-    if (worker.runs) {
-      row.push_back(*worker.runs);
+    if (worker.tasks) {
+      row.push_back(*worker.tasks);
     }
     rows.push_back(std::move(row));
   }
--- a/src/libdoorwood/cell/cell_known_workers_test.cpp
+++ b/src/libdoorwood/cell/cell_known_workers_test.cpp
@@ -31,7 +31,7 @@
   worker.id = id;
   worker.address = "http://" + id + ":80";
   worker.unheard = unheard;
-  worker.runs = std::move(runs);
+  worker.tasks = std::move(runs);
   return worker;
 }
 
@@ -50,7 +50,7 @@
   std::string text;
   for (const KnownWorker& worker : workers) {
     text += worker.id + " " + worker.address + " " +
-            std::to_string(worker.unheard.count()) + " " + Show(worker.runs) +
+            std::to_string(worker.unheard.count()) + " " + Show(worker.tasks) +
             "\n";
   }
   return text;
@@ -127,12 +127,12 @@
                         R"(,["after","a",0]])");
       const bool named = *row.runs != '\0';
       BOOST_REQUIRE(workers.size() == (named ? 3U : 2U));
-      BOOST_TEST(Show(workers.front().runs) == "[b,]");
-      BOOST_TEST(Show(workers.back().runs) == "any");
+      BOOST_TEST(Show(workers.front().tasks) == "[b,]");
+      BOOST_TEST(Show(workers.back().tasks) == "any");
       if (named) {
         BOOST_TEST(workers[1].id == "w");
         BOOST_TEST(workers[1].address == "a");
-        BOOST_TEST(Show(workers[1].runs) == row.runs);
+        BOOST_TEST(Show(workers[1].tasks) == row.runs);
       }
     }
   }
@@ -225,7 +225,8 @@
     const auto workers = cell.Recorded(&bytes);
     std::vector<int> named;
     for (const KnownWorker& worker : workers) {
-      named.push_back(worker.runs ? static_cast<int>(worker.runs->size()) : -1);
+      named.push_back(worker.tasks ? static_cast<int>(worker.tasks->size())
+                                   : -1);
     }
     BOOST_TEST(named == row.named, boost::test_tools::per_element());
     BOOST_TEST(bytes <= kUsualBytes);
@@ -237,15 +238,15 @@
 BOOST_AUTO_TEST_CASE(Record_TasksEnd_LargeRowGetsItsNamesBack) {
   LargeCell cell({4100, 20});
   size_t bytes = 0;
-  BOOST_TEST(!cell.Recorded(&bytes).front().runs);
+  BOOST_TEST(!cell.Recorded(&bytes).front().tasks);
   auto* leader = cell.world.Leader();
   leader->cell->Cancel("00000000000000a1", [](std::error_code) {});
   cell.world.Run(Millis(3000));
-  BOOST_TEST(Show(cell.Recorded(&bytes).back().runs) == "[]");
+  BOOST_TEST(Show(cell.Recorded(&bytes).back().tasks) == "[]");
   leader->cell->Cancel("00000000000000a0", [](std::error_code) {});
   cell.world.Run(Millis(6000));
   for (const KnownWorker& worker : cell.Recorded(&bytes)) {
-    BOOST_TEST(Show(worker.runs) == "[]");
+    BOOST_TEST(Show(worker.tasks) == "[]");
   }
 }
 
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -316,7 +316,7 @@
     ReadClosed();
   }
   RecordUnheard();
-  RecordRuns();
+  RecordTasks();
   const Millis watching_wait = WatchingWait();
   std::vector<std::shared_ptr<WorkerSession>> sessions;
   RenewOrders();
--- a/src/libdoorwood/cell/cell_member_records.cpp
+++ b/src/libdoorwood/cell/cell_member_records.cpp
@@ -16,14 +16,14 @@
 constexpr std::chrono::microseconds kPauseOfEntry{250};
 
 size_t CountOf(const KnownWorker& worker) {
-  return worker.runs ? worker.runs->size() : 0;
+  return worker.tasks ? worker.tasks->size() : 0;
 }
 
 size_t BytesOf(const KnownWorker& worker) {
   constexpr size_t kQuotesAndComma = 3;
   size_t bytes = 0;
-  if (worker.runs) {
-    for (const std::string& task : *worker.runs) {
+  if (worker.tasks) {
+    for (const std::string& task : *worker.tasks) {
       bytes += task.size() + kQuotesAndComma;
     }
   }
@@ -43,7 +43,7 @@
   for (const auto& [bytes, worker] : fewest_first) {
     named += bytes;
     if (named > most_bytes) {
-      worker->runs.reset();
+      worker->tasks.reset();
     }
   }
 }
@@ -58,7 +58,7 @@
     worker.id = id;
     worker.address = member.session->life().address;
     worker.unheard = UnheardFor(member);
-    worker.runs = RunsToRecord(member);
+    worker.tasks = TasksToRecord(member);
     known.push_back(std::move(worker));
   }
   KeepWithin(options_.most_name_bytes, &known);
@@ -76,24 +76,24 @@
       member.heard_recorded = false;
       member.session->SetExtendUntil(Instant{});
     }
-    member.told_runs = member.told_runs || worker.runs.has_value();
+    member.told_tasks = member.told_tasks || worker.tasks.has_value();
     member.noted = worker;
-    member.noted_idle =
-        IsUnheard(member) ? worker.runs.has_value() : GetsNothingNew(member);
+    member.noted_closed =
+        IsUnheard(member) ? worker.tasks.has_value() : GetsNothingNew(member);
     member.noted_version =
         IsUnheard(member) ? kNeverNoted : member.session->tasks_version();
   }
-  next_runs_record_ = executor_.Now() + entries * kPauseOfEntry;
+  next_tasks_record_ = executor_.Now() + entries * kPauseOfEntry;
   journal_.SetWorkers(std::move(known));
 }
 
 // A successor that can't reach a worker would hold back every task that may run
 // there. Of one that gets nothing new, what may run is known, and can only get
 // less: what has ended there and is recorded holds nothing back.
-std::optional<std::vector<std::string>> CellLeader::RunsToRecord(
+std::optional<std::vector<std::string>> CellLeader::TasksToRecord(
     const Member& member) const {
   if (IsUnheard(member) || HasMoreToTell(member)) {
-    return member.runs_before;
+    return member.tasks_before;
   }
   if (!GetsNothingNew(member)) {
     return std::nullopt;
@@ -114,20 +114,20 @@
   }
   const bool gone = member.unlisted_since != Instant{} &&
                     now - member.unlisted_since >= options_.unlisted_patience;
-  return gone || member.told_runs;
+  return gone || member.told_tasks;
 }
 
 bool CellLeader::HasNewsToRecord(const Member& member) const {
   if (IsUnheard(member)) {
     return false;
   }
-  const bool idle = GetsNothingNew(member);
-  const bool less = member.session->tasks_version() != member.noted_version;
-  return idle != member.noted_idle || (idle && less);
+  const bool closed = GetsNothingNew(member);
+  const bool changed = member.session->tasks_version() != member.noted_version;
+  return closed != member.noted_closed || (closed && changed);
 }
 
-void CellLeader::RecordRuns() {
-  if (!IsSure() || executor_.Now() < next_runs_record_) {
+void CellLeader::RecordTasks() {
+  if (!IsSure() || executor_.Now() < next_tasks_record_) {
     return;
   }
   const bool news = std::any_of(
@@ -201,15 +201,15 @@
     }
     Member& member = found->second;
     // What stands binds also a member that was taken in after it was sent.
-    member.told_runs = member.told_runs || worker.runs.has_value();
+    member.told_tasks = member.told_tasks || worker.tasks.has_value();
     if (worker.unheard > Millis(0) && !member.told_unheard) {
       member.told_unheard = true;
       TellSession(member, OrdersUntil());
     }
     // A later record that says otherwise may be on its way.
     const KnownWorker& newest = member.noted;
-    if (!worker.runs && !newest.runs && member.told_runs) {
-      member.told_runs = false;
+    if (!worker.tasks && !newest.tasks && member.told_tasks) {
+      member.told_tasks = false;
       changed = true;
     }
     if (worker.unheard == Millis(0) && newest.unheard == Millis(0) &&
--- a/src/libdoorwood/cell/cell_places.cpp
+++ b/src/libdoorwood/cell/cell_places.cpp
@@ -57,7 +57,7 @@
     RefreshRoom(id, &member);
     const WorkerSession& session = *member.session;
     const bool open =
-        IsRecorded(member) && !member.told_unheard && !member.told_runs &&
+        IsRecorded(member) && !member.told_unheard && !member.told_tasks &&
         member.listed && session.responsive() && !session.life().draining &&
         now >= member.rests_until && now >= member.emptied_until &&
         !IsClosed(member) && trust_.Allows(id, now);
--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -44,7 +44,7 @@
     return std::max(LongestPromise() - silent, Millis(0));
   }
   // Nothing runs on one that left with all its ends recorded.
-  const bool is_empty = member.runs_before && member.runs_before->empty();
+  const bool is_empty = member.tasks_before && member.tasks_before->empty();
   if (!IsUnheard(member) || is_empty) {
     return Millis(0);
   }
@@ -63,10 +63,10 @@
     if (WaitLeft(member) == Millis(0)) {
       continue;
     }
-    if (!member.runs_before) {
+    if (!member.tasks_before) {
       return;
     }
-    held.insert(member.runs_before->begin(), member.runs_before->end());
+    held.insert(member.tasks_before->begin(), member.tasks_before->end());
   }
   if (released_ && held == held_) {
     return;
@@ -135,8 +135,8 @@
           {{"worker", id},
            {"listed", member.listed},
            {"unheard_before_ms", member.unheard_before.count()},
-           {"may_run", member.runs_before ? Json(member.runs_before->size())
-                                          : Json("anything")},
+           {"may_run", member.tasks_before ? Json(member.tasks_before->size())
+                                           : Json("anything")},
            {"left_ms", left.count()}});
     }
   }
