test(soak): workers replaced one by one while the lead changes hands; lasting work away for too long

The soak never had such a series. It drew single workers that leave and come back at the same address (one fault in 24), never a new worker in the place of another, and nothing told of a lasting task that runs nowhere but the wait at the very end.

Added: places for as many spare workers again, which take turns with those that serve. From the middle of the random faults until 20 s after them a new worker joins every 0.7 to 2 s, 0.3 s later another says that it leaves; it is gone 3 to 5 s after the first, its entry 0.6 s later. Beside it all instances are stopped in turn, or who leads is stopped or killed while such work moves. The scenario `replaced-workers` is the series alone.

Check: a lasting task of an accepted job is to be at work again 6 s after its last run and is lost 3 s later, judged where these 3 s and the 4 s before were free of kills, cuts and store faults. The summary says for how long lasting work was away at most in judged moments.

--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -125,6 +125,9 @@
   if (reply.status == kOk) {
     known->accepted = true;
     world_.Log("accepted " + known->job.id);
+    if (known->job.lasts()) {
+      world_.watch().OnLasting(known->job.id);
+    }
     Look(known);
   } else if (known->may_be_taken || !known->gives_up) {
     world_.After(kBetweenTries,
--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -34,7 +34,8 @@
     "a worker leaves",
     "a worker's entry goes",
     "a new configuration",
-    "settings are read again"};
+    "settings are read again",
+    "a worker is replaced"};
 // One in so many is a cut in steps, which needs time to tell.
 constexpr uint64_t kStepsAmong = 8;
 constexpr uint64_t kShortestPause = 100;    // ms
@@ -51,6 +52,29 @@
 constexpr uint64_t kLongestBetween = 250;   // ms
 // So that the two plans of a seed do not begin alike.
 constexpr uint64_t kChangesSeed = 0x636f6e666967;
+constexpr uint64_t kReplacedSeed = 0x7265706c616365;
+constexpr uint64_t kShortestReplaced = 700;   // ms, from one to the next
+constexpr uint64_t kLongestReplaced = 2000;   // ms
+constexpr uint64_t kShortestServesOn = 3000;  // ms
+constexpr uint64_t kLongestServesOn = 5000;   // ms
+// After a worker was replaced its work moves within this time.
+constexpr uint64_t kShortestMoves = 300;  // ms
+constexpr uint64_t kLongestMoves = 1300;  // ms
+// The series begins within the first part of its time.
+constexpr int kSeriesBegins = 4;
+
+// How the lead changes hands beside replaced workers.
+struct LeadChange {
+  FaultKind kind;
+  bool leader;
+  uint64_t shortest;  // ms, from one to the next
+  uint64_t longest;   // ms
+};
+constexpr std::array<LeadChange, 4> kLeadChanges = {
+    {{FaultKind::kPlannedStop, false, 2000, 2500},
+     {FaultKind::kPlannedStop, true, 3000, 6000},
+     {FaultKind::kKill, true, 8000, 11'000},
+     {FaultKind::kKill, true, 10'000, 14'000}}};
 // A stopped instance is back after about 3.5 s.
 constexpr Millis kBetweenStops{2500};
 
@@ -95,12 +119,70 @@
   return fault;
 }
 
+std::vector<Fault> DrawReplaced(Draws* draws, Millis from, Millis until) {
+  std::vector<Fault> plan;
+  Fault fault;
+  fault.kind = FaultKind::kReplaceWorker;
+  for (fault.at = from; fault.at + Millis(kLongestServesOn) <= until;
+       fault.at += draws->Between(kShortestReplaced, kLongestReplaced)) {
+    fault.lasts = draws->Between(kShortestServesOn, kLongestServesOn);
+    plan.push_back(fault);
+  }
+  return plan;
+}
+
+// Who leads is hit while the work of a replaced worker moves.
+std::vector<Fault> DrawLeadChanges(Draws* draws,
+                                   const std::vector<Fault>& replaced,
+                                   Millis from,
+                                   Millis until) {
+  const LeadChange& change = kLeadChanges[draws->Below(kLeadChanges.size())];
+  std::vector<Fault> plan;
+  Fault fault;
+  fault.kind = change.kind;
+  fault.leader = change.leader;
+  fault.pick = static_cast<uint32_t>(draws->Below(UINT16_MAX));
+  auto moving = replaced.begin();
+  for (Millis at = from;;) {
+    at += draws->Between(change.shortest, change.longest);
+    while (moving != replaced.end() && moving->at < at) {
+      ++moving;
+    }
+    fault.at = at;
+    if (change.leader && moving != replaced.end()) {
+      fault.at = moving->at + draws->Between(kShortestMoves, kLongestMoves);
+    }
+    if (fault.at > until) {
+      return plan;
+    }
+    ++fault.pick;
+    plan.push_back(fault);
+  }
+}
+
+bool IsEarlier(const Fault& one, const Fault& other) {
+  return one.at < other.at;
+}
+
 }  // namespace
 
 std::string_view ToString(FaultKind kind) {
   return kNames[static_cast<size_t>(kind)];
 }
 
+bool IsUnplanned(FaultKind kind) {
+  switch (kind) {
+    case FaultKind::kPlannedStop:
+    case FaultKind::kWorkerLeaves:
+    case FaultKind::kConfigure:
+    case FaultKind::kHangUp:
+    case FaultKind::kReplaceWorker:
+      return false;
+    default:
+      return true;
+  }
+}
+
 std::vector<Fault> MakeFaultPlan(uint64_t seed, Millis length) {
   Draws draws(seed);
   std::vector<Fault> plan;
@@ -140,6 +222,17 @@
   }
 }
 
+std::vector<Fault> MakeReplacePlan(uint64_t seed, Millis from, Millis until) {
+  Draws draws(seed ^ kReplacedSeed);
+  const Millis begin =
+      from + draws.Between(0, (until - from).count() / kSeriesBegins);
+  std::vector<Fault> plan = DrawReplaced(&draws, begin, until);
+  const auto changes = DrawLeadChanges(&draws, plan, begin, until);
+  plan.insert(plan.end(), changes.begin(), changes.end());
+  std::stable_sort(plan.begin(), plan.end(), IsEarlier);
+  return plan;
+}
+
 std::vector<Fault> MakeStopPlan(Millis length) {
   std::vector<Fault> plan;
   for (Millis at = kBetweenStops; at <= length; at += kBetweenStops) {
--- a/src/soak/fault_plan.h
+++ b/src/soak/fault_plan.h
@@ -36,13 +36,17 @@
   kCrashWorker,
   kWorkerLeaves,
   kDropEntry,
-  /// Not drawn among the faults: see MakeChangePlan.
+  /// From here on not drawn among the faults: see MakeChangePlan.
   kConfigure,
   kHangUp,
+  /// See MakeReplacePlan.
+  kReplaceWorker,
   kCount,
 };
 
 std::string_view ToString(FaultKind kind);
+/// Something that operators do not do on purpose.
+bool IsUnplanned(FaultKind kind);
 
 struct Fault {
   /// From the beginning of the faults.
@@ -64,6 +68,11 @@
 /// played beside the faults.
 std::vector<Fault> MakeChangePlan(uint64_t seed, Millis length);
 
+/// Workers replaced one by one from about `from` on, and beside it either
+/// planned stops of all instances in turn, or of who leads, or kills of who
+/// leads. Sorted by time; all are over after `until`.
+std::vector<Fault> MakeReplacePlan(uint64_t seed, Millis from, Millis until);
+
 /// Planned stops of one instance after the other, and of who leads.
 std::vector<Fault> MakeStopPlan(Millis length);
 
--- a/src/soak/fault_player.cpp
+++ b/src/soak/fault_player.cpp
@@ -15,12 +15,20 @@
 // A worker that went without a word stays in the store so long.
 constexpr Millis kEntryOutlives{4500};
 constexpr Millis kLeastDrain{2000};
+// From a new worker to the word that another one leaves.
+constexpr Millis kUntilLeaving{300};
+// A worker that left as planned stays in the store so long.
+constexpr Millis kEntryStays{600};
 
 bool IsAtWorker(FaultKind kind) {
   return kind == FaultKind::kCrashWorker || kind == FaultKind::kWorkerLeaves ||
          kind == FaultKind::kDropEntry;
 }
 
+bool IsCut(FaultKind kind) {
+  return kind <= FaultKind::kCutInstance || kind == FaultKind::kStoreSilent;
+}
+
 // The cut takes longer than a successor needs to take the lead.
 RegainedStore StepsOf(const Fault& fault) {
   RegainedStore course;
@@ -39,7 +47,9 @@
   left_ = plan.size() + 1;
   for (const Fault& fault : plan) {
     world_.After(fault.at, [this, fault] {
-      if (IsAtWorker(fault.kind)) {
+      if (fault.kind == FaultKind::kReplaceWorker) {
+        Replace(fault);
+      } else if (IsAtWorker(fault.kind)) {
         PlayAtWorker(fault);
       } else {
         PlayOne(fault);
@@ -75,6 +85,13 @@
     return;
   }
   const Undo undo = Begin(fault, instance);
+  if (IsUnplanned(fault.kind)) {
+    // What has no end is a moment.
+    const Millis held = IsCut(fault.kind) ? fault.old_after : Millis(0);
+    world_.watch().OnFaultBegins();
+    world_.After(undo ? fault.lasts + held : Millis(0),
+                 [this] { world_.watch().OnFaultOver(world_.Now()); });
+  }
   world_.After(fault.lasts, [this, undo, what] {
     if (undo) {
       undo();
@@ -204,13 +221,17 @@
 }
 
 void FaultPlayer::PlayAtWorker(const Fault& fault) {
-  const size_t worker = fault.pick % world_.workers();
+  const size_t worker =
+      (replaced_ + fault.pick % world_.serving()) % world_.workers();
   if (!busy_workers_.insert(worker).second) {
     OnOver();
     return;
   }
   const std::string id = world_.WorkerId(worker);
   world_.Log("fault begins: " + std::string(ToString(fault.kind)) + ", " + id);
+  if (IsUnplanned(fault.kind)) {
+    world_.watch().OnFaultBegins();
+  }
   if (fault.kind == FaultKind::kCrashWorker) {
     LoseWorker(fault, worker);
     return;
@@ -229,6 +250,9 @@
   const std::string id = world_.WorkerId(worker);
   world_.Log(id + " is gone");
   world_.CrashWorker(worker);
+  if (IsUnplanned(fault.kind)) {
+    world_.watch().OnFaultOver(world_.Now());
+  }
   const Millis back = fault.lasts / 4;
   world_.After(back, [this, worker] { world_.BootWorker(worker); });
   const bool crashed = fault.kind == FaultKind::kCrashWorker;
@@ -239,4 +263,28 @@
   });
 }
 
+// Nobody answers at its address until its turn to join again.
+void FaultPlayer::Replace(const Fault& fault) {
+  const size_t old = replaced_ % world_.workers();
+  const size_t fresh = (replaced_ + world_.serving()) % world_.workers();
+  if (busy_workers_.contains(fresh) || !busy_workers_.insert(old).second) {
+    OnOver();
+    return;
+  }
+  ++replaced_;
+  const std::string id = world_.WorkerId(old);
+  world_.BootWorker(fresh);
+  world_.Log(world_.WorkerId(fresh) + " joins, " + id + " leaves");
+  world_.After(kUntilLeaving, [this, old] { world_.AnnounceLeaving(old); });
+  world_.After(fault.lasts, [this, old, id] {
+    world_.Log(id + " is gone");
+    world_.CrashWorker(old);
+  });
+  world_.After(fault.lasts + kEntryStays, [this, old, id] {
+    world_.DropEntry(id);
+    busy_workers_.erase(old);
+    OnOver();
+  });
+}
+
 }  // namespace doorwood::soak
--- a/src/soak/fault_player.h
+++ b/src/soak/fault_player.h
@@ -37,10 +37,13 @@
   Undo Cut(const Fault& fault, Links links);
   Links CutLinks(const Fault& fault, size_t instance) const;
   void PlayAtWorker(const Fault& fault);
+  void Replace(const Fault& fault);
   void LoseWorker(const Fault& fault, size_t worker);
 
   World& world_;
   std::set<size_t> busy_workers_;
+  /// Workers replaced so far: they take turns with the spare ones.
+  size_t replaced_ = 0;
   /// Faults that are not over yet.
   size_t left_ = 0;
   std::function<void()> done_;
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -38,6 +38,8 @@
 constexpr Millis kBetweenJobs{200};
 constexpr Millis kBetweenJobsAtStops{50};
 constexpr Millis kSettleTime{40'000};
+// Workers are replaced from the middle of the faults until so long after them.
+constexpr Millis kReplacedAfterwards{20'000};
 
 std::vector<RegainedStore> CoursesOf(const Options& options) {
   std::vector<RegainedStore> courses;
@@ -73,6 +75,9 @@
     } else if (options_.scenario == "planned-stops") {
       callers_.ExpectAnswers();
       PlayFaults(MakeStopPlan(length), kBetweenJobsAtStops);
+    } else if (options_.scenario == "replaced-workers") {
+      PlayFaults(MakeReplacePlan(options_.seed, Millis(0), length),
+                 kBetweenJobs);
     } else {
       PlayCourses(CoursesOf(options_), 0);
     }
@@ -84,7 +89,9 @@
     std::cout << "seed " << options_.seed << ": " << callers_.accepted()
               << " jobs accepted, " << callers_.not_taken() << " not taken, "
               << world_.watch().starts() << " starts, " << world_.broken()
-              << " broken; logs in " << options_.world.folder << std::endl;
+              << " broken; lasting work away for up to "
+              << world_.watch().longest_away() << " ms; logs in "
+              << options_.world.folder << std::endl;
   }
 
  private:
@@ -92,6 +99,9 @@
     auto plan = MakeFaultPlan(options_.seed, length);
     const auto changes = MakeChangePlan(options_.seed, length);
     plan.insert(plan.end(), changes.begin(), changes.end());
+    const auto replaced = MakeReplacePlan(options_.seed, length / 2,
+                                          length + kReplacedAfterwards);
+    plan.insert(plan.end(), replaced.begin(), replaced.end());
     return plan;
   }
 
@@ -166,8 +176,9 @@
   app.add_option("--block", options.world.block,
                  "third number of all addresses");
   app.add_option("--scenario", options.scenario,
-                 "random, planned-stops or regained-store")
-      ->check(CLI::IsMember({"random", "planned-stops", "regained-store"}));
+                 "random, planned-stops, replaced-workers or regained-store")
+      ->check(CLI::IsMember(
+          {"random", "planned-stops", "replaced-workers", "regained-store"}));
   app.add_option("--silent-before", options.silent_before, "ms, each")
       ->delimiter(',');
   app.add_option("--cut", options.cuts, "ms, each")->delimiter(',');
--- a/src/soak/scenario.cpp
+++ b/src/soak/scenario.cpp
@@ -69,6 +69,7 @@
   const std::string who = "data centre " + std::to_string(centre + 1);
   world.Log("workers elsewhere fall silent to " + who);
   CutAll(silent);
+  world.watch().OnFaultBegins();
   Millis at = course.silent_before;
   world.After(at, [&world, who, border] {
     world.Log("cut off: " + who);
@@ -84,6 +85,8 @@
     world.Log("reaches all again: " + who);
     HealAll(others, course.old_after);
     HealAll(silent, course.old_after);
+    world.After(course.old_after,
+                [&world] { world.watch().OnFaultOver(world.Now()); });
     done();
   });
 }
--- a/src/soak/task_watch.cpp
+++ b/src/soak/task_watch.cpp
@@ -11,6 +11,10 @@
 // A task's name is JOB.TIME.STEP.INDEX.
 constexpr char kFirstStep[] = ".0.0.";
 constexpr char kSecondStep[] = ".0.1.";
+// ms; see CheckLasting.
+constexpr int64_t kLongestAway = 6000;
+constexpr int64_t kLostAfter = 3000;
+constexpr int64_t kCalmBefore = 4000;
 
 }  // namespace
 
@@ -161,6 +165,46 @@
   }
 }
 
+void TaskWatch::OnFaultOver(int64_t at) {
+  --faults_;
+  last_fault_ = at;
+}
+
+void TaskWatch::CheckLasting(int64_t now) {
+  if (faults_ > 0) {
+    last_fault_ = now;
+  }
+  if (now - last_fault_ <= kLostAfter + kCalmBefore) {
+    return;
+  }
+  for (const std::string& job : lasting_) {
+    for (auto it = runs_.lower_bound(job);
+         it != runs_.end() && JobOf(it->first) == job; ++it) {
+      CheckAway(&it->second, now);
+    }
+  }
+}
+
+void TaskWatch::CheckAway(std::vector<SeenRun>* runs, int64_t now) {
+  SeenRun* last = nullptr;
+  for (SeenRun& run : *runs) {
+    if (run.active) {
+      return;
+    }
+    last = last == nullptr || run.until > last->until ? &run : last;
+  }
+  if (last == nullptr) {
+    return;
+  }
+  const int64_t away = now - last->until;
+  longest_away_ = std::max(longest_away_, away);
+  if (away > kLongestAway + kLostAfter && !last->told_lost) {
+    last->told_lost = true;
+    Break("runs nowhere for " + std::to_string(away) + " ms: " + last->task +
+          ", after " + Describe(*last));
+  }
+}
+
 size_t TaskWatch::ActiveTasks(const std::string& job) const {
   size_t active = 0;
   for (auto it = runs_.lower_bound(job);
--- a/src/soak/task_watch.h
+++ b/src/soak/task_watch.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
   /// What ended could still be noted: the lease has not lapsed since.
   bool can_be_noted = true;
   bool noted = false;
+  /// It is told that the task ran nowhere for too long after it.
+  bool told_lost = false;
 };
 
 std::string Describe(const SeenRun& run);
@@ -50,6 +53,11 @@
   /// The worker is gone, with all that ran there.
   void OnLifeOver(const std::string& life, int64_t at);
 
+  // --- Done to the world ---
+  /// Something unplanned, that lasts until `OnFaultOver`; several add up.
+  void OnFaultBegins() { ++faults_; }
+  void OnFaultOver(int64_t at);
+
   // --- Seen by callers ---
   /// An attempt to hand the job in was rejected, or was not.
   void OnAttempt(const std::string& job, bool rejected);
@@ -60,11 +68,22 @@
   /// A caller was told that the job is completed; it has so many tasks.
   void OnCompleted(const std::string& job, size_t tasks);
 
+  /// The job was accepted and is never cancelled; its tasks are to last.
+  void OnLasting(const std::string& job) { lasting_.insert(job); }
+
+  // --- Often ---
+  /// What lasts is at work again 6 s after its last run, and is lost once it
+  /// ran nowhere for 3 s more. Judged where these 3 s and the 4 s before were
+  /// free of what is unplanned.
+  void CheckLasting(int64_t now);
+
   // --- Once all is over ---
   /// Jobs that every attempt was rejected of start nothing.
   void CheckRefused();
 
   size_t starts() const { return starts_; }
+  /// Longest time without a run of what lasts, in moments that are judged.
+  int64_t longest_away() const { return longest_away_; }
   size_t ActiveTasks(const std::string& job) const;
   const std::map<std::string, std::vector<SeenRun>>& runs() const {
     return runs_;
@@ -72,6 +91,7 @@
 
  private:
   void Break(const std::string& sentence);
+  void CheckAway(std::vector<SeenRun>* runs, int64_t now);
   void CheckOrder(const std::string& task, const SeenRun& fresh);
   /// Tasks that begin with `prefix` and have ended done.
   size_t DoneTasks(const std::string& prefix) const;
@@ -83,7 +103,12 @@
   /// Jobs of which an attempt was not rejected.
   std::map<std::string, bool> taken_;
   std::map<std::string, int> first_tasks_;
+  std::set<std::string> lasting_;
   size_t starts_ = 0;
+  /// Unplanned faults under way, and when one was seen last.
+  size_t faults_ = 0;
+  int64_t last_fault_ = 0;
+  int64_t longest_away_ = 0;
 };
 
 /// The job of a task.
--- a/src/soak/task_watch_test.cpp
+++ b/src/soak/task_watch_test.cpp
@@ -29,6 +29,21 @@
     watch.OnNoted(life, {1, task, run, RunEnd::kDone, ""});
   }
 
+  // Ends a run of a lasting task at 10 s.
+  void EndLasting(RunEnd how) {
+    watch.OnLasting(kJob);
+    Start("a", kTask, 1);
+    now = 9'999;
+    End("a", kTask, 1, how);
+  }
+
+  // As if it were looked each moment.
+  void LookUntil(int64_t until) {
+    for (; now < until; ++now) {
+      watch.CheckLasting(now);
+    }
+  }
+
   std::vector<std::string> broken;
   TaskWatch watch{
       [this](const std::string& sentence) { broken.push_back(sentence); }};
@@ -126,6 +141,92 @@
   BOOST_TEST(broken.empty());
 }
 
+BOOST_AUTO_TEST_CASE(Lasting_BackAfterNineSeconds_IsFine) {
+  EndLasting(RunEnd::kStopped);
+  LookUntil(19'000);
+  Start("b", kTask, 2);
+  LookUntil(60'000);
+  BOOST_TEST(broken.empty());
+  BOOST_TEST(watch.longest_away() == 8'999);
+}
+
+BOOST_AUTO_TEST_CASE(Lasting_AwayForMore_IsToldOnce) {
+  EndLasting(RunEnd::kStopped);
+  LookUntil(19'001);
+  BOOST_TEST(broken.empty());
+  LookUntil(60'000);
+  BOOST_REQUIRE_EQUAL(broken.size(), 1U);
+  BOOST_TEST(broken[0].find("runs nowhere for 9001 ms") != std::string::npos);
+  BOOST_TEST(broken[0].find("run 1 on a") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Lasting_AwayTwice_IsToldTwice) {
+  EndLasting(RunEnd::kStopped);
+  LookUntil(20'000);
+  Start("b", kTask, 2);
+  End("b", kTask, 2, RunEnd::kStopped);
+  LookUntil(40'000);
+  BOOST_TEST(broken.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Lasting_GoneWithItsWorker_CountsFromThere) {
+  watch.OnLasting(kJob);
+  Start("a", kTask, 1);
+  LookUntil(30'000);
+  watch.OnLifeOver("a", now);
+  LookUntil(39'000);
+  BOOST_TEST(broken.empty());
+  LookUntil(39'010);
+  BOOST_TEST(broken.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Lasting_LastOfSeveralRuns_Counts) {
+  watch.OnLasting(kJob);
+  Start("a", kTask, 1);
+  Start("b", kTask, 2);
+  broken.clear();
+  now = 9'000;
+  End("b", kTask, 2, RunEnd::kStopped);
+  now = 9'999;
+  End("a", kTask, 1, RunEnd::kStopped);
+  LookUntil(19'001);
+  BOOST_TEST(broken.empty());
+  LookUntil(19'010);
+  BOOST_TEST(broken.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Lasting_UnplannedWithinSevenSeconds_IsNotJudged) {
+  EndLasting(RunEnd::kStopped);
+  LookUntil(12'500);
+  watch.OnFaultBegins();
+  watch.OnFaultOver(now);
+  LookUntil(19'501);
+  BOOST_TEST(broken.empty());
+  LookUntil(19'510);
+  BOOST_TEST(broken.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Lasting_UnplannedUnderWay_IsNotJudgedBeforeAllIsOver) {
+  EndLasting(RunEnd::kStopped);
+  watch.OnFaultBegins();
+  watch.OnFaultBegins();
+  LookUntil(20'000);
+  watch.OnFaultOver(now);
+  LookUntil(40'000);
+  watch.OnFaultOver(now);
+  LookUntil(47'001);
+  BOOST_TEST(broken.empty());
+  LookUntil(47'010);
+  BOOST_TEST(broken.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Lasting_JobsThatEnd_AreNotJudged) {
+  Start("a", kTask, 1);
+  End("a", kTask, 1, RunEnd::kDone);
+  LookUntil(60'000);
+  BOOST_TEST(broken.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -60,7 +60,7 @@
       store_(context, executor, [this] { return Now(); }) {
   store_.Put(platform::kSoakConfigKey,
              platform::EncodeSoakConfig(config_version_));
-  for (size_t worker = 0; worker < options.workers; ++worker) {
+  for (size_t worker = 0; worker < 2 * options.workers; ++worker) {
     AddWorker(worker);
   }
   for (size_t instance = 0; instance < options.instances; ++instance) {
@@ -115,7 +115,11 @@
       context_, executor_, At(Host(kKept, kFirstWorker + worker), kWorkerPort),
       "worker-" + std::to_string(worker + 1), share, [this] { return Now(); },
       watch_, [this] { AdvanceWorkers(); }));
-  BootWorker(worker);
+  if (worker < options_.workers) {
+    BootWorker(worker);
+  } else {
+    workers_.back()->Crash();
+  }
 }
 
 void World::AddInstance(size_t instance) {
@@ -128,7 +132,7 @@
                  Host(kKept, 0).substr(0, Host(kKept, 0).size() - 1));
   added->store = std::make_unique<Link>(
       context_, At(Host(caller, kStoreNumber), kStorePort), door);
-  for (size_t worker = 0; worker < options_.workers; ++worker) {
+  for (size_t worker = 0; worker < workers(); ++worker) {
     const size_t number = kFirstWorker + worker;
     added->workers.push_back(
         std::make_unique<Link>(context_, At(Host(caller, number), kWorkerPort),
@@ -184,6 +188,9 @@
   for (size_t i = 0; i < instances(); ++i) {
     Supervise(i);
   }
+  if (!ending_) {
+    watch_.CheckLasting(Now());
+  }
   After(kTick, [this] { Tick(); });
 }
 
--- a/src/soak/world.h
+++ b/src/soak/world.h
@@ -31,6 +31,7 @@
   std::string program;
   std::string folder;
   size_t instances = 8;
+  /// That serve at a time; as many again are there to replace them.
   size_t workers = 24;
   /// Third number of all addresses; soaks side by side need their own.
   int block = 1;
@@ -57,7 +58,9 @@
   size_t broken() const { return broken_; }
 
   size_t instances() const { return instances_.size(); }
+  /// With those that do not serve now.
   size_t workers() const { return workers_.size(); }
+  size_t serving() const { return options_.workers; }
   static size_t CentreOf(size_t index) { return index % kDataCentres; }
   static std::string NameOf(size_t instance);
   std::string FrontOf(size_t instance) const;
