test(soak): the session plays a leader killed beside replaced workers

One more play beside the others, on addresses of its own (five a session now): 30 s of replaced workers, seed 5, in which the leader is killed once.

--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -1,14 +1,14 @@
 #!/usr/bin/env bash
 # SPDX-License-Identifier: Apache-2.0
 # Entry instances as real processes: a leader's data centre that regains the
-# store before its workers, twice, a few seconds of random faults, and planned
-# stops one after the other. All are played side by side, on addresses of their
-# own.
+# store before its workers, twice, a few seconds of random faults, planned stops
+# one after the other, and workers replaced one by one while the leader is killed.
+# All are played side by side, on addresses of their own.
 set -u
 here=$(dirname "$0")
 . "$here/../lib.sh"
 # Third numbers of addresses, from this session's range of ports.
-block=$((${PORT_BASE:-20000} / 1000 % 60 * 4 + 1))
+block=$((${PORT_BASE:-20000} / 1000 % 50 * 5 + 1))
 
 # play NAME BLOCK ARG...
 play() {
@@ -24,7 +24,8 @@
 play late "$((block + 1))" --scenario regained-store --silent-before 4000 --cut 5000
 play random "$((block + 2))" --seed 1 --seconds 6
 play stops "$((block + 3))" --scenario planned-stops --seconds 8
-for name in early late random stops; do
+play replaced "$((block + 4))" --scenario replaced-workers --seed 5 --seconds 30
+for name in early late random stops replaced; do
   wait "${PID[$name]}"
   echo "$name: exit $?, $(sed -n 's/.* starts, \([0-9]* broken\);.*/\1/p' "$WORK/$name.out")"
   grep ' ms: ' "$WORK/$name.out" | head -5 >&2
