test(fakes): a done end that is noted after its worker's lease ran out does not count

Traced: the run ends done on a worker that only its first leader hears; that leader can't record it; the lease runs out; the next leader waits for it in full and takes the run for over; a third one hears the worker 13 s after the lease's end and notes the end; the second, in doubt for 1.1 s more, starts the task. The platform's rule leaves such an end out: it counts if it is taken note of before the worker's lease has lapsed. The world's check counted it all the same; it now leaves out just the ends that were listed when the lease ran out.

--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -19,7 +19,10 @@
 
 void DoneWatcher::OnNoted(const EndedRun& end) {
   if (end.end == RunEnd::kDone) {
-    noted_->insert(end.task);
+    // What is noted after the worker's lease ran out does not count.
+    if (end.number > model_.lapsed_end()) {
+      noted_->insert(end.task);
+    }
     listed_.erase(listed_.find(end.task));
   }
 }
@@ -81,7 +84,7 @@
   worker->life.capacity = {cpu_millis, 1'000'000, 0};
   worker->life.labels = {"a", "r1"};
   worker->model.Advance(time_.millis());
-  worker->done = std::make_unique<DoneWatcher>(&noted_done_);
+  worker->done = std::make_unique<DoneWatcher>(worker->model, &noted_done_);
   worker->model.SetWatcher(worker->done.get());
   WorldWorker& added = *worker;
   workers_[id] = std::move(worker);
@@ -102,7 +105,7 @@
 void CellWorld::TakeAway(const std::string& id) {
   WorldWorker& worker = *workers_.at(id);
   worker.model = standin::RunWorkerModel();
-  worker.done = std::make_unique<DoneWatcher>(&noted_done_);
+  worker.done = std::make_unique<DoneWatcher>(worker.model, &noted_done_);
   worker.up = false;
   worker.listed = false;
 }
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -70,7 +70,9 @@
 /// Notes which tasks were done on a worker.
 class DoneWatcher : public standin::RunWatcher {
  public:
-  explicit DoneWatcher(std::set<std::string>* noted) : noted_(noted) {}
+  DoneWatcher(const standin::RunWorkerModel& model,
+              std::set<std::string>* noted)
+      : model_(model), noted_(noted) {}
 
   void OnStarted(const StartOrder&) override {}
   void OnEnded(const EndedRun& end) override;
@@ -79,6 +81,7 @@
   bool Lists(const std::string& task) const { return listed_.contains(task); }
 
  private:
+  const standin::RunWorkerModel& model_;
   std::set<std::string>* noted_;
   std::multiset<std::string> listed_;
 };
--- a/src/standin/run_worker_model.cpp
+++ b/src/standin/run_worker_model.cpp
@@ -44,6 +44,7 @@
     End(task, end);
   }
   if (now_ >= lease_until_) {
+    lapsed_end_ = last_end_;
     NoteLapsedFailures();
   }
 }
--- a/src/standin/run_worker_model.h
+++ b/src/standin/run_worker_model.h
@@ -50,6 +50,9 @@
   int64_t lease_until() const { return lease_until_; }
   bool Runs(const std::string& task) const { return runs_.contains(task); }
   size_t running() const { return runs_.size(); }
+  /// The newest end that was there when the lease ran out: ends up to it count
+  /// for nothing if they are noted only now.
+  uint64_t lapsed_end() const { return lapsed_end_; }
   /// Failures of the task that were still listed when the lease ran out: the
   /// platform doesn't count them as attempts when they are noted later.
   int lapsed_failures(const std::string& task) const;
@@ -77,6 +80,7 @@
   int64_t lease_until_ = 0;
   uint64_t token_ = 0;
   uint64_t last_end_ = 0;
+  uint64_t lapsed_end_ = 0;
   std::map<std::string, Active> runs_;
   std::vector<EndedRun> ended_;
   std::map<std::string, std::set<uint32_t>> lapsed_failures_;
