--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -56,7 +56,9 @@
   std::string address;
   /// For how long the leaders since the last one that heard it have led without
   /// hearing it. None of them prolonged anything there, so that a successor
-  /// need not wait for this time once more.
+  /// need not wait for this time once more. Where the last one that heard it
+  /// recorded the silence itself: the time since its last promise there, and
+  /// what a successor would wait for its orders after that.
   Millis unheard{0};
   /// All tasks that may run there, or whose end there is not recorded, until a
   /// newer record says otherwise: no leader starts anything else there before.
@@ -74,6 +76,9 @@
 std::string EncodeSequence(uint64_t sequence);
 /// 0 if the text is not of that form.
 uint64_t DecodeSequence(std::string_view text);
+/// Whoever wrote this chain key starts nothing that `KnownWorker::runs`
+/// excludes. Versions that knew of no such names wrote none of this.
+bool KeepsToNames(std::string_view text);
 
 /// What lies under the workers' key. It stands apart from the chain, since it
 /// is long and changes seldom.
@@ -136,6 +141,12 @@
   void MarkDirty(const std::string& job, bool urgent);
   /// Replaces the workers under the workers' key.
   void SetWorkers(std::vector<KnownWorker> workers);
+  /// For a leader that hands over: what waits now, new jobs and what somebody
+  /// waits for, is still recorded; nothing that comes later is. Ends that are
+  /// not recorded stay listed by their workers.
+  void Seal();
+  /// After `Seal`: all that was to be recorded is, and no batch is under way.
+  bool settled() const;
   /// Removes all keys of a job that is long over.
   void Forget(const std::string& job);
 
@@ -189,6 +200,7 @@
   void Send();
   std::optional<size_t> LaneToSend() const;
   bool HasSomethingToSend() const;
+  bool HasLastUrgent() const;
   /// Nothing if there is only what other lanes carry already.
   std::optional<Batch> Build(size_t lane);
   void NoteEnds();
@@ -245,6 +257,8 @@
   std::deque<std::string> dirty_order_;
   /// Those of them that somebody waits for.
   std::set<std::string> urgent_;
+  /// Once sealed: those of them that are still to be recorded.
+  std::optional<std::set<std::string>> last_urgent_;
   /// Jobs that a lane carries a key of.
   std::set<std::string> under_way_;
   std::set<std::string> to_forget_;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -210,6 +210,8 @@
   void ReadRecords();
   void Restore(const StoreItems& items);
   void StepDown(std::string_view reason);
+  /// Starts nothing more and takes no calls: it hands over.
+  bool IsHandingOver() const;
   void GiveUpKey();
   void Resign(const LiveInstance& successor);
   void ReadWorkers();
@@ -247,7 +249,9 @@
   /// may run there, or will be started there.
   std::optional<std::vector<std::string>> RunsToRecord(
       const Member& member) const;
-  /// It leaves, has left, or has been silent for a while.
+  /// It leaves, has left, was never heard, or has been silent for a while. One
+  /// that has left goes on getting nothing until it is listed again. Not of one
+  /// that is unheard since a takeover.
   bool GetsNothingNew(const Member& member) const;
   bool HasNewsToRecord(const Member& member) const;
   /// Records what has changed of workers that get nothing new.
@@ -280,8 +284,12 @@
   void ReleaseTasks();
   /// For how long after the last order of an earlier leader a run may go on.
   Millis LongestPromise() const;
+  /// A worker of an earlier leader has answered, and not listed all its ends.
+  bool HasMoreToTell(const Member& member) const;
   /// For how long yet an unheard worker may run what an earlier leader ordered.
   Millis WaitLeft(const Member& member) const;
+  /// A worker that is waited for may run the task, or has ended it unheard.
+  bool MayRunUnheard(const Task& task) const;
   /// Logs for whom it is waited.
   void TellWait();
 
@@ -422,6 +430,8 @@
   /// No pass before then: passes may take only a part of the processor.
   Instant next_pass_{};
   std::function<void()> on_left_;
+  /// Since when it is to hand over; zero: it isn't.
+  Instant leaving_since_{};
 
   std::shared_ptr<const QueueTable> table_;
   /// Every queue heard of, so that jobs of a removed one still finish.
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view kCellFolder = "doorwood/cell/";
 constexpr std::string_view kJobFolder = "doorwood/job/";
 constexpr std::string_view kChain = "chain";
+constexpr const char* kKeepsToNames = "keeps_to_names";
 
 // Names of another form than a leader writes: any task may run there.
 std::optional<std::vector<std::string>> DecodeRuns(const Json& row) {
@@ -90,7 +91,7 @@
 }
 
 std::string EncodeSequence(uint64_t sequence) {
-  return Json{{"sequence", sequence}}.dump();
+  return Json{{"sequence", sequence}, {kKeepsToNames, true}}.dump();
 }
 
 uint64_t DecodeSequence(std::string_view text) {
@@ -100,6 +101,13 @@
   return static_cast<uint64_t>(sequence.value_or(0));
 }
 
+bool KeepsToNames(std::string_view text) {
+  const auto json = ParseJson(text);
+  const bool is_object = json && json->is_object();
+  return is_object && json->contains(kKeepsToNames) &&
+         json->at(kKeepsToNames) == true;
+}
+
 std::string EncodeWorkers(const std::vector<KnownWorker>& workers) {
   Json rows = Json::array();
   for (const KnownWorker& worker : workers) {
@@ -171,6 +179,7 @@
   dirty_.clear();
   dirty_order_.clear();
   urgent_.clear();
+  last_urgent_.reset();
   under_way_.clear();
   to_forget_.clear();
   ends_.reset();
@@ -213,6 +222,23 @@
          !workers_changed_;
 }
 
+void CellJournal::Seal() {
+  if (!last_urgent_) {
+    last_urgent_ = urgent_;
+  }
+}
+
+bool CellJournal::HasLastUrgent() const {
+  return last_urgent_ && std::any_of(last_urgent_->begin(), last_urgent_->end(),
+                                     [this](const std::string& job) {
+                                       return urgent_.contains(job);
+                                     });
+}
+
+bool CellJournal::settled() const {
+  return flow_.under_way() == 0 && accepts_.empty() && !HasLastUrgent();
+}
+
 void CellJournal::Answer(PendingAccept* accept,
                          std::error_code error,
                          AcceptOutcome outcome) {
@@ -223,7 +249,7 @@
 }
 
 void CellJournal::Accept(JobPlan plan, AcceptCallback done) {
-  if (!open_) {
+  if (!open_ || (last_urgent_ && !IsRecording(plan.id))) {
     done(CoreErrc::kNoOwner, {});
     return;
   }
@@ -307,6 +333,9 @@
 }
 
 bool CellJournal::HasSomethingToSend() const {
+  if (last_urgent_) {
+    return !accepts_.empty() || HasLastUrgent();
+  }
   return !accepts_.empty() || !dirty_.empty() || !to_forget_.empty() ||
          (workers_changed_ && !workers_under_way_) || probing_ ||
          std::any_of(lanes_.begin(), lanes_.end(), [](const Lane& lane) {
--- a/src/libdoorwood/cell/cell_member_records.cpp
+++ b/src/libdoorwood/cell/cell_member_records.cpp
@@ -11,13 +11,6 @@
 namespace doorwood {
 namespace {
 
-// A worker whose looks have failed for so long is recorded with what may run
-// there.
-constexpr Millis kSilenceToName{1000};
-// Tasks that the workers' key names at most: with 22 bytes each it stays within
-// 100 KB, a tenth of what the store takes.
-constexpr size_t kMostTasksNamed = 4000;
-
 // The key is written whole. So long for each worker and each task in it, it is
 // not written again, to bound what that takes of a small machine's link.
 constexpr std::chrono::microseconds kPauseOfEntry{250};
@@ -26,20 +19,30 @@
   return worker.runs ? worker.runs->size() : 0;
 }
 
+size_t BytesOf(const KnownWorker& worker) {
+  constexpr size_t kQuotesAndComma = 3;
+  size_t bytes = 0;
+  if (worker.runs) {
+    for (const std::string& task : *worker.runs) {
+      bytes += task.size() + kQuotesAndComma;
+    }
+  }
+  return bytes;
+}
+
 // Where there are too many, any task may run on the workers with most.
-void KeepWithinBound(std::vector<KnownWorker>* workers) {
-  std::vector<KnownWorker*> fewest_first;
+void KeepWithin(size_t most_bytes, std::vector<KnownWorker>* workers) {
+  std::vector<std::pair<size_t, KnownWorker*>> fewest_first;
   for (KnownWorker& worker : *workers) {
-    fewest_first.push_back(&worker);
+    fewest_first.emplace_back(BytesOf(worker), &worker);
   }
-  std::sort(fewest_first.begin(), fewest_first.end(),
-            [](const KnownWorker* a, const KnownWorker* b) {
-              return CountOf(*a) < CountOf(*b);
-            });
+  std::stable_sort(
+      fewest_first.begin(), fewest_first.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
   size_t named = 0;
-  for (KnownWorker* worker : fewest_first) {
-    named += CountOf(*worker);
-    if (named > kMostTasksNamed) {
+  for (const auto& [bytes, worker] : fewest_first) {
+    named += bytes;
+    if (named > most_bytes) {
       worker->runs.reset();
     }
   }
@@ -58,7 +61,7 @@
     worker.runs = RunsToRecord(member);
     known.push_back(std::move(worker));
   }
-  KeepWithinBound(&known);
+  KeepWithin(options_.most_name_bytes, &known);
   return known;
 }
 
@@ -89,7 +92,7 @@
 // less: what has ended there and is recorded holds nothing back.
 std::optional<std::vector<std::string>> CellLeader::RunsToRecord(
     const Member& member) const {
-  if (IsUnheard(member)) {
+  if (IsUnheard(member) || HasMoreToTell(member)) {
     return member.runs_before;
   }
   if (!GetsNothingNew(member)) {
@@ -101,9 +104,9 @@
 bool CellLeader::GetsNothingNew(const Member& member) const {
   const WorkerSession& session = *member.session;
   const Instant now = executor_.Now();
-  const bool silent = session.fenced() && session.look_failed() &&
-                      now - session.heard_at() >= kSilenceToName;
-  if (session.dead() || silent) {
+  // Nothing was started on one that this leader has not heard, and what earlier
+  // leaders may have left there is accounted for.
+  if (session.dead() || IsLongSilent(member) || !session.fenced()) {
     return true;
   }
   if (member.listed) {
@@ -159,8 +162,11 @@
   if (!IsLongSilent(member)) {
     return Millis(0);
   }
+  // A successor counts from when it leads, as if until then orders had been
+  // given, and for `unsure_patience` more. This leader gives none from here on.
   return std::chrono::duration_cast<Millis>(executor_.Now() -
-                                            member.session->promised_at());
+                                            member.session->promised_at()) +
+         options_.unsure_patience;
 }
 
 Millis CellLeader::LedFor() const {
@@ -194,7 +200,13 @@
       continue;
     }
     Member& member = found->second;
-    // Only if no later record says otherwise: it may be on its way.
+    // What stands binds also a member that was taken in after it was sent.
+    member.told_runs = member.told_runs || worker.runs.has_value();
+    if (worker.unheard > Millis(0) && !member.told_unheard) {
+      member.told_unheard = true;
+      TellSession(member, OrdersUntil());
+    }
+    // A later record that says otherwise may be on its way.
     const KnownWorker& newest = member.noted;
     if (!worker.runs && !newest.runs && member.told_runs) {
       member.told_runs = false;
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -46,7 +46,7 @@
   const auto pause = std::chrono::ceil<Millis>(next_pass_ - executor_.Now());
   executor_.Schedule(std::max(kScheduleDelay, pause), [this] {
     schedule_posted_ = false;
-    if (!MayOrder() || closed_read_ == Instant{}) {
+    if (!MayOrder() || closed_read_ == Instant{} || IsHandingOver()) {
       return;
     }
     const Instant begin = executor_.Now();
@@ -64,9 +64,10 @@
 
 // Failures that the earlier leader heard of, but could not record, are listed
 // by workers that a successor may not reach yet: until it has heard them, or
-// their leases are over, each such run counts as a failure.
+// their leases are over, or their records don't name the task, each such run
+// counts as a failure.
 bool CellLeader::MayBeAtLastAttempt(const Task& task) const {
-  const uint32_t unheard = accounted_ ? 0 : task.UnheardEnds();
+  const uint32_t unheard = MayRunUnheard(task) ? task.UnheardEnds() : 0;
   if (unheard == 0 || task.plan().lasting) {
     return false;
   }
