--- a/src/libdoorwood/cell/cell_record_claim_test.cpp
+++ b/src/libdoorwood/cell/cell_record_claim_test.cpp
@@ -23,7 +23,7 @@
 using fakes::RunnerOf;
 
 constexpr char kJob[] = "00112233aabbccdd";
-const std::string kTask = std::string(kJob) + ".0.0.0";
+constexpr char kTask[] = "00112233aabbccdd.0.0.0";
 
 JobPlan Lasting(const std::string& id, int64_t cpu) {
   JobPlan plan = fakes::MakePlan(id, 1, 1, "");
--- a/src/libdoorwood/cell/cell_unheard_wait_test.cpp
+++ b/src/libdoorwood/cell/cell_unheard_wait_test.cpp
@@ -22,7 +22,7 @@
 using fakes::RunnerOf;
 
 constexpr char kJob[] = "00112233aabbccdd";
-const std::string kTask = std::string(kJob) + ".0.0.0";
+constexpr char kTask[] = "00112233aabbccdd.0.0.0";
 // What lasts is to be at work again so long after its last run.
 constexpr int kLongestAway = 6000;
 
