fix(cell_lasting_places): lasting tasks are held back only for the worker that is recorded for them

Each leader waited anew for all tasks, also those whose last worker it had heard.

Change: a lasting task's worker is recorded in its job's state before the task is ordered there (the run takes its room at once and waits for the record). A successor holds a lasting task back only for its recorded worker. Where the store is away for all, a start may go unrecorded if every instance that could take the lead has agreed; one that has agreed, or began later, relies on no record of before: each chain key says up to which registration the places hold. Of equally strong candidates those that may rely on the places go first.

--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -309,6 +309,18 @@
       done(error, age.value_or(Millis(0)));
     });
   }
+  void AskToAgree(const LiveInstance& instance,
+                  std::function<void(std::error_code)> done) override {
+    const auto found = world_.instances().find(instance.name);
+    const bool agrees = found != world_.instances().end() &&
+                        !found->second->executor->frozen() &&
+                        Reaches(*found->second) &&
+                        found->second->cell->AgreeToUnrecordedStarts();
+    const std::error_code error =
+        agrees ? std::error_code() : make_error_code(PeerErrc::kNotSent);
+    self_.executor->Deliver(kWorkerDelay,
+                            [error, done = std::move(done)] { done(error); });
+  }
   void HandOver(const LiveInstance& instance,
                 const std::string&,
                 int64_t epoch) override {
--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -72,13 +72,16 @@
   uint64_t sequence = 0;
 };
 
-/// What lies under a chain key: the number of its lane's newest batch.
-std::string EncodeSequence(uint64_t sequence);
+/// What lies under a chain key: the number of its lane's newest batch, and
+/// JournalOwner::PlacesHoldTo.
+std::string EncodeSequence(uint64_t sequence, int64_t places_hold_to);
 /// 0 if the text is not of that form.
 uint64_t DecodeSequence(std::string_view text);
 /// Whoever wrote this chain key starts nothing that `KnownWorker::runs`
 /// excludes. Versions that knew of no such names wrote none of this.
 bool KeepsToNames(std::string_view text);
+/// JournalOwner::PlacesHoldTo of whoever wrote this chain key; 0: unknown.
+int64_t DecodePlacesHoldTo(std::string_view text);
 
 /// What lies under the workers' key. It stands apart from the chain, since it
 /// is long and changes seldom.
@@ -100,11 +103,17 @@
   virtual ~JournalOwner() = default;
 
   virtual std::string EncodeState(const std::string& job) = 0;
+  /// The recorded places of lasting tasks hold, for instances that had
+  /// registered in the store up to this revision; 0: for none.
+  virtual int64_t PlacesHoldTo() = 0;
   /// Highest end that a worker has listed, of the workers with ends that are
   /// not recorded yet; all of what they changed is marked dirty.
   virtual std::map<std::string, uint64_t> ListedEnds() = 0;
 
   virtual void OnAccepted(const JobPlan& plan) = 0;
+  /// The state stands as it was last encoded; a newer one may wait.
+  virtual void OnStateWritten(const std::string& job) = 0;
+  /// The newest state stands.
   virtual void OnStateRecorded(const std::string& job) = 0;
   virtual void OnEndsRecorded(const std::map<std::string, uint64_t>& ends) = 0;
   virtual void OnWorkersRecorded(const std::vector<KnownWorker>& workers) = 0;
@@ -147,6 +156,8 @@
   void Seal();
   /// After `Seal`: all that was to be recorded is, and no batch is under way.
   bool settled() const;
+  /// Sends a batch soon, also if there is nothing to record.
+  void Touch();
   /// Removes all keys of a job that is long over.
   void Forget(const std::string& job);
 
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -95,6 +95,10 @@
   /// instance does not hear the store, but leads or tries to, so it must not be
   /// taken for one that can't.
   std::optional<Millis> StoreHeardAgo(Instant now) const;
+  /// Agrees that a leader which does not hear the store starts lasting work
+  /// without recording where; false: this instance hears the store, leads or
+  /// tries to.
+  bool AgreeToUnrecordedStarts();
   int64_t epoch() const { return epoch_; }
   const std::string& cell() const { return options_.cell; }
 
@@ -127,8 +131,10 @@
 
   // JournalOwner
   std::string EncodeState(const std::string& job) override;
+  int64_t PlacesHoldTo() override;
   std::map<std::string, uint64_t> ListedEnds() override;
   void OnAccepted(const JobPlan& plan) override;
+  void OnStateWritten(const std::string& job) override;
   void OnStateRecorded(const std::string& job) override;
   void OnEndsRecorded(const std::map<std::string, uint64_t>& ends) override;
   void OnWorkersRecorded(const std::vector<KnownWorker>& workers) override;
@@ -219,9 +225,9 @@
   void Restore(const StoreItems& items);
   /// Returns how many are open.
   int RestoreJobs(const StoreItems& items);
-  /// `keeps_to_names`: of whoever wrote the newest batch, see KeepsToNames.
+  /// `newest`: the chain key of the newest batch; null: there is none.
   std::map<size_t, ChainLink> ReadChains(const StoreItems& items,
-                                         bool* keeps_to_names) const;
+                                         const StoreItem** newest) const;
   std::vector<KnownWorker> ReadKnownWorkers(const StoreItems& items) const;
   void StepDown(std::string_view reason);
   /// Starts nothing more and takes no calls: it hands over.
@@ -302,6 +308,16 @@
   bool HasMoreToTell(const Member& member) const;
   /// For how long yet an unheard worker may run what an earlier leader ordered.
   Millis WaitLeft(const Member& member) const;
+  /// Workers that are waited for, and what may run there.
+  struct UnheardWorkers {
+    std::set<std::string_view> workers;
+    /// Some of them may run anything.
+    bool any_task = false;
+    std::set<std::string> tasks;
+  };
+  UnheardWorkers FindUnheard() const;
+  /// One of them may run the task, or has ended it unheard.
+  bool MayBeThere(const Task& task, const UnheardWorkers& unheard) const;
   /// A worker that is waited for may run the task, or has ended it unheard.
   bool MayRunUnheard(const Task& task) const;
   /// Logs for whom it is waited.
@@ -387,6 +403,22 @@
   void ClearCrashes(Task* task);
   void OnCrashesRecorded(Job* job);
 
+  // cell_lasting_places.cpp: on which worker a lasting task may run
+  /// Has it recorded; false: the start has to wait for that.
+  bool ClaimPlace(Task* task, const std::string& worker);
+  /// Has it recorded of a run that goes on.
+  void NotePlace(Task* task, const std::string& worker);
+  /// Starts may go unrecorded: the store is away for all, and they agreed.
+  bool MayStartUnrecorded() const;
+  void ReleaseStarts();
+  /// Nothing that would speak against a start there has happened since the
+  /// worker was chosen.
+  bool MayReleaseTo(const Member& member) const;
+  /// All lasting tasks run where the store says so, as far as can be known.
+  bool KnowsPlaces() const;
+  /// Lets instances that have registered lately rely on recorded places.
+  void TellPlacesHold();
+
   // cell_overdue.cpp: runs that take far longer than expected
   void TellOverdue();
   void TellOverdueAt(WorkerSession& session, int* lines);
@@ -402,6 +434,8 @@
   void NoteReadySince(const std::vector<ReadyStep>& ready);
   /// What placement sees of each worker, brought up to date.
   std::vector<WorkerRoom*> CollectRooms();
+  /// Work that is meant for it may be ordered there.
+  bool IsServing(const Member& member) const;
   /// It may be given work, but for a trial that it is kept for.
   bool IsOpen(const std::string& id, const Member& member) const;
   void RefreshRoom(const std::string& id, Member* member);
@@ -513,6 +547,14 @@
   CellJournal journal_;
   LeadProof proof_;
   WorkerTrust trust_;
+  /// The recorded places of lasting tasks held for this instance when it took
+  /// the lead; and up to when instances have registered that may rely on them.
+  bool places_held_ = false;
+  int64_t places_hold_to_ = 0;
+  /// Lasting tasks that run where the store does not say so, and those whose
+  /// start waits until it does.
+  std::set<std::string> unrecorded_places_;
+  std::set<std::string> held_starts_;
   CrashTrials trials_;
   CrashWave wave_;
   InterferenceModel interference_;
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -57,7 +57,17 @@
   friend bool operator==(const CrashNote&, const CrashNote&) = default;
 };
 
-/// One task. `last_run` and above are kept in the store; the rest is not.
+/// How far the store holds `Task::place`.
+enum class PlaceRecord {
+  /// The newest record of the job names it.
+  kRecorded,
+  /// A batch whose outcome is not known carries it.
+  kWritten,
+  kChanged,
+};
+
+/// One task. `last_run`, `place` and what stands between them are kept in the
+/// store; the rest is not.
 struct Task {
   Job* job = nullptr;
   int time = 0;
@@ -79,6 +89,12 @@
   /// Crashes since it was last seen at work for long, each run once.
   std::vector<CrashNote> crashes;
 
+  /// Of a lasting task: the only worker on which a run of it may go on; empty:
+  /// none. Recorded before the task is ordered there, so that a successor need
+  /// not reckon with any other.
+  std::string place;
+  PlaceRecord place_record = PlaceRecord::kRecorded;
+
   /// The store does not hold the newest crash yet.
   bool crash_unrecorded = false;
   /// See CrashEvidence::kUntold: not noted yet.
@@ -215,6 +231,8 @@
   static bool NoteCrash(Task* task, CrashNote crash);
   /// Takes back what was noted untold of the run; true: something was.
   static bool DropUntold(Task* task, uint32_t run);
+  /// Changes where the task may run; false: the store holds that already.
+  static bool SetPlace(Task* task, const std::string& worker);
   /// Ends the job; false if it is over already.
   bool Finish(Job* job, JobOutcome outcome);
 
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -35,6 +35,8 @@
   /// Share of a processor that the machine has.
   double cpu_share = 1.0;
   bool leaving = false;
+  /// See LiveDirectory::agreeing_since.
+  int64_t agreeing_since = 0;
 };
 
 struct CellLead {
@@ -57,6 +59,10 @@
   virtual ~StoreHearing() = default;
 
   virtual void Ask(const LiveInstance& instance, Callback done) = 0;
+  /// Asks it to agree that a leader which does not hear the store starts
+  /// lasting work without recording where. Error: it does not agree.
+  virtual void AskToAgree(const LiveInstance& instance,
+                          std::function<void(std::error_code)> done) = 0;
   /// Tells the instance that the lead of this epoch is given up and may be
   /// taken from the store. Not answered; if lost, the lead's lease runs out.
   virtual void HandOver(const LiveInstance& instance,
@@ -116,6 +122,23 @@
   /// Since when the store has had this instance's key, as far as it has said;
   /// nothing while it has not.
   std::optional<Instant> registered_since() const { return registered_since_; }
+  /// Revision of the registration since when this process remembers whether it
+  /// has agreed to starts that are not recorded, and every leader that had read
+  /// that far asks it; 0: none yet.
+  int64_t agreeing_since() const { return agreeing_since_; }
+  /// Agrees to starts that are not recorded, for as long as this instance does
+  /// not hear the store; false: it hears the store.
+  bool Agree();
+  /// Whether the others are to be asked to agree.
+  void SetNeedsAgreement(bool needs) { needs_agreement_ = needs; }
+  /// Until when all that `OutageUntil` counts have agreed; zero: they have not.
+  Instant AgreedUntil() const;
+  /// The store's revision up to which the directory is complete.
+  int64_t at() const { return at_; }
+  /// The newest `agreeing_since` of an instance; 0: there is none.
+  int64_t NewestAgreeingSince() const;
+  /// Epoch of the cell's newest leader that this process has heard of; 0: none.
+  int64_t LastEpoch(const std::string& cell) const;
   /// Until when nobody can take a lead: every other instance that is known, or
   /// was lately, said that it does not hear the store either, and its word
   /// counts from when it was asked. Zero: not so.
@@ -156,6 +179,7 @@
   void Grant();
   void Keep();
   void Register();
+  void NoteRegistered(int64_t revision);
   void Lose(std::string_view reason);
   void List();
   void Watch();
@@ -164,6 +188,12 @@
   void ReturnIfGone();
   void AskOthers();
   void Ask(const LiveInstance& instance);
+  void AskToAgree(const LiveInstance& instance);
+  /// The earliest of the words of all that may take a lead; zero: one is
+  /// missing, or there is nobody.
+  Instant EarliestWord(const std::map<std::string, Instant>& words) const;
+  /// Until when words that were asked for then count.
+  Instant WordsUntil(Instant asked) const;
   void NoteGone(const LiveInstance& instance);
   void ApplySeen(const std::string& name, const StoreItem& item);
   /// It went so lately that it may be back, and lead.
@@ -195,8 +225,18 @@
   std::map<std::string, int64_t> seen_;
   bool forgetting_ = false;
   std::map<std::string, CellLead> leads_;
+  /// By cell; stays when the lead is gone.
+  std::map<std::string, int64_t> last_epochs_;
   /// By instance: when it last said that it does not hear the store.
   std::map<std::string, Instant> deaf_at_;
+  /// By instance: when it was last asked and agreed, see `AskToAgree`.
+  std::map<std::string, Instant> agreed_at_;
+  bool needs_agreement_ = false;
+  int64_t agreeing_since_ = 0;
+  /// How often this instance has agreed to starts that are not recorded.
+  uint64_t agreements_ = 0;
+  /// When the store was last known to have this instance's key.
+  Instant registered_at_{};
   /// By instance: when it last said that it hears the store.
   std::map<std::string, Instant> hears_at_;
   /// When the first of the renewals was sent that have failed since one did
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -38,6 +38,8 @@
   std::string task;
   uint32_t number = 0;
   RunPhase phase = RunPhase::kStarting;
+  /// Not ordered yet: it has its room, and waits for `WorkerSession::Release`.
+  bool held = false;
   /// When the start was ordered, and when the worker confirmed it.
   Instant ordered{};
   Instant confirmed{};
@@ -169,7 +171,10 @@
   void Open();
   void Close();
 
+  /// Of a run that is `held` only its room is taken.
   void Start(Run run, std::string payload, std::string ticket);
+  /// Orders a run that was held.
+  void Release(const std::string& task);
   void Stop(const std::string& task);
   void SetPace(const std::string& task, int percent);
 
@@ -270,6 +275,13 @@
                      uint32_t number,
                      std::error_code error,
                      int64_t clock);
+  /// What a start carries beside its run.
+  struct StartWords {
+    std::string payload;
+    std::string ticket;
+  };
+
+  void SendStart(Run* run, StartWords words);
   void SendStop(const std::string& task, uint32_t number);
   void SendPace(Run* run);
   void Die();
@@ -322,6 +334,8 @@
   bool told_all_ = false;
   bool silent_told_ = false;
   std::map<std::string, Run> runs_;
+  /// Of the runs that are held.
+  std::map<std::string, StartWords> held_;
   Resources reserved_;
   int64_t fill_cpu_ = 0;
   int serving_ = 0;
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -29,16 +29,23 @@
 }
 
 Instant CellLeader::CampaignTurn() const {
-  // Strong machines first; equal ones in order of names.
+  // Strong machines first; of equal ones those that may rely on recorded
+  // places, then in order of names.
   int rank = 0;
   const LiveInstance& self = live_.self();
+  const int64_t last_epoch = live_.LastEpoch(options_.cell);
+  const bool began_since =
+      live_.agreeing_since() == 0 || live_.agreeing_since() > last_epoch;
   for (const auto& [name, other] : live_.instances()) {
     if (!IsOfCell(other.data_centre) || other.leaving || name == self.name) {
       continue;
     }
     const bool stronger = other.cpu_share > self.cpu_share;
     const bool equal = other.cpu_share == self.cpu_share;
-    rank += (stronger || (equal && name < self.name)) ? 1 : 0;
+    const bool other_began_since = other.agreeing_since > last_epoch;
+    const bool before =
+        began_since == other_began_since ? name < self.name : began_since;
+    rank += (stronger || (equal && before)) ? 1 : 0;
   }
   // Where all register at once, at the first start or after an outage of the
   // store that took their keys, whoever is first knows of nobody else yet.
@@ -203,21 +210,21 @@
   return static_cast<int>(open.size());
 }
 
-std::map<size_t, ChainLink> CellLeader::ReadChains(const StoreItems& items,
-                                                   bool* keeps_to_names) const {
+std::map<size_t, ChainLink> CellLeader::ReadChains(
+    const StoreItems& items,
+    const StoreItem** newest) const {
   std::map<size_t, ChainLink> chains;
-  const StoreItem* newest = nullptr;
+  *newest = nullptr;
   for (const StoreItem& item : items.items) {
     const auto lane = LaneOfChainKey(options_.cell, item.key);
     if (!lane) {
       continue;
     }
     chains[*lane] = {item.revision, DecodeSequence(item.value)};
-    if (newest == nullptr || item.revision > newest->revision) {
-      newest = &item;
+    if (*newest == nullptr || item.revision > (*newest)->revision) {
+      *newest = &item;
     }
   }
-  *keeps_to_names = newest != nullptr && KeepsToNames(newest->value);
   return chains;
 }
 
@@ -232,10 +239,13 @@
 }
 
 void CellLeader::Restore(const StoreItems& items) {
-  bool keeps_to_names = false;
-  const std::map<size_t, ChainLink> chains = ReadChains(items, &keeps_to_names);
+  const StoreItem* newest = nullptr;
+  const std::map<size_t, ChainLink> chains = ReadChains(items, &newest);
   std::vector<KnownWorker> known = ReadKnownWorkers(items);
-  if (!keeps_to_names) {
+  places_hold_to_ = newest == nullptr ? 0 : DecodePlacesHoldTo(newest->value);
+  places_held_ =
+      live_.agreeing_since() != 0 && live_.agreeing_since() <= places_hold_to_;
+  if (newest == nullptr || !KeepsToNames(newest->value)) {
     // A leader of an older version may have started work that they exclude.
     for (KnownWorker& worker : known) {
       worker.tasks.reset();
@@ -258,6 +268,8 @@
   lasting_rooms_.clear();
   trials_.Clear();
   wave_.Clear();
+  unrecorded_places_.clear();
+  held_starts_.clear();
   reading_closed_ = false;
   summarized_ = Instant{};
   ++generation_;
@@ -267,7 +279,9 @@
               {"jobs", jobs_.jobs().size()},
               {"open", open},
               {"chains", chains.size()},
-              {"workers", known.size()}});
+              {"workers", known.size()},
+              {"places_hold_to", places_hold_to_},
+              {"agreeing_since", live_.agreeing_since()}});
   journal_.Open(epoch_, chains);
   for (const KnownWorker& worker : known) {
     WorkerLife life;
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -95,6 +95,8 @@
     return;
   }
   JobTable::SetPlaced(task, false);
+  held_starts_.erase(run.task);
+  unrecorded_places_.erase(run.task);
   if (!run.checkpoint.empty() && !task->done) {
     task->checkpoint = run.checkpoint;
   }
@@ -213,6 +215,9 @@
     return std::nullopt;
   }
   JobTable::SetPlaced(task, true);
+  if (task->plan().lasting) {
+    NotePlace(task, session.life().id);
+  }
   task->unaccounted = false;
   task->adopted_run = accounted_ ? 0 : row.run;
   task->crash_untold = false;
@@ -258,6 +263,7 @@
     return;
   }
   JobTable::SetPlaced(task, false);
+  unrecorded_places_.erase(run.task);
   task->failed_on = session.life().id;
   WakeScheduler();
 }
@@ -336,6 +342,11 @@
     return "";
   }
   job->dirty = false;
+  ForEachTask(job, [](Task* task) {
+    if (task->place_record == PlaceRecord::kChanged) {
+      task->place_record = PlaceRecord::kWritten;
+    }
+  });
   return EncodeJobState(*job);
 }
 
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view kJobFolder = "doorwood/job/";
 constexpr std::string_view kChain = "chain";
 constexpr const char* kKeepsToNames = "keeps_to_names";
+constexpr const char* kPlacesHoldTo = "places_hold_to";
 
 // Names of another form than a leader writes: any task may run there.
 std::optional<std::vector<std::string>> DecodeTasks(const Json& row) {
@@ -90,8 +91,11 @@
   return std::string(kJobFolder) + std::string(job);
 }
 
-std::string EncodeSequence(uint64_t sequence) {
-  return Json{{"sequence", sequence}, {kKeepsToNames, true}}.dump();
+std::string EncodeSequence(uint64_t sequence, int64_t places_hold_to) {
+  return Json{{"sequence", sequence},
+              {kKeepsToNames, true},
+              {kPlacesHoldTo, places_hold_to}}
+      .dump();
 }
 
 uint64_t DecodeSequence(std::string_view text) {
@@ -108,6 +112,13 @@
          json->at(kKeepsToNames) == true;
 }
 
+int64_t DecodePlacesHoldTo(std::string_view text) {
+  const auto revision = DecodeObject(text, [](const Json& json) {
+    return ReadWholeOr(json, kPlacesHoldTo, 0);
+  });
+  return std::max<int64_t>(revision.value_or(0), 0);
+}
+
 std::string EncodeWorkers(const std::vector<KnownWorker>& workers) {
   Json rows = Json::array();
   for (const KnownWorker& worker : workers) {
@@ -287,6 +298,13 @@
   }
 }
 
+void CellJournal::Touch() {
+  if (open_) {
+    probing_ = true;
+    Wake(Millis(0));
+  }
+}
+
 void CellJournal::Forget(const std::string& job) {
   if (open_) {
     to_forget_.insert(job);
--- a/src/libdoorwood/cell/cell_journal_answers.cpp
+++ b/src/libdoorwood/cell/cell_journal_answers.cpp
@@ -165,6 +165,7 @@
     Answer(&accept, {}, AcceptOutcome::kAccepted);
   }
   for (const std::string& job : batch.states) {
+    owner_.OnStateWritten(job);
     if (!dirty_.contains(job)) {
       owner_.OnStateRecorded(job);
     }
--- a/src/libdoorwood/cell/cell_journal_build.cpp
+++ b/src/libdoorwood/cell/cell_journal_build.cpp
@@ -29,7 +29,8 @@
   StoreTransaction& transaction = batch.transaction;
   transaction.expected.push_back({LeadKey(cell_), lead_revision_});
   transaction.expected.push_back({ChainKey(cell_, lane), chain.revision});
-  transaction.puts.push_back({ChainKey(cell_, lane), EncodeSequence(sequence)});
+  transaction.puts.push_back(
+      {ChainKey(cell_, lane), EncodeSequence(sequence, owner_.PlacesHoldTo())});
   const size_t bare = transaction.entries();
   NoteEnds();
   AddWorkers(&batch);
--- a/src/libdoorwood/cell/cell_journal_load_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_load_test.cpp
@@ -83,6 +83,8 @@
     return {{"w", listed_end}};
   }
   void OnAccepted(const JobPlan& plan) override { accepted.insert(plan.id); }
+  int64_t PlacesHoldTo() override { return 0; }
+  void OnStateWritten(const std::string&) override {}
   void OnStateRecorded(const std::string& job) override {
     const auto asked = cancelled.find(job);
     if (asked != cancelled.end()) {
--- a/src/libdoorwood/cell/cell_journal_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_test.cpp
@@ -72,6 +72,8 @@
   std::string EncodeState(const std::string&) override { return state; }
   std::map<std::string, uint64_t> ListedEnds() override { return {{"w", 7}}; }
   void OnAccepted(const JobPlan& plan) override { accepted.push_back(plan.id); }
+  int64_t PlacesHoldTo() override { return 0; }
+  void OnStateWritten(const std::string&) override {}
   void OnStateRecorded(const std::string& job) override {
     recorded.push_back(job);
   }
--- /dev/null
+++ b/src/libdoorwood/cell/cell_lasting_places.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// On which worker a lasting task may run: recorded before the task is ordered
+// there, so that a successor which does not hear other workers need not reckon
+// with the task being on one of them.
+
+#include <utility>
+
+#include "doorwood/cell_leader.h"
+
+namespace doorwood {
+
+bool CellLeader::ClaimPlace(Task* task, const std::string& worker) {
+  const std::string name = task->name();
+  if (!JobTable::SetPlace(task, worker)) {
+    return true;
+  }
+  MarkDirty(task->job, /*urgent=*/true);
+  if (MayStartUnrecorded()) {
+    unrecorded_places_.insert(name);
+    return true;
+  }
+  held_starts_.insert(name);
+  return false;
+}
+
+void CellLeader::NotePlace(Task* task, const std::string& worker) {
+  if (JobTable::SetPlace(task, worker)) {
+    unrecorded_places_.insert(task->name());
+    MarkDirty(task->job, /*urgent=*/true);
+  }
+}
+
+bool CellLeader::MayStartUnrecorded() const {
+  return executor_.Now() < live_.AgreedUntil();
+}
+
+bool CellLeader::MayReleaseTo(const Member& member) const {
+  return MayOrder() && IsServing(member);
+}
+
+void CellLeader::ReleaseStarts() {
+  const bool unrecorded = MayStartUnrecorded();
+  for (const std::string& name : std::set<std::string>(held_starts_)) {
+    Task* task = jobs_.FindTask(name);
+    const auto member =
+        task == nullptr ? members_.end() : members_.find(task->place);
+    if (member == members_.end()) {
+      held_starts_.erase(name);
+      continue;
+    }
+    const auto session = member->second.session;
+    const bool recorded = task->place_record == PlaceRecord::kRecorded;
+    if (!MayReleaseTo(member->second)) {
+      held_starts_.erase(name);
+      session->Stop(name);
+    } else if (recorded || unrecorded) {
+      held_starts_.erase(name);
+      if (!recorded) {
+        unrecorded_places_.insert(name);
+      }
+      session->Release(name);
+    }
+  }
+  live_.SetNeedsAgreement(!held_starts_.empty());
+}
+
+bool CellLeader::KnowsPlaces() const {
+  return (places_held_ || accounted_) && unrecorded_places_.empty();
+}
+
+// What held for an instance goes on to do so: this leader records where it
+// starts lasting work, or asks that instance to agree, which ends it.
+int64_t CellLeader::PlacesHoldTo() {
+  if (KnowsPlaces()) {
+    places_hold_to_ = live_.at();
+  }
+  return places_hold_to_;
+}
+
+void CellLeader::TellPlacesHold() {
+  if (KnowsPlaces() && live_.NewestAgreeingSince() > places_hold_to_ &&
+      IsSure()) {
+    journal_.Touch();
+  }
+}
+
+void CellLeader::OnStateWritten(const std::string& id) {
+  Job* job = jobs_.Find(id);
+  if (job == nullptr) {
+    return;
+  }
+  bool any = false;
+  ForEachTask(job, [&](Task* task) {
+    if (task->place_record == PlaceRecord::kWritten) {
+      task->place_record = PlaceRecord::kRecorded;
+      unrecorded_places_.erase(task->name());
+      any = true;
+    }
+  });
+  if (any) {
+    ReleaseStarts();
+  }
+}
+
+bool CellLeader::AgreeToUnrecordedStarts() {
+  const bool may_lead = stage_ != Stage::kStandby && stage_ != Stage::kLeft;
+  return !may_lead && live_.Agree();
+}
+
+}  // namespace doorwood
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -347,6 +347,8 @@
   NoteDeaths();
   CheckTakeover();
   FollowTrials();
+  ReleaseStarts();
+  TellPlacesHold();
   if (accounted_ && IsSure()) {
     waves_.Tick();
   }
--- a/src/libdoorwood/cell/cell_places.cpp
+++ b/src/libdoorwood/cell/cell_places.cpp
@@ -49,14 +49,17 @@
   member->room_at = now;
 }
 
-bool CellLeader::IsOpen(const std::string& id, const Member& member) const {
-  const Instant now = executor_.Now();
+bool CellLeader::IsServing(const Member& member) const {
   const WorkerSession& session = *member.session;
   return IsRecorded(member) && !member.told_unheard && !member.told_tasks &&
          member.listed && session.responsive() && !session.life().draining &&
-         !session.has_unwanted() && now >= member.rests_until &&
-         now >= member.emptied_until && !IsClosed(member) &&
-         trust_.Allows(id, now);
+         executor_.Now() >= member.emptied_until && !IsClosed(member);
+}
+
+bool CellLeader::IsOpen(const std::string& id, const Member& member) const {
+  const Instant now = executor_.Now();
+  return IsServing(member) && !member.session->has_unwanted() &&
+         now >= member.rests_until && trust_.Allows(id, now);
 }
 
 std::vector<WorkerRoom*> CellLeader::CollectRooms() {
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -340,6 +340,7 @@
   run.image = interference_.Intern(task->plan().image);
   run.checkpoint = task->checkpoint;
   run.odd_time = !task->checkpoint.empty();
+  run.held = run.lasting && !ClaimPlace(task, member->first);
   task->last_run = number;
   JobTable::SetPlaced(task, true);
   task->job->begun = true;
@@ -356,6 +357,7 @@
               {"free_cpu", room->capacity.cpu_millis -
                                room->reserved.cpu_millis - room->fill_cpu},
               {"serving", room->serving},
+              {"held", run.held},
               {"waited_ms", waited.count()}});
   session->Start(std::move(run), task->job->plan.payload, ticket);
   room->reserved = session->reserved();
--- a/src/libdoorwood/cell/cell_suspects.cpp
+++ b/src/libdoorwood/cell/cell_suspects.cpp
@@ -57,7 +57,8 @@
   for (const auto& [name, run] : session.runs()) {
     const Task* task = jobs_.FindTask(name);
     // What vanished may have been cut off before it began the run.
-    const bool began = session.dead() || run.confirmed != Instant{};
+    const bool began =
+        !run.held && (session.dead() || run.confirmed != Instant{});
     if (task != nullptr && began && task->job->outcome == JobOutcome::kOpen) {
       runs.push_back(&run);
     }
--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -58,32 +58,54 @@
 // run it. What may run on a worker that was leaving or gone is recorded; on any
 // other, every task may.
 void CellLeader::ReleaseTasks() {
-  std::set<std::string> held;
+  UnheardWorkers unheard = FindUnheard();
+  size_t freed = 0;
+  size_t held = 0;
+  for (Job* job : jobs_.OpenJobs()) {
+    ForEachTask(job, [&](Task* task) {
+      if (task->unaccounted) {
+        task->unaccounted = MayBeThere(*task, unheard);
+        ++(task->unaccounted ? held : freed);
+      }
+    });
+  }
+  if (freed > 0) {
+    log_.Write("info", "cell", "tasks that unheard workers can't run are free",
+               {{"cell", options_.cell},
+                {"epoch", epoch_},
+                {"after_ms", LedFor().count()},
+                {"freed", freed},
+                {"held", held}});
+    WakeScheduler();
+  }
+  if (!unheard.any_task) {
+    released_ = true;
+    held_ = std::move(unheard.tasks);
+  }
+}
+
+CellLeader::UnheardWorkers CellLeader::FindUnheard() const {
+  UnheardWorkers unheard;
   for (const auto& [id, member] : members_) {
     if (WaitLeft(member) == Millis(0)) {
       continue;
     }
-    if (!member.tasks_before) {
-      return;
+    unheard.workers.insert(id);
+    if (member.tasks_before) {
+      unheard.tasks.insert(member.tasks_before->begin(),
+                           member.tasks_before->end());
+    } else {
+      unheard.any_task = true;
     }
-    held.insert(member.tasks_before->begin(), member.tasks_before->end());
   }
-  if (released_ && held == held_) {
-    return;
-  }
-  for (Job* job : jobs_.OpenJobs()) {
-    ForEachTask(job, [&held](Task* task) {
-      task->unaccounted = task->unaccounted && held.contains(task->name());
-    });
-  }
-  log_.Write("info", "cell", "tasks that unheard workers can't run are free",
-             {{"cell", options_.cell},
-              {"epoch", epoch_},
-              {"after_ms", LedFor().count()},
-              {"held", held.size()}});
-  released_ = true;
-  held_ = std::move(held);
-  WakeScheduler();
+  return unheard;
+}
+
+bool CellLeader::MayBeThere(const Task& task,
+                            const UnheardWorkers& unheard) const {
+  const bool may_be = unheard.any_task || unheard.tasks.contains(task.name());
+  const bool has_place = places_held_ && task.plan().lasting;
+  return may_be && (!has_place || unheard.workers.contains(task.place));
 }
 
 bool CellLeader::MayRunUnheard(const Task& task) const {
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -39,6 +39,7 @@
   }
   Run run = std::move(found->second);
   runs_.erase(found);
+  held_.erase(task);
   Count(run, -1);
   return run;
 }
@@ -53,33 +54,56 @@
 }
 
 void WorkerSession::Start(Run run, std::string payload, std::string ticket) {
-  StartOrder order;
-  order.token = token_;
-  order.task = run.task;
-  order.run = run.number;
-  order.payload = std::move(payload);
-  order.checkpoint = run.checkpoint;
   const Instant now = executor_.Now();
-  order.until = LeaseEnd(std::min(now, extend_until_));
-  order.ticket = std::move(ticket);
   if (runs_.empty()) {
     heard_at_ = now;
   }
-  const uint32_t number = run.number;
   run.ordered = now;
+  const std::string task = run.task;
+  const bool held = run.held;
   Insert(std::move(run));
+  StartWords words{std::move(payload), std::move(ticket)};
+  if (held) {
+    // As if it was ordered: its lease is counted from here on.
+    LeaseEnd(std::min(now, extend_until_));
+    held_.emplace(task, std::move(words));
+  } else {
+    SendStart(FindRun(task), std::move(words));
+  }
+  if (!look_under_way_ && look_timer_ == 0) {
+    ScheduleLook(Millis(20));
+  }
+}
+
+void WorkerSession::Release(const std::string& task) {
+  const auto words = held_.extract(task);
+  Run* run = FindRun(task);
+  if (words.empty() || run == nullptr || closed_ || dead_) {
+    return;
+  }
+  run->held = false;
+  run->ordered = executor_.Now();
+  SendStart(run, std::move(words.mapped()));
+}
+
+void WorkerSession::SendStart(Run* run, StartWords words) {
+  StartOrder order;
+  order.token = token_;
+  order.task = run->task;
+  order.run = run->number;
+  order.payload = std::move(words.payload);
+  order.checkpoint = run->checkpoint;
+  order.until = LeaseEnd(std::min(executor_.Now(), extend_until_));
+  order.ticket = std::move(words.ticket);
   workers_.Start(
       life_, order,
-      [self = shared_from_this(), task = order.task, number,
+      [self = shared_from_this(), task = order.task, number = order.run,
        address = life_.address](std::error_code error, int64_t clock) {
         if (!self->closed_ && !self->dead_) {
           self->OnStartAnswer(task, number, self->JudgeAnswer(address, error),
                               clock);
         }
       });
-  if (!look_under_way_ && look_timer_ == 0) {
-    ScheduleLook(Millis(20));
-  }
 }
 
 void WorkerSession::OnStartAnswer(const std::string& task,
@@ -136,6 +160,10 @@
   if (run == nullptr || run->phase == RunPhase::kStopping) {
     return;
   }
+  if (run->held) {
+    EndRun(task, RunEnd::kStopped, /*told_by_worker=*/true);
+    return;
+  }
   run->phase = RunPhase::kStopping;
   SendStop(task, run->number);
 }
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -313,6 +313,16 @@
   return dropped > 0;
 }
 
+bool JobTable::SetPlace(Task* task, const std::string& worker) {
+  if (task->place == worker) {
+    return task->place_record != PlaceRecord::kRecorded;
+  }
+  task->place = worker;
+  task->place_record = PlaceRecord::kChanged;
+  task->job->dirty = true;
+  return true;
+}
+
 bool JobTable::Finish(Job* job, JobOutcome outcome) {
   if (job->outcome != JobOutcome::kOpen) {
     return false;
@@ -335,6 +345,7 @@
 }
 
 constexpr size_t kCrashesColumn = 8;
+constexpr size_t kPlaceColumn = 9;
 
 // [run, machine, worker, evidence, suspect, alone, one of many, at work]
 Json EncodeCrash(const CrashNote& crash) {
@@ -365,19 +376,23 @@
 }
 
 // [time, step, index, last run, counted run, failed runs, checkpoint, done],
-// and the crashes where there are any: readers of older versions pass over
-// them.
+// and the crashes and the place where there are any: readers of older versions
+// pass over them.
 Json EncodeTask(const Task& task) {
   Json row = Json::array({task.time, task.step, task.index, task.last_run,
                           task.counted_run, task.failed_runs, task.checkpoint,
                           task.done ? 1 : 0});
-  if (!task.crashes.empty() && !task.done) {
+  const bool has_crashes = !task.crashes.empty() && !task.done;
+  if (has_crashes || !task.place.empty()) {
     Json crashes = Json::array();
     for (const CrashNote& crash : task.crashes) {
       crashes.push_back(EncodeCrash(crash));
     }
     row.push_back(std::move(crashes));
   }
+  if (!task.place.empty()) {
+    row.push_back(task.place);
+  }
   return row;
 }
 
@@ -441,6 +456,9 @@
           task.crashes.push_back(DecodeCrash(crash));
         }
       }
+      if (row.size() > kPlaceColumn) {
+        row.at(kPlaceColumn).get_to(task.place);
+      }
     }
     for (const auto& [outcome, known] : kOutcomeLetters) {
       if (letter.size() == 1 && letter[0] == known) {
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -15,12 +15,16 @@
 // Whoever registers leaves a key there that no lease takes away: a process that
 // starts later learns from it whom the store may serve again.
 constexpr std::string_view kSeenFolder = "seen/";
+// An instance reckons with having been forgotten after this part of the time
+// after which others forget it.
+constexpr int kForgottenMargin = 2;
 
 std::string EncodeInstance(const LiveInstance& instance) {
   return Json{{"data_centre", instance.data_centre},
               {"address", instance.address},
               {"cpu_share", instance.cpu_share},
-              {"leaving", instance.leaving}}
+              {"leaving", instance.leaving},
+              {"agreeing_since", instance.agreeing_since}}
       .dump();
 }
 
@@ -29,10 +33,17 @@
   if (item.gone || !IsPlainWord(name)) {
     return std::nullopt;
   }
-  return DecodeObject(item.value, [&name](const Json& json) {
-    LiveInstance instance{
-        name, ReadText(json, "data_centre"), ReadText(json, "address"),
-        json.value("cpu_share", 1.0), json.value("leaving", false)};
+  return DecodeObject(item.value, [&](const Json& json) {
+    LiveInstance instance{name,
+                          ReadText(json, "data_centre"),
+                          ReadText(json, "address"),
+                          json.value("cpu_share", 1.0),
+                          json.value("leaving", false),
+                          ReadWholeOr(json, "agreeing_since", 0)};
+    if (instance.agreeing_since == 0) {
+      instance.agreeing_since =
+          item.revision;  // it registers for the first time
+    }
     if (!IsPlainWord(instance.address)) {
       throw FieldError("address");
     }
@@ -146,26 +157,68 @@
 
 void LiveDirectory::Register() {
   StoreTransaction transaction;
+  self_.agreeing_since = agreeing_since_;
   transaction.puts.push_back(
       {InstanceKey(self_.name), EncodeInstance(self_), *lease_});
   transaction.puts.push_back({SeenKey(self_.name), EncodeInstance(self_), 0});
   const int64_t lease = *lease_;
-  store_.Commit(transaction,
-                [this, lease](std::error_code error, const StoreCommit&) {
-                  if (stopped_ || lease_ != lease) {
-                    return;
-                  }
-                  if (error) {
-                    registered_since_.reset();
-                  }
-                  if (error == make_error_code(KvErrc::kNotFound)) {
-                    Lose("the store does not know the lease");
-                  }
-                  if (!error && !registered_since_) {
-                    registered_since_ = executor_.Now();
-                    on_change_();
-                  }
-                });
+  store_.Commit(
+      transaction, [this, lease, agreements = agreements_](
+                       std::error_code error, const StoreCommit& commit) {
+        // One that was sent before this instance agreed to anything tells
+        // leaders nothing of that.
+        if (stopped_ || lease_ != lease || agreements != agreements_) {
+          return;
+        }
+        if (error) {
+          registered_since_.reset();
+        }
+        if (error == make_error_code(KvErrc::kNotFound)) {
+          Lose("the store does not know the lease");
+        }
+        if (!error) {
+          NoteRegistered(commit.revision);
+        }
+      });
+}
+
+// A leader forgets an instance whose key was gone for long, and asks it no
+// more.
+void LiveDirectory::NoteRegistered(int64_t revision) {
+  const Instant now = executor_.Now();
+  const bool was_forgotten =
+      now - registered_at_ > options_.gone_counts / kForgottenMargin;
+  if (agreeing_since_ == 0 || was_forgotten) {
+    agreeing_since_ = revision;
+  }
+  registered_at_ = now;
+  if (!registered_since_) {
+    registered_since_ = now;
+    on_change_();
+  }
+}
+
+bool LiveDirectory::Agree() {
+  if (!IsDeaf(executor_.Now())) {
+    return false;
+  }
+  ++agreements_;
+  agreeing_since_ = 0;
+  registered_since_.reset();  // registers again once the store answers
+  return true;
+}
+
+int64_t LiveDirectory::NewestAgreeingSince() const {
+  int64_t newest = 0;
+  for (const auto& [name, instance] : instances_) {
+    newest = std::max(newest, instance.agreeing_since);
+  }
+  return newest;
+}
+
+int64_t LiveDirectory::LastEpoch(const std::string& cell) const {
+  const auto known = last_epochs_.find(cell);
+  return known == last_epochs_.end() ? 0 : known->second;
 }
 
 void LiveDirectory::Keep() {
@@ -192,6 +245,9 @@
       store_heard_at_ = executor_.Now();
       lease_sure_until_ = sent + options_.lifetime;
     }
+    if (!error && registered_since_) {
+      registered_at_ = sent;
+    }
     if (!error && !registered_since_) {
       Register();
     }
@@ -305,6 +361,7 @@
       return;  // tells of an earlier lead
     }
     if (auto lead = DecodeLead(cell, item)) {
+      last_epochs_[cell] = lead->epoch;
       leads_[cell] = std::move(*lead);
     } else {
       leads_.erase(cell);
@@ -375,6 +432,7 @@
 }
 
 void LiveDirectory::SetLead(const CellLead& lead) {
+  last_epochs_[lead.cell] = lead.epoch;
   leads_[lead.cell] = lead;
 }
 
--- a/src/libdoorwood/membership/live_outage.cpp
+++ b/src/libdoorwood/membership/live_outage.cpp
@@ -13,13 +13,15 @@
   return executor_.Now() - gone.since <= options_.gone_counts;
 }
 
-Instant LiveDirectory::OutageUntil() const {
-  Instant asked = Instant::max();
+Instant LiveDirectory::EarliestWord(
+    const std::map<std::string, Instant>& words) const {
+  Instant earliest = Instant::max();
   const auto take_word = [&](const std::string& name) {
     // Each one for itself: the store may serve some and refuse their
     // neighbours, and any one that hears it may take the lead.
-    const auto told = deaf_at_.find(name);
-    asked = std::min(asked, told == deaf_at_.end() ? Instant{} : told->second);
+    const auto told = words.find(name);
+    earliest =
+        std::min(earliest, told == words.end() ? Instant{} : told->second);
   };
   for (const auto& [name, instance] : instances_) {
     if (name != self_.name) {
@@ -31,13 +33,22 @@
       take_word(name);
     }
   }
-  if (asked == Instant::max()) {
-    return Instant{};  // nobody to ask
-  }
+  return earliest == Instant::max() ? Instant{} : earliest;
+}
+
+Instant LiveDirectory::WordsUntil(Instant asked) const {
   const bool heard_since = store_heard_at_ + options_.silence_to_ask > asked;
   return heard_since ? Instant{} : asked + options_.answer_counts;
 }
 
+Instant LiveDirectory::OutageUntil() const {
+  return WordsUntil(EarliestWord(deaf_at_));
+}
+
+Instant LiveDirectory::AgreedUntil() const {
+  return WordsUntil(EarliestWord(agreed_at_));
+}
+
 const LiveInstance* LiveDirectory::FindInstanceThatHears() const {
   const Instant now = executor_.Now();
   if (failing_since_ == Instant{} ||
@@ -110,7 +121,22 @@
   });
 }
 
+void LiveDirectory::AskToAgree(const LiveInstance& instance) {
+  const Instant sent = executor_.Now();
+  hearing_.AskToAgree(
+      instance, [this, sent, name = instance.name](std::error_code error) {
+        if (error) {
+          agreed_at_.erase(name);
+        } else {
+          agreed_at_[name] = sent;
+        }
+      });
+}
+
 void LiveDirectory::Ask(const LiveInstance& instance) {
+  if (needs_agreement_ && IsDeaf(executor_.Now())) {
+    AskToAgree(instance);
+  }
   const Instant sent = executor_.Now();
   hearing_.Ask(instance, [this, sent, name = instance.name](
                              std::error_code error, Millis age) {
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -2,6 +2,7 @@
 
 #include "loop.adapter/http_peers.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
@@ -25,6 +26,7 @@
      {CoreErrc::kNoRoom, 429}}};
 constexpr int kOk = 200;
 constexpr char kHearingPath[] = "/store-heard";
+constexpr char kAgreePath[] = "/unrecorded-starts";
 constexpr std::string_view kHandOverPath = "/hand-over/";
 constexpr int kBadRequest = 400;
 
@@ -214,6 +216,20 @@
       });
 }
 
+void HttpPeers::AskToAgree(const LiveInstance& instance,
+                           std::function<void(std::error_code)> done) {
+  HttpCall call;
+  call.address = instance.address;
+  call.method = "POST";
+  call.target = kAgreePath;
+  call.timeout = kSummaryPatience;
+  client_.Send(
+      std::move(call),
+      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
+        done(error ? error : ErrorOf(reply.status));
+      });
+}
+
 void HttpPeers::HandOver(const LiveInstance& instance,
                          const std::string& cell,
                          int64_t epoch) {
@@ -254,6 +270,12 @@
   return age;
 }
 
+bool PeerService::Agree() {
+  return std::all_of(cells_.begin(), cells_.end(), [](CellLeader* leader) {
+    return leader->AgreeToUnrecordedStarts();
+  });
+}
+
 CellLeader* PeerService::Find(const std::string& cell) const {
   for (CellLeader* leader : cells_) {
     if (leader->cell() == cell && leader->leading()) {
@@ -279,6 +301,10 @@
            age ? std::to_string(age->count()) : "");
     return;
   }
+  if (request.path == kAgreePath) {
+    answer(Agree() ? std::error_code() : CoreErrc::kNoOwner, "");
+    return;
+  }
   if (request.path.starts_with(kHandOverPath)) {
     const bool read =
         HandOver(std::string_view(request.path).substr(kHandOverPath.size()));
--- a/src/loop.adapter/http_peers.h
+++ b/src/loop.adapter/http_peers.h
@@ -31,6 +31,8 @@
              StateCallback done) override;
   void Summary(const CellLead& lead, SummaryCallback done) override;
   void Ask(const LiveInstance& instance, Callback done) override;
+  void AskToAgree(const LiveInstance& instance,
+                  std::function<void(std::error_code)> done) override;
   void HandOver(const LiveInstance& instance,
                 const std::string& cell,
                 int64_t epoch) override;
@@ -50,6 +52,7 @@
  private:
   CellLeader* Find(const std::string& cell) const;
   std::optional<Millis> StoreHeardAgo() const;
+  bool Agree();
   /// `rest` is "CELL/EPOCH"; false if it is not.
   bool HandOver(std::string_view rest);
 
