fix(cell_suspects): a crash counts also where the leader is lost with the worker

Rows put back: `after` 0 for a worker that refuses, 0, 100 and 300 ms for one that falls silent, and one more in which the leader goes in the same millisecond.

Cause: what a leader knew of a crash, and of a trial that had begun, was lost with it. Nothing survived that names the task and the worker.

Change: (1) from the second note on, the worker on which a suspect is tried next is recorded before the start; if another life answers there, the successor counts that as a crash in a trial. (2) A worker that went down before its new leader ever heard it counts as a bystander's note for what may have been there, if that is at most 32 tasks; two such notes make a suspect.

Left: gangs are not recorded before a trial; culprits later than 4 s after their start (docs/design/crashing-tasks.md).

--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -119,7 +119,7 @@
     ++runs_crashed_;
   }
   TakeAway(id);
-  worker.refuses = true;
+  worker.refuses = crashed_refuse_;
   worker.listed = was_listed;
   time_.At(time_.now() + kEntryGoes,
            [this, id] { workers_.at(id)->listed = false; });
@@ -204,11 +204,15 @@
   return std::uniform_real_distribution<double>(0, 1)(random_);
 }
 
+void CellWorld::RunExactly(Millis duration) {
+  time_.Run(duration);
+  AdvanceAll();
+}
+
 void CellWorld::Run(Millis duration) {
   constexpr Millis kStep{50};
   for (Millis passed{0}; passed < duration; passed += kStep) {
-    time_.Run(kStep);
-    AdvanceAll();
+    RunExactly(kStep);
   }
 }
 
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -129,13 +129,17 @@
   void CrashAndReturn(const std::string& id);
   /// After a crash nobody uses the worker's address again.
   void KeepAddressesFree() { addresses_reused_ = false; }
+  /// A crashed worker's machine does not refuse calls: it does not answer.
+  void KeepCrashedSilent() { crashed_refuse_ = false; }
   /// What runs there dies, and nobody answers at its address any more.
   void TakeAway(const std::string& id);
   /// Makes a machine of each worker, named "m-" and the worker's id.
   void MakeMachines();
   void SetTable(const std::vector<Queue>& queues);
 
+  /// In steps of 50 ms; the last one is not cut short.
   void Run(Millis duration);
+  void RunExactly(Millis duration);
   /// The instance that leads, if any.
   WorldInstance* Leader();
   /// Runs until somebody leads, at most ten seconds.
@@ -223,6 +227,7 @@
   int runs_crashed_ = 0;
   int crowded_crashes_ = 0;
   bool addresses_reused_ = true;
+  bool crashed_refuse_ = true;
   std::vector<std::string> broken_;
   std::set<std::string> noted_done_;
   std::vector<std::string> started_done_;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -361,6 +361,12 @@
   void DropUntold(const WorkerSession& session);
   void NoteDeaths();
   void ConfirmUntold(const std::string& worker);
+  /// Notes a crash of what may have been on a worker that went down before this
+  /// leader heard it.
+  void NoteUnheardDeath(const std::string& worker, const Member& member);
+  /// Tasks that may have been on a worker that this leader never heard.
+  std::vector<Task*> FindTasksUnheardOn(const std::string& worker,
+                                        const Member& member);
   /// Counts the crash; true: it is one of many at a time. Then notes of the
   /// earlier ones are changed as well.
   bool JoinWave(const std::vector<CrashOfRun>& notes);
@@ -385,6 +391,9 @@
   /// Notes a start of an earlier leader that nobody told of; false: there is
   /// none to be noted.
   bool NoteUntold(Task* task);
+  /// Has it recorded that the task is tried there next; false: the start has to
+  /// wait for that.
+  bool RecordTrial(Task* task, const WorkerLife& life);
   /// The place where the suspect may be started now; nothing: it waits. `rooms`
   /// are those that `places` judges.
   std::optional<int> PlaceSuspect(const ReadyStep& ready,
--- a/src/include/doorwood/crash_guard.h
+++ b/src/include/doorwood/crash_guard.h
@@ -90,8 +90,8 @@
 /// of many workers at a time prove nothing.
 CrashVerdict JudgeCrashes(std::span<const CrashNote> crashes);
 
-/// It has crashed in a trial. Such a task is paused, and few are tried at a
-/// time. Others just happened to be there when a worker went down.
+/// It was seen to crash in a trial. Such a task is paused, and few are tried at
+/// a time. Others just happened to be there when a worker went down.
 bool IsLikelyCulprit(std::span<const CrashNote> crashes);
 
 /// For how long the task has to be seen at work before its worker gets anything
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -35,6 +35,9 @@
   /// Its worker fell silent when the run was new, or an earlier leader may have
   /// started the task since it recorded the last crash; nobody has told more.
   kUntold,
+  /// The run is tried there, or is about to be: no crash as far as this leader
+  /// knows. To a successor it is untold.
+  kTrial,
 };
 
 /// A worker that went down while a run of the task was there, soon after the
@@ -231,6 +234,10 @@
   static bool NoteCrash(Task* task, CrashNote crash);
   /// Takes back what was noted untold of the run; true: something was.
   static bool DropUntold(Task* task, uint32_t run);
+  /// Notes on which worker the task is tried next, in place of any other trial.
+  static void NoteTrial(Task* task, CrashNote trial);
+  /// The trial is over without a crash, or did not begin; true: there was one.
+  static bool DropTrial(Task* task);
   /// Changes where the task may run; false: the store holds that already.
   static bool SetPlace(Task* task, const std::string& worker);
   /// Ends the job; false if it is over already.
--- a/src/libdoorwood/cell/cell_crashing_task_test.cpp
+++ b/src/libdoorwood/cell/cell_crashing_task_test.cpp
@@ -280,27 +280,89 @@
   }
 }
 
+// The leader is lost `after` milliseconds after each of the first crashes is
+// seen, which is looked for every `look` milliseconds.
+void LoseLeaderAfterEachCrash(CrashTrial* trial, int after, int look = 50) {
+  constexpr int kLongestWait = 10'000;
+  trial->SubmitLasting(8);
+  trial->world.Submit(fakes::MakePlan(kCellJob, 1, 1, "ms=300 crashes="));
+  for (int i = 0; i < 8; ++i) {
+    const int before = trial->world.crashes();
+    for (int waited = 0;
+         waited < kLongestWait && trial->world.crashes() == before;
+         waited += look) {
+      trial->world.RunExactly(Millis(look));
+    }
+    trial->world.Run(Millis(after));
+    trial->RestartLeader();
+  }
+  trial->world.Run(Millis(20'000));
+  BOOST_TEST(trial->StateOf(kCellJob) == "failed");
+  BOOST_TEST(trial->StateOf(kSound) == "running");
+}
+
 // Guards against a leader that is lost with what it knows of a crash, again and
 // again.
 BOOST_AUTO_TEST_CASE(Culprit_LeaderIsLostAfterEachCrash_BoundHolds) {
-  for (const int after : {100, 300, 1500, 2300, 2700, 3500}) {
+  for (const int after : {0, 100, 300, 1500, 2300, 2700, 3500}) {
     for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
       BOOST_TEST_CONTEXT("after " << after << ", seed " << seed) {
         CrashTrial trial(seed);
-        trial.SubmitLasting(8);
-        trial.world.Submit(fakes::MakePlan(kCellJob, 1, 1, "ms=300 crashes="));
-        for (int i = 0; i < 8; ++i) {
-          const int before = trial.world.crashes();
-          for (int waited = 0; waited < 200 && trial.world.crashes() == before;
-               ++waited) {
-            trial.world.Run(Millis(50));
+        LoseLeaderAfterEachCrash(&trial, after);
+      }
+    }
+  }
+}
+
+// Guards against a leader that is lost in the moment of the crash.
+BOOST_AUTO_TEST_CASE(Culprit_LeaderIsLostWithItsWorker_BoundHolds) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      CrashTrial trial(seed);
+      LoseLeaderAfterEachCrash(&trial, /*after=*/0, /*look=*/1);
+    }
+  }
+}
+
+// Guards against a leader that is lost before its look at a silent worker has
+// failed.
+BOOST_AUTO_TEST_CASE(Culprit_LeaderIsLostBeforeSilenceIsSeen_BoundHolds) {
+  for (const int after : {0, 100, 300}) {
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      BOOST_TEST_CONTEXT("after " << after << ", seed " << seed) {
+        CrashTrial trial(seed);
+        trial.world.KeepCrashedSilent();
+        LoseLeaderAfterEachCrash(&trial, after);
+      }
+    }
+  }
+}
+
+// Guards against suspecting sound work for leaders that are lost with a worker.
+BOOST_AUTO_TEST_CASE(SoundTasks_LeadersAreLostWithWorkers_AreAllDoneSoon) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      CrashTrial trial(seed);
+      trial.world.KeepCrashedSilent();
+      trial.SubmitLasting(8);
+      std::vector<std::string> sound;
+      for (int i = 0; i < 6; ++i) {
+        sound.push_back("00000000000000" + std::to_string(10 + i));
+        trial.world.Submit(fakes::MakePlan(sound.back(), 2, 12, "ms=1500"));
+        trial.world.Run(Millis(500));
+        for (const auto& [id, worker] : trial.world.workers()) {
+          if (worker->up && worker->model.running() > 1) {
+            trial.world.CrashAndReturn(id);
+            break;
           }
-          trial.world.Run(Millis(after));
-          trial.RestartLeader();
         }
-        trial.world.Run(Millis(20'000));
-        BOOST_TEST(trial.StateOf(kCellJob) == "failed");
-        BOOST_TEST(trial.StateOf(kSound) == "running");
+        trial.RestartLeader();
+        trial.world.Run(Millis(3000));
+      }
+      trial.world.Run(Millis(15'000));
+      BOOST_TEST(trial.StateOf(kSound) == "running");
+      for (const std::string& job : sound) {
+        BOOST_TEST(trial.StateOf(job) == "completed");
       }
     }
   }
--- a/src/libdoorwood/cell/cell_ends.cpp
+++ b/src/libdoorwood/cell/cell_ends.cpp
@@ -95,6 +95,7 @@
     return;
   }
   JobTable::SetPlaced(task, false);
+  JobTable::DropTrial(task);
   held_starts_.erase(run.task);
   unrecorded_places_.erase(run.task);
   if (!run.checkpoint.empty() && !task->done) {
--- a/src/libdoorwood/cell/cell_suspects.cpp
+++ b/src/libdoorwood/cell/cell_suspects.cpp
@@ -22,6 +22,11 @@
 constexpr size_t kSuspectsNamed = 8;
 // Asked a little after the run counts as seen at work.
 constexpr Millis kAskedLate{30};
+// Where more tasks may have been on a worker, its crash says nothing of them.
+constexpr size_t kMostUnheard = 32;
+// From so many notes on a trial is recorded before it begins, for the case that
+// the leader is lost with the worker.
+constexpr size_t kRecordsTrials = 2;
 
 std::string MachineOf(const WorkerLife& life) {
   return life.machine.empty() ? life.id : life.machine;
@@ -129,7 +134,14 @@
   }
   for (auto& [name, note] : BlameRuns(session, CrashEvidence::kUntold)) {
     Task* task = jobs_.FindTask(name);
-    if (note.suspect && JobTable::NoteCrash(task, std::move(note))) {
+    const bool is_trial =
+        std::any_of(task->crashes.begin(), task->crashes.end(),
+                    [&](const CrashNote& known) {
+                      return known.run == note.run &&
+                             known.evidence == CrashEvidence::kTrial;
+                    });
+    if (note.suspect && !is_trial &&
+        JobTable::NoteCrash(task, std::move(note))) {
       MarkDirty(task->job, /*urgent=*/true);
     }
   }
@@ -159,6 +171,69 @@
   }
   for (const std::string& worker : dead) {
     ConfirmUntold(worker);
+    NoteUnheardDeath(worker, members_.at(worker));
+  }
+}
+
+std::vector<Task*> CellLeader::FindTasksUnheardOn(const std::string& worker,
+                                                  const Member& member) {
+  std::vector<Task*> tasks;
+  const int64_t now = unix_millis_();
+  const std::set<std::string> named =
+      member.tasks_before ? std::set<std::string>(member.tasks_before->begin(),
+                                                  member.tasks_before->end())
+                          : std::set<std::string>();
+  for (Job* job : std::vector<Job*>(jobs_.OpenJobs())) {
+    ForEachTask(job, [&](Task* task) {
+      const bool may_run = task->unaccounted && !task->placed && !task->done &&
+                           IsDue(*job, task->time, now) &&
+                           JobTable::IsUnblocked(*job, task->time, task->step);
+      const bool has_place = places_held_ && task->plan().lasting;
+      const bool was_there =
+          has_place ? task->place == worker
+                    : !member.tasks_before || named.contains(task->name());
+      if (may_run && was_there) {
+        tasks.push_back(task);
+      }
+    });
+  }
+  return tasks;
+}
+
+// Its earlier leader was lost before it could tell of the crash, so this one
+// counts as a bystander whatever may have been there: twice so is a suspect.
+void CellLeader::NoteUnheardDeath(const std::string& worker,
+                                  const Member& member) {
+  if (!member.from_takeover || member.session->fenced()) {
+    return;
+  }
+  std::vector<CrashOfRun> notes;
+  for (const Task* task : FindTasksUnheardOn(worker, member)) {
+    const bool known = std::any_of(
+        task->crashes.begin(), task->crashes.end(),
+        [&](const CrashNote& crash) { return crash.worker == worker; });
+    if (!known) {
+      CrashNote note;
+      note.run = task->last_run;
+      note.machine = worker;
+      note.worker = worker;
+      notes.emplace_back(task->name(), std::move(note));
+    }
+  }
+  const bool many = JoinWave(notes);
+  log_.Write("warn", "cell", "a worker went down before it was heard",
+             {{"worker", worker},
+              {"one_of_many", many},
+              {"may_have_run", notes.size()},
+              {"epoch", epoch_}});
+  if (notes.size() > kMostUnheard) {
+    return;
+  }
+  for (auto& [name, note] : notes) {
+    Task* task = jobs_.FindTask(name);
+    note.one_of_many = many;
+    NoteCrash(task, note);
+    MarkDirty(task->job, /*urgent=*/true);
   }
 }
 
@@ -411,7 +486,8 @@
   const bool fits =
       FindPlaceProblem(plan, need, kept, plan.most_per_worker > 0 ? there : 0,
                        interference_, options_.policy) == PlaceProblem::kNone;
-  if (!fits || HasNewRuns(*member->second.session)) {
+  if (!fits || HasNewRuns(*member->second.session) ||
+      !RecordTrial(task, member->second.session->life())) {
     return std::nullopt;
   }
   const auto place =
@@ -420,6 +496,30 @@
   return static_cast<int>(place - rooms.begin());
 }
 
+bool CellLeader::RecordTrial(Task* task, const WorkerLife& life) {
+  const uint32_t run = task->last_run + 1;
+  const bool is_recorded = std::any_of(
+      task->crashes.begin(), task->crashes.end(), [&](const CrashNote& crash) {
+        return crash.evidence == CrashEvidence::kTrial && crash.run == run &&
+               crash.worker == life.id;
+      });
+  if (is_recorded || task->crashes.size() < kRecordsTrials) {
+    return true;
+  }
+  CrashNote trial;
+  trial.run = run;
+  trial.machine = MachineOf(life);
+  trial.worker = life.id;
+  trial.evidence = CrashEvidence::kTrial;
+  trial.suspect = true;
+  trial.alone = true;
+  JobTable::NoteTrial(task, std::move(trial));
+  task->crash_unrecorded = true;
+  task->job->crash_unrecorded = true;
+  MarkDirty(task->job, /*urgent=*/true);
+  return false;
+}
+
 void CellLeader::BeginTrial(const Task& task,
                             const std::shared_ptr<WorkerSession>& session) {
   const WorkerLife& life = session->life();
@@ -465,8 +565,10 @@
     if (at_work >= options_.policy.crashes.cleared) {
       ClearCrashes(task);
       over.push_back(name);
-    } else if (at_work >= trial.length) {
+    } else if (at_work >= trial.length && !trial.settled) {
       trials_.Settle(name);
+      JobTable::DropTrial(task);
+      MarkDirty(task->job, /*urgent=*/false);
     }
   }
   for (const std::string& name : over) {
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -293,7 +293,8 @@
       [&](const CrashNote& other) { return other.run == crash.run; });
   if (known == task->crashes.end()) {
     task->crashes.push_back(std::move(crash));
-  } else if (*known == crash || known->evidence != CrashEvidence::kUntold) {
+  } else if (*known == crash || (known->evidence != CrashEvidence::kUntold &&
+                                 known->evidence != CrashEvidence::kTrial)) {
     return false;
   } else {
     *known = std::move(crash);
@@ -313,6 +314,22 @@
   return dropped > 0;
 }
 
+void JobTable::NoteTrial(Task* task, CrashNote trial) {
+  DropTrial(task);
+  task->crashes.push_back(std::move(trial));
+  task->job->dirty = true;
+}
+
+bool JobTable::DropTrial(Task* task) {
+  const auto dropped = std::erase_if(task->crashes, [](const CrashNote& crash) {
+    return crash.evidence == CrashEvidence::kTrial;
+  });
+  if (dropped > 0) {
+    task->job->dirty = true;
+  }
+  return dropped > 0;
+}
+
 bool JobTable::SetPlace(Task* task, const std::string& worker) {
   if (task->place == worker) {
     return task->place_record != PlaceRecord::kRecorded;
--- a/src/libdoorwood/policy/crash_guard.cpp
+++ b/src/libdoorwood/policy/crash_guard.cpp
@@ -22,6 +22,10 @@
   return crash.evidence == CrashEvidence::kOtherLife;
 }
 
+bool IsSeen(const CrashNote& crash) {
+  return IsSure(crash) || crash.evidence == CrashEvidence::kVanished;
+}
+
 }  // namespace
 
 std::string_view ToString(CrashVerdict verdict) {
@@ -62,13 +66,13 @@
   bool suspect = false;
   for (const CrashNote& crash : crashes) {
     suspect = suspect || crash.suspect;
-    if (crash.one_of_many) {
+    if (crash.one_of_many || crash.evidence == CrashEvidence::kTrial) {
       continue;
     }
     notes += crash.suspect ? 1 : 0;
     bystander += crash.suspect ? 0 : 1;
     sure += IsSure(crash) && crash.suspect ? 1 : 0;
-    if (crash.alone) {
+    if (crash.alone && IsSeen(crash)) {
       proofs.insert(crash.machine);
     }
     if (crash.alone && IsSure(crash)) {
@@ -85,8 +89,9 @@
 }
 
 bool IsLikelyCulprit(std::span<const CrashNote> crashes) {
-  return std::any_of(crashes.begin(), crashes.end(),
-                     [](const CrashNote& crash) { return crash.alone; });
+  return std::any_of(
+      crashes.begin(), crashes.end(),
+      [](const CrashNote& crash) { return crash.alone && IsSeen(crash); });
 }
 
 Millis TrialOf(std::span<const CrashNote> crashes,
@@ -94,6 +99,9 @@
   Millis longest{0};
   Millis shortest = options.short_trial;
   for (const CrashNote& crash : crashes) {
+    if (crash.evidence == CrashEvidence::kTrial) {
+      continue;
+    }
     // What ran for long when many went down has probably not caused it.
     const Millis most = crash.one_of_many ? options.at_work : crash.at_work;
     longest = std::max(longest, std::min(crash.at_work, most));
