fix(cell_campaign): the time since a worker was recorded as unheard counts as waited

The first record came 1 s after a takeover, and the time from the newest record to the next lead did not count: 27 s in all for a wait of 12.2 s, by four leaders.

Change: nothing is prolonged on a worker while the record calls it unheard, whoever leads. So the age of that record counts. An instance knows it by its own clock: it remembers when it heard that the store had reached which revision. A record of unheard workers changes a key that all instances watch, so that they hear of its revision at once. The first such record is made 250 ms after a takeover.

Ruled out: the time of day (it may jump); telling the age in the leader's summaries (another message for the same).

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -229,6 +229,8 @@
   std::map<size_t, ChainLink> ReadChains(const StoreItems& items,
                                          const StoreItem** newest) const;
   std::vector<KnownWorker> ReadKnownWorkers(const StoreItems& items) const;
+  /// How long ago the store held that record at the least.
+  Millis AgeOfRecord(int64_t revision) const;
   void StepDown(std::string_view reason);
   /// Starts nothing more and takes no calls: it hands over.
   bool IsHandingOver() const;
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -54,8 +54,10 @@
   /// worker may still run.
   Millis unsure_patience{3000};
   /// While workers are unheard after a takeover, or silent, how often that is
-  /// recorded.
+  /// recorded; and how long after a takeover for the first time, so that a
+  /// leader that is lost soon has not waited in vain.
   Millis unheard_interval{1000};
+  Millis first_unheard{250};
   /// A worker that nothing was promised for so long, since it does not answer,
   /// is recorded as unheard. Most of its runs' lease is over then: until the
   /// record says otherwise nothing is prolonged there, also if it answers again
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -8,10 +8,12 @@
 #define DOORWOOD_LIVE_DIRECTORY_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "doorwood/event_log.h"
@@ -26,6 +28,9 @@
 /// Stays when the instance's own key goes with its lease.
 std::string SeenKey(std::string_view instance);
 std::string LeadKey(std::string_view cell);
+/// Changes with each record of unheard workers, so that all instances hear how
+/// old that record is.
+std::string UnheardKey(std::string_view cell);
 
 struct LiveInstance {
   std::string name;
@@ -135,6 +140,9 @@
   Instant AgreedUntil() const;
   /// The store's revision up to which the directory is complete.
   int64_t at() const { return at_; }
+  /// A moment by which the store had reached the revision, the earliest that is
+  /// known of the last while; nothing: none is.
+  std::optional<Instant> ReachedBefore(int64_t revision) const;
   /// The newest `agreeing_since` of an instance; 0: there is none.
   int64_t NewestAgreeingSince() const;
   /// Epoch of the cell's newest leader that this process has heard of; 0: none.
@@ -179,6 +187,7 @@
   void Grant();
   void Keep();
   void Register();
+  void NoteReached(int64_t revision);
   void NoteRegistered(int64_t revision);
   void Lose(std::string_view reason);
   void List();
@@ -218,6 +227,8 @@
   bool known_ = false;
   bool listing_ = false;
   int64_t at_ = 0;
+  /// Revisions that the store had reached, and when that was heard; both rise.
+  std::deque<std::pair<int64_t, Instant>> reached_;
   std::map<std::string, LiveInstance> instances_;
   std::map<std::string, GoneInstance> gone_;
   /// Instances that have ever registered, but those gone for good: the revision
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -232,12 +232,25 @@
     const StoreItems& items) const {
   for (const StoreItem& item : items.items) {
     if (item.key == WorkersKey(options_.cell)) {
-      return DecodeWorkers(item.value);
+      std::vector<KnownWorker> known = DecodeWorkers(item.value);
+      // Whoever led since this record was written has prolonged nothing on a
+      // worker that it calls unheard.
+      const Millis age = AgeOfRecord(item.revision);
+      for (KnownWorker& worker : known) {
+        worker.unheard += worker.unheard > Millis(0) ? age : Millis(0);
+      }
+      return known;
     }
   }
   return {};
 }
 
+Millis CellLeader::AgeOfRecord(int64_t revision) const {
+  const auto stood = live_.ReachedBefore(revision);
+  return stood ? std::chrono::duration_cast<Millis>(executor_.Now() - *stood)
+               : Millis(0);
+}
+
 void CellLeader::Restore(const StoreItems& items) {
   const StoreItem* newest = nullptr;
   const std::map<size_t, ChainLink> chains = ReadChains(items, &newest);
@@ -258,7 +271,8 @@
   held_.clear();
   led_since_ = executor_.Now();
   last_tick_ = led_since_;
-  unheard_recorded_ = led_since_;
+  unheard_recorded_ =
+      led_since_ + options_.first_unheard - options_.unheard_interval;
   next_tasks_record_ = Instant{};
   wait_told_ = Instant{};
   unsure_after_pause_ = false;
--- a/src/libdoorwood/cell/cell_journal_build.cpp
+++ b/src/libdoorwood/cell/cell_journal_build.cpp
@@ -69,6 +69,13 @@
   batch->workers = workers_;
   batch->transaction.puts.push_back(
       {WorkersKey(cell_), EncodeWorkers(workers_)});
+  const bool any_unheard = std::any_of(
+      workers_.begin(), workers_.end(),
+      [](const auto& worker) { return worker.unheard > Millis(0); });
+  if (any_unheard) {
+    batch->transaction.puts.push_back(
+        {UnheardKey(cell_), std::to_string(batch->number)});
+  }
 }
 
 void CellJournal::AddForgotten(Batch* batch) {
--- a/src/libdoorwood/cell/cell_lasting_places_test.cpp
+++ b/src/libdoorwood/cell/cell_lasting_places_test.cpp
@@ -146,6 +146,30 @@
   }
 }
 
+// One wait for a worker that is gone (run lease / 0.98 + 3.5 s) after the first
+// change of the lead, which takes 2.5 s, and a reading of the directory.
+constexpr Millis kOneWait{15'000};
+
+// Guards against a wait that is served again by each leader in a row.
+BOOST_AUTO_TEST_CASE(LastingTask_ItsWorkerIsGoneWhileLeadersChange_WaitsOnce) {
+  for (const int between : {1500, 2500, 4000}) {
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      BOOST_TEST_CONTEXT(between << " ms between leaders, seed " << seed) {
+        PlacesTrial trial(seed);
+        const std::string gone = trial.Hosts().front();
+        trial.watched = trial.world.workers().at(gone)->model.running_tasks();
+        trial.world.TakeAway(gone);
+        for (int i = 0; i < 6; ++i) {
+          trial.RestartLeader();
+          trial.Run(Millis(between));
+        }
+        trial.Run(Millis(10'000));
+        BOOST_TEST(trial.longest_away <= kOneWait);
+      }
+    }
+  }
+}
+
 // Each run ends by itself, as failed, after so long.
 constexpr char kFailsAfterSix[] = "ms=6000 fails=1000000";
 constexpr char kFailsAfterThree[] = "ms=3000 fails=1000000";
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -15,6 +15,9 @@
 // Whoever registers leaves a key there that no lease takes away: a process that
 // starts later learns from it whom the store may serve again.
 constexpr std::string_view kSeenFolder = "seen/";
+// Longer than anybody waits for an unheard worker.
+constexpr Millis kReachedKept{30'000};
+constexpr size_t kMostReached = 256;
 // An instance reckons with having been forgotten after this part of the time
 // after which others forget it.
 constexpr int kForgottenMargin = 2;
@@ -78,6 +81,10 @@
          std::string(instance);
 }
 
+std::string UnheardKey(std::string_view cell) {
+  return std::string(kLivePrefix) + "unheard/" + std::string(cell);
+}
+
 std::string LeadKey(std::string_view cell) {
   return std::string(kLivePrefix) + std::string(kLeadFolder) +
          std::string(cell);
@@ -271,6 +278,24 @@
   Grant();
 }
 
+void LiveDirectory::NoteReached(int64_t revision) {
+  const Instant now = executor_.Now();
+  while (!reached_.empty() && (now - reached_.front().second > kReachedKept ||
+                               reached_.size() >= kMostReached)) {
+    reached_.pop_front();
+  }
+  if (reached_.empty() || revision > reached_.back().first) {
+    reached_.emplace_back(revision, now);
+  }
+}
+
+std::optional<Instant> LiveDirectory::ReachedBefore(int64_t revision) const {
+  const auto found = std::find_if(
+      reached_.begin(), reached_.end(),
+      [revision](const auto& entry) { return entry.first >= revision; });
+  return found == reached_.end() ? std::nullopt : std::optional(found->second);
+}
+
 // --- The others ---
 
 void LiveDirectory::Refresh() {
@@ -317,6 +342,7 @@
                    return;
                  }
                  store_heard_at_ = executor_.Now();
+                 NoteReached(events.at);
                  if (events.at > at_) {
                    at_ = events.at;
                    for (const StoreItem& item : events.items) {
@@ -397,6 +423,7 @@
   if (items.at < at_ || too_old) {
     return;
   }
+  NoteReached(items.at);
   at_ = items.at;
   const auto before = std::move(instances_);
   instances_.clear();
