refactor(cell_crashes): what is noted of crashes stands apart from trials

Which tasks may be on an unheard worker is asked in one place, for the takeover and for crashes. No change of behaviour.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -318,6 +318,9 @@
     std::set<std::string> tasks;
   };
   UnheardWorkers FindUnheard() const;
+  static void AddUnheard(std::string_view worker,
+                         const Member& member,
+                         UnheardWorkers* unheard);
   /// One of them may run the task, or has ended it unheard.
   bool MayBeThere(const Task& task, const UnheardWorkers& unheard) const;
   /// A worker that is waited for may run the task, or has ended it unheard.
@@ -350,7 +353,8 @@
   const Queue* QueueOf(const Job& job) const;
   void MarkDirty(Job* job, bool urgent);
 
-  // cell_suspects.cpp: tasks that may take their workers down
+  // cell_crashes.cpp: workers that go down, and what is noted of tasks there
+  static std::string MachineOf(const WorkerLife& life);
   /// How it is known that the worker crashed; nothing: it did not, or its
   /// machine was to go down.
   std::optional<CrashEvidence> EvidenceOfCrash(
@@ -380,6 +384,7 @@
   void GiveUp(Task* task);
   /// 0 to 1.
   double Jitter();
+  // cell_suspects.cpp: trials of tasks that may take their workers down
   static bool IsSuspect(const Task& task);
   /// Something there was not seen at work yet.
   bool HasNewRuns(const WorkerSession& session) const;
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -123,6 +123,9 @@
   /// How many runs before the adopted one may have failed unheard of.
   uint32_t UnheardEnds() const;
 
+  /// What is noted of a trial with that run; null: nothing.
+  const CrashNote* FindTrial(uint32_t run) const;
+
   const StepPlan& plan() const;
   /// "JOB.TIME.STEP.INDEX"
   std::string name() const;
--- a/src/libdoorwood/cell/cell_crashing_task_test.cpp
+++ b/src/libdoorwood/cell/cell_crashing_task_test.cpp
@@ -53,6 +53,25 @@
     BOOST_REQUIRE(world.Submit(plan));
     world.Run(Millis(3000));
   }
+  /// Crashes eight of sixteen workers.
+  void CrashHalf() {
+    std::vector<std::string> half;
+    for (const auto& [id, worker] : world.workers()) {
+      if (worker->up && half.size() < 8) {
+        half.push_back(id);
+      }
+    }
+    for (const std::string& id : half) {
+      world.CrashAndReturn(id);
+    }
+  }
+  size_t Running() {
+    size_t running = 0;
+    for (const auto& [id, worker] : world.workers()) {
+      running += worker->model.running();
+    }
+    return running;
+  }
   /// Ends the leader; it is back a second later.
   void RestartLeader() {
     fakes::WorldInstance* leader = world.WaitForLeader();
@@ -188,24 +207,12 @@
         CrashTrial trial(seed, /*workers=*/16);
         trial.SubmitLasting(24);
         for (int round = 0; round < 2; ++round) {
-          std::vector<std::string> half;
-          for (const auto& [id, worker] : trial.world.workers()) {
-            if (worker->up && half.size() < 8) {
-              half.push_back(id);
-            }
-          }
-          for (const std::string& id : half) {
-            trial.world.CrashAndReturn(id);
-          }
+          trial.CrashHalf();
           trial.world.Run(Millis(2100 + gap));
         }
         trial.world.Run(Millis(4000));
         BOOST_TEST(trial.StateOf(kSound) == "running");
-        size_t running = 0;
-        for (const auto& [id, worker] : trial.world.workers()) {
-          running += worker->model.running();
-        }
-        BOOST_TEST(running == 24U);
+        BOOST_TEST(trial.Running() == 24U);
       }
     }
   }
@@ -219,24 +226,12 @@
       CrashTrial trial(seed, /*workers=*/16);
       trial.SubmitLasting(24);
       for (int round = 0; round < 2; ++round) {
-        std::vector<std::string> half;
-        for (const auto& [id, worker] : trial.world.workers()) {
-          if (worker->up && half.size() < 8) {
-            half.push_back(id);
-          }
-        }
-        for (const std::string& id : half) {
-          trial.world.CrashAndReturn(id);
-        }
+        trial.CrashHalf();
         trial.RestartLeader();
         trial.world.Run(Millis(5000));
       }
       BOOST_TEST(trial.StateOf(kSound) == "running");
-      size_t running = 0;
-      for (const auto& [id, worker] : trial.world.workers()) {
-        running += worker->model.running();
-      }
-      BOOST_TEST(running == 24U);
+      BOOST_TEST(trial.Running() == 24U);
     }
   }
 }
--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -90,17 +90,23 @@
     if (WaitLeft(member) == Millis(0)) {
       continue;
     }
-    unheard.workers.insert(id);
-    if (member.tasks_before) {
-      unheard.tasks.insert(member.tasks_before->begin(),
-                           member.tasks_before->end());
-    } else {
-      unheard.any_task = true;
-    }
+    AddUnheard(id, member, &unheard);
   }
   return unheard;
 }
 
+void CellLeader::AddUnheard(std::string_view worker,
+                            const Member& member,
+                            UnheardWorkers* unheard) {
+  unheard->workers.insert(worker);
+  if (member.tasks_before) {
+    unheard->tasks.insert(member.tasks_before->begin(),
+                          member.tasks_before->end());
+  } else {
+    unheard->any_task = true;
+  }
+}
+
 bool CellLeader::MayBeThere(const Task& task,
                             const UnheardWorkers& unheard) const {
   const bool may_be = unheard.any_task || unheard.tasks.contains(task.name());
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -9,6 +9,14 @@
 
 namespace doorwood {
 
+const CrashNote* Task::FindTrial(uint32_t run) const {
+  const auto found = std::find_if(
+      crashes.begin(), crashes.end(), [run](const CrashNote& crash) {
+        return crash.evidence == CrashEvidence::kTrial && crash.run == run;
+      });
+  return found == crashes.end() ? nullptr : &*found;
+}
+
 const StepPlan& Task::plan() const {
   return job->plan.steps[step];
 }
