fix(cell_takeover): the line that other tasks are free is logged also if none had to wait

In that course all tasks are adopted or named on the workers that are gone, so none is let go before their wait is over, and operators read the line as the moment from which nothing else waits. Logged at that moment again; the test passes unchanged.

--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -69,7 +69,8 @@
       }
     });
   }
-  if (freed > 0) {
+  const bool first = !released_ && !unheard.any_task;
+  if (freed > 0 || first) {
     log_.Write("info", "cell", "tasks that unheard workers can't run are free",
                {{"cell", options_.cell},
                 {"epoch", epoch_},
