--- /dev/null
+++ b/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// A leader stops as planned, and a worker is gone before the next leader has
+// contacted it.
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "libdoorwood/cell/cell_world_util.h"
+#include "libdoorwood/cell/leader_succession_fixture.h"
+
+namespace doorwood {
+namespace {
+
+using fakes::CellWorld;
+using fakes::PartitionAllFrom;
+using fakes::WorkerRunning;
+using fakes::WorldInstance;
+
+constexpr char kJob[] = "00112233aabbccdd";
+constexpr char kTask[] = "00112233aabbccdd.0.0.0";
+// The platform allows a long-running task to be away for 6 s, plus 3 s until
+// it counts as lost.
+constexpr Millis kAwayBound{9000};
+constexpr Millis kStep{5};
+constexpr Millis kRunLease{8500};
+
+/// A long-running task runs on "lost"; only "other" has room for it next.
+struct PlannedStopFixture {
+  PlannedStopFixture() : world(11) {
+    world.options().sessions.run_lease = kRunLease;
+    world.SetTable({fakes::MakeQueue("queue", 4)});
+    world.AddWorker("lost", 4000);
+    for (const char* name : {"a1", "b1", "c1", "a2", "b2"}) {
+      world.AddInstance(name, fakes::LeaderSuccession::DataCentreOf(name));
+    }
+    leader = world.WaitForLeader();
+    world.Run(Millis(1000));
+    BOOST_REQUIRE(world.Submit(fakes::LeaderSuccession::Plan(kJob, 1)));
+    world.Run(Millis(500));
+    BOOST_REQUIRE(WorkerRunning(world, kTask) == "lost");
+    world.AddWorker("other", 8000);
+    world.Run(Millis(2000));
+  }
+
+  /// Shuts the leader down as planned and returns once it no longer leads.
+  void StopLeader() {
+    leader->live->AnnounceLeaving();
+    leader->cell->ShutDown([] {});
+    constexpr Millis kStopBound{2000};
+    for (Millis passed{0}; leader->cell->leading() && passed < kStopBound;
+         passed += kStep) {
+      world.RunExactly(kStep);
+    }
+    BOOST_REQUIRE(!leader->cell->leading());
+  }
+
+  /// Runs the world until the task runs on "other"; returns the time it took.
+  Millis TimeUntilMoved(Millis limit) {
+    Millis passed{0};
+    while (WorkerRunning(world, kTask) != "other" && passed < limit) {
+      world.RunExactly(kStep);
+      passed += kStep;
+    }
+    return passed;
+  }
+
+  CellWorld world;
+  WorldInstance* leader = nullptr;
+};
+
+// Guards against a successor that waits 12.2 s, as after an unplanned loss of
+// the lead, for a worker that was lost just after a leader stopped as planned.
+BOOST_AUTO_TEST_CASE(LongRunningTask_WorkerLostAtPlannedStop_RunsInTime) {
+  for (const int runs_before_stop_ms : {0, 300, 600, 900}) {
+    PlannedStopFixture fixture;
+    fixture.world.Run(Millis(runs_before_stop_ms));
+    fixture.StopLeader();
+    fixture.world.ShutDownWorker("lost");
+    const Millis away = fixture.TimeUntilMoved(Millis(20'000));
+    BOOST_TEST_CONTEXT("leader runs " << runs_before_stop_ms << " ms longer") {
+      BOOST_TEST(away.count() <= kAwayBound.count());
+      BOOST_TEST(fixture.world.violations().empty());
+    }
+  }
+}
+
+// Guards against a wait that begins anew with each leader that stops as
+// planned.
+BOOST_AUTO_TEST_CASE(LongRunningTask_WorkerLostAndTwoPlannedStops_RunsInTime) {
+  for (int second_leads_ms = 100; second_leads_ms <= 4100;
+       second_leads_ms += 500) {
+    PlannedStopFixture fixture;
+    fixture.StopLeader();
+    fixture.world.ShutDownWorker("lost");
+    Millis away = fixture.TimeUntilMoved(Millis(second_leads_ms));
+    fixture.leader = fixture.world.WaitForLeader();
+    BOOST_REQUIRE(fixture.leader != nullptr);
+    const Instant stop_begins = fixture.world.time().now();
+    fixture.StopLeader();
+    away += std::chrono::duration_cast<Millis>(fixture.world.time().now() -
+                                               stop_begins);
+    away += fixture.TimeUntilMoved(Millis(20'000));
+    BOOST_TEST_CONTEXT("second leads " << second_leads_ms << " ms") {
+      BOOST_TEST(away.count() <= kAwayBound.count());
+      BOOST_TEST(fixture.world.violations().empty());
+    }
+  }
+}
+
+// Guards against a wait that ends while the worker, which the successor cannot
+// reach, still runs the task.
+BOOST_AUTO_TEST_CASE(LongRunningTask_WorkerUnreachableAtPlannedStop_RunsOnce) {
+  for (int runs_before_stop_ms = 0; runs_before_stop_ms <= 1300;
+       runs_before_stop_ms += 100) {
+    PlannedStopFixture fixture;
+    fixture.world.Run(Millis(runs_before_stop_ms));
+    for (const auto& [name, instance] : fixture.world.instances()) {
+      if (instance != fixture.leader) {
+        instance->unreachable_workers.insert("lost");
+      }
+    }
+    fixture.StopLeader();
+    fixture.TimeUntilMoved(Millis(20'000));
+    BOOST_TEST_CONTEXT("leader runs " << runs_before_stop_ms << " ms longer") {
+      BOOST_TEST(WorkerRunning(fixture.world, kTask) == "other");
+      BOOST_TEST(fixture.world.violations().empty());
+    }
+  }
+}
+
+// Guards against a third leader that relies on a planned stop although a leader
+// in between has extended leases or started tasks.
+BOOST_AUTO_TEST_CASE(
+    LongRunningTask_SecondLeaderKilledAfterPlannedStop_RunsOnce) {
+  for (int leads_ms = 0; leads_ms <= 600; leads_ms += 5) {
+    PlannedStopFixture fixture;
+    CellWorld& world = fixture.world;
+    fixture.StopLeader();
+    WorldInstance* second = nullptr;
+    for (int i = 0; i < 1000 && second == nullptr; ++i) {
+      world.RunExactly(Millis(1));
+      second = world.Leader();
+    }
+    BOOST_REQUIRE(second != nullptr);
+    world.RunExactly(Millis(leads_ms));
+    world.Kill(second->name);
+    PartitionAllFrom(world, "lost");
+    fixture.TimeUntilMoved(Millis(25'000));
+    BOOST_TEST_CONTEXT("second leads " << leads_ms << " ms") {
+      BOOST_TEST(WorkerRunning(world, kTask) == "other");
+      BOOST_TEST(world.violations().empty());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace doorwood
