--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -21,6 +21,8 @@
 constexpr Millis kWaitLogInterval{1000};
 // Maximum number of workers named in such a line.
 constexpr size_t kMaxWorkersLogged = 8;
+// Maximum number of held tasks named in such a line.
+constexpr size_t kMaxTasksLogged = 8;
 
 }  // namespace
 
@@ -187,15 +189,19 @@
     }
   }
   int held = 0;
-  for (const Job* job : jobs_.OpenJobs()) {
-    for (const RepetitionState& repetition : job->repetitions) {
-      for (const StepState& step : repetition.steps) {
-        held += static_cast<int>(std::count_if(
-            step.tasks.begin(), step.tasks.end(), [](const Task& task) {
-              return task.may_still_run && !task.placed && !task.done;
-            }));
+  int held_long_running = 0;
+  Json names = Json::array();
+  for (Job* job : jobs_.OpenJobs()) {
+    ForEachTask(job, [&](const Task* task) {
+      if (!task->may_still_run || task->placed || task->done) {
+        return;
       }
-    }
+      ++held;
+      held_long_running += task->plan().long_running ? 1 : 0;
+      if (names.size() < kMaxTasksLogged) {
+        names.push_back(task->name());
+      }
+    });
   }
   log_.Write("info", "cell",
              "waiting for workers whose runs are not yet accounted for",
@@ -204,6 +210,9 @@
               {"led_ms", TimeLeading().count()},
               {"unheard", count},
               {"held_tasks", held},
+              {"held_long_running", held_long_running},
+              {"held", std::move(names)},
+              {"placements_valid", placements_valid_at_takeover_},
               {"workers", std::move(workers)}});
 }
 
