--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -80,9 +80,21 @@
   uint64_t sequence = 0;
 };
 
+/// Written by a leader that stops as planned: once the store has this, it
+/// orders nothing more.
+struct TermEnd {
+  int64_t epoch = 0;
+  /// Time for which this leader had extended no lease when it wrote this. Start
+  /// orders since then carried no later lease end than one sent before.
+  Millis since_lease_extension{0};
+};
+
 /// The value of a chain key: the sequence number of its lane's newest batch,
-/// JournalOwner::PlacementsValidTo, and what `KeepsToTaskLists` reads.
-std::string EncodeChainValue(uint64_t sequence, int64_t placements_valid_to);
+/// JournalOwner::PlacementsValidTo, what `KeepsToTaskLists` reads, and
+/// `term_end` if it is set.
+std::string EncodeChainValue(uint64_t sequence,
+                             int64_t placements_valid_to,
+                             const std::optional<TermEnd>& term_end);
 /// The sequence number in a chain key's value; 0 if there is no valid one.
 uint64_t DecodeSequence(std::string_view text);
 /// Whether the leader that wrote this chain key starts nothing on a worker
@@ -92,6 +104,8 @@
 /// JournalOwner::PlacementsValidTo of the writer of this chain key; 0 if the
 /// text has no valid one.
 int64_t DecodePlacementsValidTo(std::string_view text);
+/// The TermEnd in a chain key's value; empty if there is no valid one.
+std::optional<TermEnd> DecodeTermEnd(std::string_view text);
 
 /// The value of the workers' key. It is separate from the chain because it is
 /// long and changes seldom.
@@ -121,6 +135,9 @@
   /// of long-running tasks if its `LiveDirectory::no_agreement_since` is at
   /// most this revision, and neither is 0.
   virtual int64_t PlacementsValidTo() = 0;
+  /// Set once the leader orders nothing more and only waits for a batch that
+  /// says so.
+  virtual std::optional<TermEnd> PlannedTermEnd() = 0;
   /// For each worker with ends that are not recorded yet, the number of the
   /// newest end that the worker has listed. Every job that these ends changed
   /// has been passed to `CellJournal::MarkDirty`.
@@ -190,6 +207,11 @@
   /// Sends a batch as soon as one may be sent, even if there is nothing to
   /// record. Has no effect once the journal is sealed.
   void RequestCommit();
+  /// A batch was stored since `Open`.
+  bool has_stored_batch() const { return last_success_ != Instant{}; }
+  /// A batch with JournalOwner::PlannedTermEnd was stored since `Open`, and so
+  /// were the workers that were passed to `SetWorkers` before it was built.
+  bool is_term_end_stored() const { return term_end_stored_; }
   /// Removes all keys of a job that has ended.
   void RemoveJob(const std::string& job);
 
@@ -222,6 +244,7 @@
     Instant sent{};
     /// At least one attempt was not answered.
     bool unanswered = false;
+    bool has_term_end = false;
   };
   struct Lane {
     /// Last known revision of the chain key, and sequence number of the lane's
@@ -303,6 +326,7 @@
   /// The next batch is sent even if it is empty: to find out whether the store
   /// accepts batches again, or after `RequestCommit`.
   bool force_commit_ = false;
+  bool term_end_stored_ = false;
   std::deque<PendingAccept> accepts_;
   /// Jobs whose state is to be recorded, and the order in which to add them to
   /// batches. The order may also list jobs that are no longer in `dirty_`.
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -166,6 +166,7 @@
   // JournalOwner
   std::string EncodeState(const std::string& job) override;
   int64_t PlacementsValidTo() override;
+  std::optional<TermEnd> PlannedTermEnd() override;
   std::map<std::string, uint64_t> HighestUnrecordedEnds() override;
   void OnAccepted(const JobPlan& plan) override;
   void OnEncodedStateStored(const std::string& job) override;
@@ -302,6 +303,9 @@
   /// placed and no cancellation is accepted. New jobs are refused from the next
   /// check of the shutdown on, which seals the journal.
   bool IsInLastShutdownPhase() const;
+  /// Ends all orders of a leader that shuts down, and requests the record of
+  /// that.
+  void EndOrders();
   /// Removes this instance's lead key. Once the store has answered, or the call
   /// has failed, completes a planned shutdown if one is under way.
   void ReleaseLeadKey();
@@ -399,6 +403,7 @@
   /// when this instance provably led.
   void UpdateSessionLimits(const CellWorker& cell_worker,
                            Instant order_deadline) const;
+  void UpdateAllSessionLimits() const;
   /// Longest wait of polls that watch interference; longer in larger cells.
   Millis InterferencePollWait() const;
   void Tick();
@@ -429,6 +434,9 @@
   /// orders. Later than `order_grace` after its lead key was last confirmed, a
   /// leader extends leases only while no other instance can take the lead.
   Millis MaxRunTimeAfterLeadLoss() const;
+  /// Time to deduct from the wait for a worker that the leader which wrote
+  /// `term_end` had contacted. `age`: time since `term_end` was stored.
+  Millis DeductibleWaitAfter(const TermEnd& term_end, Millis age) const;
   /// Whether the worker was added from an earlier leader's record, has answered
   /// this leader and is not dead, but has not yet listed all its ended runs.
   /// False once the takeover is over.
@@ -460,6 +468,9 @@
   /// there unreported. As of the last `ReleaseTasks`; ignores recorded
   /// placements of long-running tasks.
   bool MayRunOnUnaccountedWorker(const Task& task) const;
+  /// Requests a proof of the lead if a wait for an uncontacted worker would be
+  /// over, had the lead been proved by now.
+  void RequestProofIfWaitServed();
   /// Logs the unaccounted workers, at most once a second.
   void LogWait();
 
@@ -745,6 +756,9 @@
   /// an earlier generation are dropped.
   uint64_t generation_ = 0;
   int64_t epoch_ = 0;
+  /// Epoch of the newest leader that this instance knew of when it last
+  /// campaigned; 0: none.
+  int64_t previous_epoch_ = 0;
   /// Written with the lead key, to recognize a win whose answer was lost. Drawn
   /// once per `CellLeader`.
   const uint64_t nonce_;
@@ -795,6 +809,13 @@
   std::function<void()> on_shut_down_;
   /// Since when a planned shutdown is under way; zero: it is not.
   Instant shutdown_since_{};
+  /// Since when a planned shutdown orders no starts and no lease extensions any
+  /// more; zero: it still does, or there is none.
+  Instant orders_ended_{};
+  /// Set at a takeover if the newest chain key has a TermEnd, until a batch is
+  /// stored. The next leader must not rely on that TermEnd once this one has
+  /// ordered anything, so this one orders nothing until then.
+  bool replaces_term_end_ = false;
 
   std::shared_ptr<const QueueTable> table_;
   /// Every queue configured since this process started, so that jobs of a queue
@@ -843,6 +864,8 @@
   /// The takeover is over: no worker is unaccounted, so every run from before
   /// it is known to this leader or has certainly ended.
   bool all_runs_accounted_ = true;
+  /// `RequestProofIfWaitServed` has requested a proof.
+  bool takeover_awaits_proof_ = false;
   /// The tasks that may still be active on unaccounted workers are known, so
   /// the takeover holds back no others than `tasks_held_back_`.
   bool tasks_released_ = false;
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -123,6 +123,7 @@
 
 void CellLeader::Campaign() {
   stage_ = Stage::kCampaigning;
+  previous_epoch_ = live_.NewestKnownEpoch(options_.cell);
   const uint64_t generation = ++generation_;
   StoreTransaction transaction;
   const std::string key = LeadKey(options_.cell);
@@ -282,9 +283,20 @@
       worker.tasks.reset();
     }
   }
+  const auto term_end =
+      newest == nullptr ? std::nullopt : DecodeTermEnd(newest->value);
+  replaces_term_end_ = term_end.has_value();
+  // An instance that knows of another leader since then, or of none, cannot
+  // tell whether that one has extended leases.
+  Millis waited_since_term_end{0};
+  if (term_end && term_end->epoch == previous_epoch_) {
+    waited_since_term_end =
+        DeductibleWaitAfter(*term_end, AgeOfRecord(newest->revision));
+  }
   const int open = RestoreJobs(items);
   stage_ = Stage::kLeading;
   all_runs_accounted_ = false;
+  takeover_awaits_proof_ = false;
   tasks_released_ = false;
   tasks_held_back_.clear();
   led_since_ = executor_.Now();
@@ -313,6 +325,8 @@
               {"chains", chains.size()},
               {"workers", known.size()},
               {"places_hold_to", placements_valid_to_},
+              {"planned_stop_of", term_end ? term_end->epoch : 0},
+              {"waited_ms", waited_since_term_end.count()},
               {"agreeing_since", live_.no_agreement_since()}});
   journal_.Open(epoch_, chains);
   for (const KnownWorker& worker : known) {
@@ -323,7 +337,11 @@
     incarnation.draining = true;
     AddWorker(incarnation, /*from_takeover=*/true);
     CellWorker& cell_worker = cell_workers_.at(worker.id);
-    cell_worker.predecessors_waited = worker.deductible_wait;
+    // A worker with a recorded time may not have been contacted by the leader
+    // that stopped, so leaders before it may have extended leases there.
+    cell_worker.predecessors_waited = worker.deductible_wait > Millis(0)
+                                          ? worker.deductible_wait
+                                          : waited_since_term_end;
     cell_worker.renewals_blocked = worker.deductible_wait > Millis(0);
     cell_worker.inherited_tasks = worker.tasks;
     cell_worker.starts_blocked = worker.tasks.has_value();
@@ -331,6 +349,9 @@
     cell_worker.submitted_as_closed = worker.tasks.has_value();
   }
   upkeep_waves_.Open(live_.self().name, epoch_);
+  if (replaces_term_end_) {
+    journal_.RequestCommit();
+  }
   ExtendOrderDeadline();
   Tick();
 }
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view kChainKeySuffix = "chain";
 constexpr const char* kKeepsToTaskListsField = "keeps_to_names";
 constexpr const char* kPlacementsValidField = "places_hold_to";
+constexpr const char* kTermEndField = "term_end";
 
 // Returns an empty optional, which means that any task may run on the worker,
 // if the list is not of the form that leaders write.
@@ -93,11 +94,18 @@
   return std::string(kJobKeyPrefix) + std::string(job);
 }
 
-std::string EncodeChainValue(uint64_t sequence, int64_t placements_valid_to) {
-  return Json{{"sequence", sequence},
-              {kKeepsToTaskListsField, true},
-              {kPlacementsValidField, placements_valid_to}}
-      .dump();
+std::string EncodeChainValue(uint64_t sequence,
+                             int64_t placements_valid_to,
+                             const std::optional<TermEnd>& term_end) {
+  Json value{{"sequence", sequence},
+             {kKeepsToTaskListsField, true},
+             {kPlacementsValidField, placements_valid_to}};
+  if (term_end) {
+    value[kTermEndField] = {
+        {"epoch", term_end->epoch},
+        {"since_lease_extension_ms", term_end->since_lease_extension.count()}};
+  }
+  return value.dump();
 }
 
 uint64_t DecodeSequence(std::string_view text) {
@@ -121,6 +129,20 @@
   return std::max<int64_t>(revision.value_or(0), 0);
 }
 
+std::optional<TermEnd> DecodeTermEnd(std::string_view text) {
+  const auto term_end =
+      DecodeObject(text, [](const Json& json) -> std::optional<TermEnd> {
+        const auto found = json.find(kTermEndField);
+        if (found == json.end() || !found->is_object()) {
+          return std::nullopt;
+        }
+        return TermEnd{ReadInteger(*found, "epoch", kIdentifierRange),
+                       Millis(ReadInteger(*found, "since_lease_extension_ms",
+                                          {0, kMaxMillis}))};
+      });
+  return term_end.value_or(std::nullopt);
+}
+
 std::string EncodeWorkers(const std::vector<KnownWorker>& workers) {
   Json rows = Json::array();
   for (const KnownWorker& worker : workers) {
@@ -177,6 +199,7 @@
   }
   flow_.Clear();
   last_success_ = Instant{};
+  term_end_stored_ = false;
 }
 
 void CellJournal::Close() {
--- a/src/libdoorwood/cell/cell_journal_answers.cpp
+++ b/src/libdoorwood/cell/cell_journal_answers.cpp
@@ -162,6 +162,7 @@
   }
   lanes_[lane].chain.revision = revision;
   Batch batch = DetachBatch(lane);
+  term_end_stored_ = term_end_stored_ || batch.has_term_end;
   for (PendingAccept& accept : batch.accepts) {
     owner_.OnAccepted(accept.plan);
     CompleteAccept(&accept, {}, AcceptOutcome::kAccepted);
--- a/src/libdoorwood/cell/cell_journal_build.cpp
+++ b/src/libdoorwood/cell/cell_journal_build.cpp
@@ -30,9 +30,7 @@
   StoreTransaction& transaction = batch.transaction;
   transaction.expected.push_back({LeadKey(cell_), lead_revision_});
   transaction.expected.push_back({ChainKey(cell_, lane), chain.revision});
-  transaction.puts.push_back(
-      {ChainKey(cell_, lane),
-       EncodeChainValue(sequence, owner_.PlacementsValidTo())});
+  transaction.puts.push_back({ChainKey(cell_, lane), ""});
   const size_t base_entries = transaction.entries();
   CaptureEnds();
   AddWorkers(&batch);
@@ -47,6 +45,15 @@
   force_commit_ = false;
   lanes_[lane].force_commit = false;
   chain.sequence = sequence;
+  // A successor reads the end of the term together with the workers, so the
+  // newest records of these have to be stored no later than it.
+  const bool workers_stored_with_it =
+      !workers_changed_ && (!workers_in_flight_ || batch.workers);
+  const auto term_end =
+      workers_stored_with_it ? owner_.PlannedTermEnd() : std::nullopt;
+  batch.has_term_end = term_end.has_value();
+  transaction.puts.front().value =
+      EncodeChainValue(sequence, owner_.PlacementsValidTo(), term_end);
   return batch;
 }
 
--- a/src/libdoorwood/cell/cell_journal_load_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_load_test.cpp
@@ -87,6 +87,7 @@
   }
   void OnAccepted(const JobPlan& plan) override { accepted.insert(plan.id); }
   int64_t PlacementsValidTo() override { return 0; }
+  std::optional<TermEnd> PlannedTermEnd() override { return std::nullopt; }
   void OnEncodedStateStored(const std::string&) override {}
   void OnNewestStateStored(const std::string& job) override {
     const auto entry = cancelled.find(job);
--- a/src/libdoorwood/cell/cell_journal_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_test.cpp
@@ -76,6 +76,7 @@
   }
   void OnAccepted(const JobPlan& plan) override { accepted.push_back(plan.id); }
   int64_t PlacementsValidTo() override { return 0; }
+  std::optional<TermEnd> PlannedTermEnd() override { return term_end; }
   void OnEncodedStateStored(const std::string&) override {}
   void OnNewestStateStored(const std::string& job) override {
     recorded.push_back(job);
@@ -111,6 +112,7 @@
   fakes::FakeLog log{time, "journal", trace};
   CellJournal journal{executor, store, log, *this, JournalOptions{}, "all"};
   std::string state = "state";
+  std::optional<TermEnd> term_end;
   std::vector<std::string> accepted;
   std::vector<std::string> recorded;
   std::map<std::string, uint64_t> ends_recorded;
@@ -307,5 +309,50 @@
   BOOST_TEST(!IsStored(JobIdKey(kJob)));
 }
 
+// Guards against a successor that relies on the end of a term while the workers
+// in the store are those of an earlier record.
+BOOST_AUTO_TEST_CASE(TermEnd_WorkersInFlight_IsStoredOnlyWithTheNewestWorkers) {
+  JournalFixture fixture;
+  fixture.store.script = {Step::kLoseAnswer};
+  fixture.journal.SetWorkers({{"before", "1:1"}});
+  fixture.time.Run(Millis(50));
+  fixture.term_end = TermEnd{1, Millis(20)};
+  fixture.journal.SetWorkers({{"after", "1:1"}});
+  fixture.journal.RequestCommit();
+  for (int i = 0; i < 400; ++i) {
+    fixture.time.Run(Millis(10));
+    bool has_term_end = false;
+    for (const size_t lane : {0, 1, 2, 3}) {
+      StoreItem chain;
+      has_term_end |= !fixture.store.model.Get(ChainKey("all", lane), &chain) &&
+                      DecodeTermEnd(chain.value).has_value();
+    }
+    StoreItem workers;
+    BOOST_REQUIRE(!fixture.store.model.Get(WorkersKey("all"), &workers));
+    const auto rows = DecodeWorkers(workers.value);
+    BOOST_TEST((!has_term_end || rows.at(0).id == "after"));
+    BOOST_TEST((!fixture.journal.is_term_end_stored() || has_term_end));
+  }
+  BOOST_TEST(fixture.journal.is_term_end_stored());
+}
+
+// Guards against a TermEnd of another form, or of a version without it, that
+// shortens a wait.
+BOOST_AUTO_TEST_CASE(TermEnd_ValueOfAnotherForm_IsNotDecoded) {
+  const auto decoded =
+      DecodeTermEnd(EncodeChainValue(3, 4, TermEnd{5, Millis(60)}));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->epoch == 5);
+  BOOST_TEST(decoded->since_lease_extension.count() == 60);
+  for (const char* text :
+       {"", "[]", R"({"sequence":3})", R"({"term_end":7})",
+        R"({"term_end":{"epoch":5}})",
+        R"({"term_end":{"epoch":5,"since_lease_extension_ms":-1}})",
+        R"({"term_end":{"epoch":"5","since_lease_extension_ms":1}})"}) {
+    BOOST_TEST(!DecodeTermEnd(text).has_value(), text);
+  }
+  BOOST_TEST(!DecodeTermEnd(EncodeChainValue(3, 4, std::nullopt)).has_value());
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -17,6 +17,9 @@
 // After this time a leader that shuts down waits only for the records of new
 // jobs and of urgent changes. Workers report the rest to its successor.
 constexpr Millis kFullRecordTimeout{300};
+// A leader that shuts down waits at most this long for the record that says
+// that it orders nothing more.
+constexpr Millis kTermEndTimeout{300};
 // Intervals at which all jobs are visited: to remove old ones, which are kept
 // for minutes, and to update the summary, which each other instance requests
 // every 0.6 s. With 29 instances and thousands of jobs, a visit for each tick
@@ -107,6 +110,7 @@
   log_.Write("warn", "cell", "stepping down as leader",
              {{"cell", options_.cell}, {"epoch", epoch_}, {"reason", reason}});
   ++counters_.step_downs;
+  orders_ended_ = Instant{};
   ReleaseLeadKey();
   ++generation_;
   stage_ = Stage::kStandby;
@@ -209,16 +213,25 @@
     done();
     return;
   }
+  const Instant now = executor_.Now();
   if (shutdown_since_ == Instant{}) {
-    shutdown_since_ = executor_.Now();
+    shutdown_since_ = now;
+    UpdateAllSessionLimits();
+  }
+  if (orders_ended_ == Instant{} &&
+      (journal_.idle() || IsInLastShutdownPhase())) {
+    EndOrders();
   }
+  const bool term_ended =
+      orders_ended_ != Instant{} &&
+      (journal_.is_term_end_stored() || now - orders_ended_ >= kTermEndTimeout);
   // A busy leader never has everything recorded, since runs keep ending.
   // Without a limit it would lead until the shutdown grace period has
   // elapsed, and exit with records in flight.
-  if (IsInLastShutdownPhase()) {
+  if (term_ended) {
     journal_.Seal();
   }
-  if (journal_.idle() || (IsInLastShutdownPhase() && journal_.is_drained())) {
+  if (term_ended && (journal_.idle() || journal_.is_drained())) {
     on_shut_down_ = std::move(done);
     StepDown("leaving");
     stage_ = Stage::kShutDown;
@@ -229,10 +242,43 @@
       [this, done = std::move(done)]() mutable { ShutDown(std::move(done)); });
 }
 
+// The next leader waits for a worker that it cannot contact for as long as
+// leases there may last. It can count that time from the last lease extension
+// of this leader only if the store says when that was.
+void CellLeader::EndOrders() {
+  orders_ended_ = executor_.Now();
+  UpdateAllSessionLimits();
+  RecordWorkers();
+  journal_.RequestCommit();
+  log_.Write("info", "cell",
+             "ordering nothing more before the planned release of the lead",
+             {{"cell", options_.cell},
+              {"epoch", epoch_},
+              {"workers", cell_workers_.size()}});
+}
+
+std::optional<TermEnd> CellLeader::PlannedTermEnd() {
+  if (!leading() || orders_ended_ == Instant{}) {
+    return std::nullopt;
+  }
+  Instant last_extension{};
+  for (const auto& [id, cell_worker] : cell_workers_) {
+    last_extension =
+        std::max(last_extension, cell_worker.session->last_lease_order_at());
+  }
+  const Instant since =
+      last_extension == Instant{} ? shutdown_since_ : last_extension;
+  return TermEnd{epoch_,
+                 std::chrono::duration_cast<Millis>(executor_.Now() - since)};
+}
+
 // --- Time ---
 
 Instant CellLeader::OrderDeadline() const {
-  if (!leading() || unconfirmed_after_pause_) {
+  const bool must_replace_term_end =
+      replaces_term_end_ && !journal_.has_stored_batch();
+  if (!leading() || unconfirmed_after_pause_ || orders_ended_ != Instant{} ||
+      must_replace_term_end) {
     return Instant{};
   }
   return order_deadline_;
@@ -264,11 +310,23 @@
 
 void CellLeader::UpdateSessionLimits(const CellWorker& cell_worker,
                                      Instant order_deadline) const {
+  // A planned shutdown extends no leases, so that the next leader has to wait
+  // for less time.
+  const Instant extension_end = shutdown_since_ == Instant{}
+                                    ? order_deadline
+                                    : std::min(order_deadline, shutdown_since_);
   cell_worker.session->SetLeaseExtensionEnd(
-      cell_worker.renewals_blocked ? Instant{} : order_deadline);
+      cell_worker.renewals_blocked ? Instant{} : extension_end);
   cell_worker.session->SetLeadConfirmedUntil(proof_.confirmed_at());
 }
 
+void CellLeader::UpdateAllSessionLimits() const {
+  const Instant order_deadline = OrderDeadline();
+  for (const auto& [id, cell_worker] : cell_workers_) {
+    UpdateSessionLimits(cell_worker, order_deadline);
+  }
+}
+
 void CellLeader::OnLeadConfirmed(Instant sent) {
   proof_.NoteConfirmed(sent);
 }
@@ -289,6 +347,13 @@
   for (const auto& session : waiting) {
     session->EndRunsIfWorkerLost();
   }
+  if (std::exchange(takeover_awaits_proof_, false)) {
+    CheckTakeover();
+  }
+  if (replaces_term_end_ && journal_.has_stored_batch()) {
+    replaces_term_end_ = false;
+    RequestSchedulingPass();
+  }
 }
 
 Millis CellLeader::InterferencePollWait() const {
--- a/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
+++ b/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
@@ -28,7 +28,7 @@
 
 /// A long-running task runs on "lost"; only "other" has room for it next.
 struct PlannedStopFixture {
-  PlannedStopFixture() : world(11) {
+  explicit PlannedStopFixture(uint64_t seed = 11) : world(seed) {
     world.options().sessions.run_lease = kRunLease;
     world.SetTable({fakes::MakeQueue("queue", 4)});
     world.AddWorker("lost", 4000);
@@ -114,7 +114,7 @@
 BOOST_AUTO_TEST_CASE(LongRunningTask_WorkerUnreachableAtPlannedStop_RunsOnce) {
   for (int runs_before_stop_ms = 0; runs_before_stop_ms <= 1300;
        runs_before_stop_ms += 100) {
-    PlannedStopFixture fixture;
+    PlannedStopFixture fixture(static_cast<uint64_t>(runs_before_stop_ms + 1));
     fixture.world.Run(Millis(runs_before_stop_ms));
     for (const auto& [name, instance] : fixture.world.instances()) {
       if (instance != fixture.leader) {
@@ -135,7 +135,7 @@
 BOOST_AUTO_TEST_CASE(
     LongRunningTask_SecondLeaderKilledAfterPlannedStop_RunsOnce) {
   for (int leads_ms = 0; leads_ms <= 600; leads_ms += 5) {
-    PlannedStopFixture fixture;
+    PlannedStopFixture fixture(static_cast<uint64_t>(leads_ms + 1));
     CellWorld& world = fixture.world;
     fixture.StopLeader();
     WorldInstance* second = nullptr;
--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -17,6 +17,10 @@
 // they were sent.
 constexpr Millis kLastOrderMargin{500};
 
+// Safety margin before the leases of a leader that has ended its orders are
+// treated as expired, for rounding and for a worker that ends its runs late.
+constexpr Millis kExpiryMargin{100};
+
 // Interval at which the workers that the leader waits for are logged.
 constexpr Millis kWaitLogInterval{1000};
 // Maximum number of workers named in such a line.
@@ -31,6 +35,13 @@
          kLastOrderMargin;
 }
 
+// What remains is a run's lease, counted from the last extension, and a margin.
+Millis CellLeader::DeductibleWaitAfter(const TermEnd& term_end,
+                                       Millis age) const {
+  return options_.order_grace + kLastOrderMargin - kExpiryMargin +
+         term_end.since_lease_extension + age;
+}
+
 // A report lists a limited number of ends. Until the worker has listed all of
 // them, any task that may have run there may have an end that is not listed.
 bool CellLeader::HasUnlistedEnds(const CellWorker& cell_worker) const {
@@ -149,6 +160,7 @@
         return RemainingWait(entry.second) == Millis(0);
       });
   if (!accounted) {
+    RequestProofIfWaitServed();
     LogWait();
     return;
   }
@@ -164,6 +176,21 @@
               {"after_ms", TimeLeading().count()}});
 }
 
+void CellLeader::RequestProofIfWaitServed() {
+  const auto unproved = std::chrono::duration_cast<Millis>(
+      executor_.Now() - proof_.confirmed_at());
+  const bool is_served = std::any_of(
+      cell_workers_.begin(), cell_workers_.end(), [&](const auto& entry) {
+        return IsUncontacted(entry.second) &&
+               RemainingWait(entry.second) > Millis(0) &&
+               RemainingWait(entry.second) <= unproved;
+      });
+  if (is_served) {
+    takeover_awaits_proof_ = true;
+    proof_.RequestRead();
+  }
+}
+
 void CellLeader::LogWait() {
   const Instant now = executor_.Now();
   if (now - wait_logged_ < kWaitLogInterval) {
--- a/src/libdoorwood/cell/cell_worker_records.cpp
+++ b/src/libdoorwood/cell/cell_worker_records.cpp
@@ -172,7 +172,9 @@
 
 Millis CellLeader::DeductibleWaitToRecord(const CellWorker& cell_worker) const {
   if (IsUncontacted(cell_worker)) {
-    return cell_worker.predecessors_waited + TimeLeading();
+    // Never zero: a successor that finds a TermEnd takes the worker as
+    // contacted then.
+    return std::max(cell_worker.predecessors_waited + TimeLeading(), Millis(1));
   }
   if (!IsLongUnresponsive(cell_worker)) {
     return Millis(0);
