--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -10,6 +10,12 @@
 #include "fakes/cell_world_ports.h"
 
 namespace doorwood::fakes {
+namespace {
+
+// Steady clock of a worker that has started again, in milliseconds.
+constexpr int64_t kClockAtStart = 10;
+
+}  // namespace
 
 void CompletionRecorder::OnEnded(const EndedRun& end) {
   if (end.end == RunEnd::kDone) {
@@ -83,7 +89,8 @@
   worker->incarnation.service = "pool";
   worker->incarnation.capacity = {cpu_millis, 1'000'000, 0};
   worker->incarnation.labels = {"a", "r1"};
-  worker->model.Advance(time_.now_ms());
+  worker->incarnation.started_at = start_times_hidden_ ? 0 : NextStartTime();
+  worker->Advance(time_.now_ms());
   worker->completions = std::make_unique<CompletionRecorder>(
       worker->model, &acknowledged_completions_);
   worker->model.SetObserver(worker->completions.get());
@@ -146,6 +153,42 @@
   worker.listed = false;
 }
 
+void CellWorld::RestartWorkerInPlace(const std::string& id,
+                                     Millis down,
+                                     EntryWhileDown entry) {
+  WorldWorker& worker = *workers_.at(id);
+  if (!worker.up) {
+    return;
+  }
+  Trace("world: " + id + " restarts in place, down for " +
+        std::to_string(down.count()) + " ms");
+  ShutDownWorker(id);
+  worker.listed = entry == EntryWhileDown::kKept;
+  worker.refuses_calls = crashed_refuse_calls_;
+  time_.RunAt(time_.now() + down, [this, id] {
+    WorldWorker& started = *workers_.at(id);
+    ++started.life;
+    started.clock_origin = time_.now_ms() - kClockAtStart;
+    started.Advance(time_.now_ms());
+    started.model.SetObserver(started.completions.get());
+    if (started.incarnation.started_at != 0) {
+      started.incarnation.started_at = NextStartTime();
+    }
+    started.up = true;
+    started.listed = true;
+    started.refuses_calls = false;
+    Trace("world: " + id + " answers again");
+  });
+}
+
+// Later than that of each earlier start, also of one in the same millisecond.
+int64_t CellWorld::NextStartTime() {
+  constexpr int64_t kUnixMillisAtStart = 1'700'000'000'000;
+  latest_start_time_ =
+      std::max(latest_start_time_ + 1, kUnixMillisAtStart + time_.now_ms());
+  return latest_start_time_;
+}
+
 void CellWorld::AddMachines() {
   for (const auto& [id, worker] : workers_) {
     machines_["m-" + id].worker = id;
@@ -202,7 +245,7 @@
 void CellWorld::AdvanceModelsToNow() {
   store_.Advance(time_.now_ms());
   for (const auto& [id, worker] : workers_) {
-    worker->model.Advance(time_.now_ms());
+    worker->Advance(time_.now_ms());
   }
 }
 
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -98,6 +98,10 @@
   standin::RunWorkerModel model;
   std::unique_ptr<CompletionRecorder> completions;
   bool up = true;
+  /// Number of starts under this id. Connections to an earlier life are broken.
+  int life = 1;
+  /// World time at which the worker's steady clock was 0.
+  int64_t clock_origin = 0;
   /// The worker is down, and its machine refuses calls at once instead of
   /// letting them time out.
   bool refuses_calls = false;
@@ -112,8 +116,14 @@
   int calls_received = 0;
   int runs_started = 0;
   std::vector<Instant> start_times{};
+
+  /// Advances the model to the world time `now`.
+  void Advance(int64_t now) { model.Advance(now - clock_origin); }
 };
 
+/// How the entry of a worker that restarts in place appears while it is down.
+enum class EntryWhileDown { kKept, kRemoved };
+
 /// A simulated machine. Each restart of its worker gets a new worker id.
 struct WorldMachine {
   std::string worker;
@@ -140,6 +150,15 @@
   /// machine starts another incarnation, whose id is the old one with a "+"
   /// appended.
   void CrashAndRestart(const std::string& id);
+  /// All runs on the worker end, and it answers nothing for `down`. It then
+  /// starts anew under its id and at its address: its clock and its numbers of
+  /// ends begin anew, it knows no token, and the start time in its entry and
+  /// reports is later. Does nothing if the worker is down.
+  void RestartWorkerInPlace(const std::string& id,
+                            Millis down,
+                            EntryWhileDown entry);
+  /// Workers added from now on state no start time, as on older platforms.
+  void HideStartTimes() { start_times_hidden_ = true; }
   /// A crashed worker's address is not used by another incarnation.
   void DisableAddressReuse() { addresses_reused_ = false; }
   /// Calls to a crashed worker's machine time out instead of being refused.
@@ -220,6 +239,7 @@
   void CountLogLine(const std::string& message) { ++log_counts_[message]; }
 
  private:
+  int64_t NextStartTime();
   void CheckSingleRun(const std::string& task);
   void CheckWorkersRecord(const std::string& worker, const std::string& task);
   void CheckNotCompleted(const std::string& task);
@@ -249,6 +269,8 @@
   int runs_crashed_ = 0;
   int crashes_after_several_starts_ = 0;
   bool addresses_reused_ = true;
+  bool start_times_hidden_ = false;
+  int64_t latest_start_time_ = 0;
   bool crashed_refuse_calls_ = true;
   std::vector<std::string> violations_;
   std::set<std::string> acknowledged_completions_;
--- a/src/include/doorwood/run_worker.h
+++ b/src/include/doorwood/run_worker.h
@@ -21,8 +21,10 @@
 
 /// One incarnation of a worker as listed in the platform's directory.
 struct WorkerIncarnation {
-  /// Unique to this incarnation; a restarted worker has a new one.
+  /// A restarted worker has a new id, or the same one and a later `started_at`.
   std::string id;
+  /// When this incarnation started, in Unix ms; 0: not known.
+  int64_t started_at = 0;
   std::string address;
   std::string data_centre;
   /// Pool of workers; queues refer to it by name.
@@ -91,7 +93,8 @@
 
 /// A run of a task that ended on a worker.
 struct EndedRun {
-  /// Increases from 1 within one incarnation of the worker.
+  /// Increases from 1 within one incarnation of the worker, that is also after
+  /// a restart under the same id.
   uint64_t number = 0;
   std::string task;
   uint32_t run = 0;
@@ -101,8 +104,11 @@
 
 /// Answer to `Poll`.
 struct WorkerReport {
-  /// The worker's steady clock, in milliseconds.
+  /// The worker's steady clock, in milliseconds. Begins anew with each
+  /// incarnation.
   int64_t clock = 0;
+  /// When the incarnation that answered started, in Unix ms; 0: not known.
+  int64_t started_at = 0;
   std::vector<ActiveRun> active;
   std::vector<EndedRun> ended;
   /// The worker may have more ended runs than the report lists; a run that the
