--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -416,7 +416,8 @@
       platform::SoakWorkerKey(workers_[worker]->id()),
       platform::EncodeSoakWorker(
           AddressOf(Host(kServerSide, kFirstWorker + worker), kWorkerPort),
-          kDataCentreNames[DataCentreOf(worker)], /*draining=*/false));
+          kDataCentreNames[DataCentreOf(worker)], /*draining=*/false,
+          workers_[worker]->started_at()));
 }
 
 void World::CrashForTask(size_t worker,
@@ -446,7 +447,8 @@
       platform::SoakWorkerKey(workers_[worker]->id()),
       platform::EncodeSoakWorker(
           AddressOf(Host(kServerSide, kFirstWorker + worker), kWorkerPort),
-          kDataCentreNames[DataCentreOf(worker)], /*draining=*/true));
+          kDataCentreNames[DataCentreOf(worker)], /*draining=*/true,
+          workers_[worker]->started_at()));
 }
 
 void World::RemoveEntry(const std::string& id) {
