--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -62,6 +62,9 @@
   double lost_order_reply_share = 0;
   /// Number of further orders to machines that are executed but not answered.
   int machine_replies_to_lose = 0;
+  /// Idle connections for polls, by worker: the life of the worker that each
+  /// belongs to.
+  std::map<std::string, std::vector<int>> poll_connections;
   /// Workers that the instance cannot reach.
   std::set<std::string> unreachable_workers;
   /// The instance is partitioned from all other instances.
--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -138,7 +138,11 @@
   void Poll(const WorkerIncarnation& worker,
             const PollOrder& order,
             Callback<WorkerReport> done) override {
-    PollLife(worker, order, /*life=*/std::nullopt, std::move(done));
+    PollOrder sent = order;
+    if (!TakePollConnection(worker)) {
+      sent.forget_up_to = 0;
+    }
+    PollLife(worker, sent, /*life=*/std::nullopt, std::move(done));
   }
   void Start(const WorkerIncarnation& worker,
              const StartOrder& order,
@@ -186,6 +190,19 @@
     return found;
   }
 
+  // Returns true if a pooled connection for polls belongs to the worker's
+  // present life. A broken one is dropped, and the poll is sent on a new one.
+  bool TakePollConnection(const WorkerIncarnation& worker) {
+    auto& idle = self_.poll_connections[worker.id];
+    const auto found = world_.workers().find(worker.id);
+    if (idle.empty() || found == world_.workers().end()) {
+      return false;
+    }
+    const int life = idle.back();
+    idle.pop_back();
+    return life == found->second->life;
+  }
+
   // `life`: the life of the worker that the poll waits at; if it has ended, its
   // connection is broken.
   void PollLife(const WorkerIncarnation& worker,
@@ -219,8 +236,13 @@
       return;
     }
     self_.executor->DeliverAnswer(
-        kWorkerDelay,
-        [error, report, done = std::move(done)] { done(error, report); });
+        kWorkerDelay, [this, error, report, id = worker.id, life = target->life,
+                       done = std::move(done)] {
+          if (!error) {
+            self_.poll_connections[id].push_back(life);
+          }
+          done(error, report);
+        });
   }
 
   // A crashed worker's address is answered by its next incarnation, and an
--- a/src/include/doorwood/run_worker.h
+++ b/src/include/doorwood/run_worker.h
@@ -118,7 +118,11 @@
 
 struct PollOrder {
   uint64_t token = 0;
-  /// The worker discards its ended runs up to this number.
+  /// The worker discards its ended runs up to this number. Another incarnation
+  /// under the same id counts its ends anew and must never get this number, so
+  /// the client sends it only over a connection on which the worker has
+  /// already answered a poll with a report, and otherwise 0. Ends that are not
+  /// discarded are listed again.
   uint64_t forget_up_to = 0;
   /// Extends the leases of all runs there to this time on the worker's clock;
   /// 0: does not extend them.
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -355,6 +355,7 @@
   void Poll(Millis wait);
   void OnPollResponse(uint64_t sequence,
                       Instant sent,
+                      uint64_t forget_up_to,
                       std::error_code error,
                       WorkerReport report);
   void SchedulePoll(Millis delay);
--- a/src/libdoorwood/cell/worker_address.cpp
+++ b/src/libdoorwood/cell/worker_address.cpp
@@ -51,7 +51,6 @@
   there.address = next_address_->address;
   PollOrder order;
   order.token = token_;
-  order.forget_up_to = recorded_end_;
   workers_.Poll(there, order,
                 [self = shared_from_this(), address = there.address](
                     std::error_code error, const WorkerReport&) {
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -199,14 +199,15 @@
       !runs_.empty() && sent < lease_extension_end_ && !last_poll_failed_;
   order.lease_end = extend ? RecordLeaseGrant(sent) : 0;
   order.max_wait = wait;
-  workers_.Poll(incarnation_, order,
-                [self = shared_from_this(), sequence, sent,
-                 address = incarnation_.address](std::error_code error,
-                                                 WorkerReport report) {
-                  self->OnPollResponse(sequence, sent,
-                                       self->ClassifyResponse(address, error),
-                                       std::move(report));
-                });
+  workers_.Poll(
+      incarnation_, order,
+      [self = shared_from_this(), sequence, sent,
+       forget_up_to = order.forget_up_to, address = incarnation_.address](
+          std::error_code error, WorkerReport report) {
+        self->OnPollResponse(sequence, sent, forget_up_to,
+                             self->ClassifyResponse(address, error),
+                             std::move(report));
+      });
 }
 
 void WorkerSession::PollNow() {
@@ -217,6 +218,7 @@
 
 void WorkerSession::OnPollResponse(uint64_t sequence,
                                    Instant sent,
+                                   uint64_t forget_up_to,
                                    std::error_code error,
                                    WorkerReport report) {
   if (closed_ || dead_) {
@@ -264,6 +266,8 @@
         std::max(latest_lease_end_, report.clock + options_.run_lease.count());
     last_lease_order_at_ = executor_.Now();
   }
+  const bool lists_forgotten_ends =
+      !report.ended.empty() && report.ended.front().number <= forget_up_to;
   ApplyReport(sent, std::move(report));
   if (closed_ || dead_ || !newest) {
     return;
@@ -272,6 +276,9 @@
   // extended no lease, so the next one follows at once if runs were adopted.
   if (has_unrecorded_ends() && (!first || runs_.empty())) {
     SchedulePoll(options_.unrecorded_pause);
+  } else if (lists_forgotten_ends) {
+    // The acknowledgement was not sent; see `PollOrder::forget_up_to`.
+    SchedulePoll(options_.unrecorded_pause);
   } else if (!runs_.empty() || has_unwanted_runs()) {
     SchedulePoll(Millis(0));
   }
--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -21,7 +21,7 @@
 // Bounds the wait for a connection: a machine that a network partition makes
 // unreachable does not refuse the connection, it does not reply at all.
 constexpr Millis kConnectTimeout{500};
-// Maximum number of idle connections in the pool for one address.
+// Maximum number of idle connections for one address and group.
 constexpr size_t kMaxIdlePerAddress = 8;
 // Connections that were idle for longer are not reused, because the server may
 // be about to close them.
@@ -71,8 +71,8 @@
  public:
   explicit Pool(asio::io_context& context) : context(context) {}
 
-  std::shared_ptr<Connection> Take(const std::string& address) {
-    auto& idle = idle_[address];
+  std::shared_ptr<Connection> Take(const HttpCall& call) {
+    auto& idle = idle_[{call.address, call.group}];
     const Instant now = BootClock::now();
     while (!idle.empty()) {
       auto connection = std::move(idle.back());
@@ -85,9 +85,8 @@
     return nullptr;
   }
 
-  void Return(const std::string& address,
-              std::shared_ptr<Connection> connection) {
-    auto& idle = idle_[address];
+  void Return(const HttpCall& call, std::shared_ptr<Connection> connection) {
+    auto& idle = idle_[{call.address, call.group}];
     if (idle.size() < kMaxIdlePerAddress) {
       connection->idle_since = BootClock::now();
       idle.push_back(std::move(connection));
@@ -98,7 +97,10 @@
   uint64_t connects = 0;
 
  private:
-  std::map<std::string, std::vector<std::shared_ptr<Connection>>> idle_;
+  /// By address and `HttpCall::group`.
+  std::map<std::pair<std::string, std::string>,
+           std::vector<std::shared_ptr<Connection>>>
+      idle_;
 };
 
 // One call. Its pending asynchronous operations keep the object alive.
@@ -110,7 +112,7 @@
   }
 
   void Begin() {
-    connection_ = pool_->Take(call_.address);
+    connection_ = pool_->Take(call_);
     if (connection_) {
       reused_ = true;
       Write();
@@ -160,10 +162,11 @@
     for (const auto& [name, value] : call_.headers) {
       request_.set(name, value);
     }
-    if (!call_.body.empty()) {
+    const bool is_first = !reused_ && call_.first_body;
+    request_.body() = is_first ? *call_.first_body : call_.body;
+    if (!request_.body().empty()) {
       request_.set(http::field::content_type, "application/json");
     }
-    request_.body() = call_.body;
     request_.prepare_payload();
     connection_->stream.expires_after(RemainingTime());
     sent_ = true;
@@ -209,9 +212,10 @@
     reply.status = static_cast<int>(parser_->get().result_int());
     reply.body = std::move(parser_->get().body());
     reply.sent_before = sent_before_;
-    if (parser_->get().keep_alive()) {
+    const bool accepted = !call_.accepts_reply || call_.accepts_reply(reply);
+    if (accepted && parser_->get().keep_alive()) {
       connection_->stream.expires_never();
-      pool_->Return(call_.address, std::move(connection_));
+      pool_->Return(call_, std::move(connection_));
     }
     done_({}, std::move(reply));
   }
--- a/src/loop.adapter/http_client.h
+++ b/src/loop.adapter/http_client.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <utility>
@@ -21,6 +22,15 @@
 
 namespace doorwood {
 
+struct HttpReply {
+  int status = 0;
+  std::string body;
+  /// The call was sent once before, on a pooled connection that failed. The
+  /// server may have processed that first request or may still do so, so a
+  /// refusal of the second one does not show the outcome of the first.
+  bool sent_before = false;
+};
+
 struct HttpCall {
   /// IP address and port.
   std::string address;
@@ -28,20 +38,18 @@
   std::string target = "/";
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
+  /// Sent instead of `body` on a new connection, also if the call is sent a
+  /// second time.
+  std::optional<std::string> first_body;
+  /// Calls share pooled connections only with calls of the same group.
+  std::string group;
+  /// If set, the connection is pooled only if this returns true for the reply.
+  std::function<bool(const HttpReply&)> accepts_reply;
   Millis timeout{1000};
   /// The call may be sent a second time if a pooled connection fails.
   bool repeatable = true;
 };
 
-struct HttpReply {
-  int status = 0;
-  std::string body;
-  /// The call was sent once before, on a pooled connection that failed. The
-  /// server may have processed that first request or may still do so, so a
-  /// refusal of the second one does not show the outcome of the first.
-  bool sent_before = false;
-};
-
 class HttpClient {
  public:
   /// Called exactly once. The error is PeerErrc::kNotSent if no connection
--- a/src/loop.adapter/scripted_server.h
+++ b/src/loop.adapter/scripted_server.h
@@ -49,6 +49,8 @@
   }
   /// Request lines of the requests received so far.
   const std::vector<std::string>& requests() const { return shared_->requests; }
+  /// Their bodies.
+  const std::vector<std::string>& bodies() const { return shared_->bodies; }
   /// Closes the open connections; new ones are still accepted.
   void CloseConnections() {
     for (const auto& open : shared_->sockets) {
@@ -78,6 +80,7 @@
     Script script;
     std::vector<std::shared_ptr<Socket>> sockets;
     std::vector<std::string> requests;
+    std::vector<std::string> bodies;
   };
 
   static void Accept(const std::shared_ptr<Shared>& shared) {
@@ -111,7 +114,11 @@
               *socket, *buffer, boost::asio::transfer_exactly(missing),
               [shared, socket, buffer, head](const auto& failed, size_t) {
                 if (!failed) {
-                  buffer->consume(ContentLengthOf(head));
+                  const auto body = boost::asio::buffers_begin(buffer->data());
+                  const size_t length = ContentLengthOf(head);
+                  shared->bodies.emplace_back(
+                      body, body + static_cast<ptrdiff_t>(length));
+                  buffer->consume(length);
                   Respond(shared, socket, buffer, head);
                 }
               });
