--- a/src/include/doorwood/ticket_book.h
+++ b/src/include/doorwood/ticket_book.h
@@ -82,6 +82,9 @@
   /// - for `TicketOptions::retry_pause` after a request for the step failed.
   void RequestTickets(const std::string& step,
                       const std::vector<std::string>& workers);
+  /// Drops the tickets for the worker and ignores those that were requested
+  /// before: another incarnation has its id now.
+  void Forget(const std::string& worker);
   /// Drops all tickets, and ignores the answers to pending requests.
   void Clear();
 
@@ -103,6 +106,8 @@
                         std::error_code error,
                         const TicketGrant& grant);
 
+  bool WasForgottenSince(const std::string& worker, Instant sent) const;
+
   Executor& executor_;
   Adviser* const adviser_;
   EventLog& log_;
@@ -112,6 +117,8 @@
   uint64_t generation_ = 0;
   int pending_requests_ = 0;
   std::map<std::string, Step> steps_;
+  /// When `Forget` was last called, by worker.
+  std::map<std::string, Instant> forgotten_;
 };
 
 }  // namespace doorwood
--- a/src/libdoorwood/cell/ticket_book.cpp
+++ b/src/libdoorwood/cell/ticket_book.cpp
@@ -84,10 +84,14 @@
   // cached for as long, since the workers that may run a step do not change.
   const Instant expires_at = sent + grant.valid_for;
   for (const std::string& worker : requested) {
-    entry.answers[worker] = {"", expires_at};
+    if (!WasForgottenSince(worker, sent)) {
+      entry.answers[worker] = {"", expires_at};
+    }
   }
   for (const Ticket& ticket : grant.tickets) {
-    entry.answers[ticket.worker] = {ticket.token, expires_at};
+    if (!WasForgottenSince(ticket.worker, sent)) {
+      entry.answers[ticket.worker] = {ticket.token, expires_at};
+    }
   }
   log_.Write("info", "tickets", "adviser answered a request for tickets",
              {{"step", step},
@@ -97,10 +101,24 @@
   on_change_();
 }
 
+bool TicketBook::WasForgottenSince(const std::string& worker,
+                                   Instant sent) const {
+  const auto found = forgotten_.find(worker);
+  return found != forgotten_.end() && found->second >= sent;
+}
+
+void TicketBook::Forget(const std::string& worker) {
+  forgotten_[worker] = executor_.Now();
+  for (auto& [name, step] : steps_) {
+    step.answers.erase(worker);
+  }
+}
+
 void TicketBook::Clear() {
   ++generation_;
   pending_requests_ = 0;
   steps_.clear();
+  forgotten_.clear();
 }
 
 }  // namespace doorwood
--- a/src/libdoorwood/cell/ticket_book_test.cpp
+++ b/src/libdoorwood/cell/ticket_book_test.cpp
@@ -50,6 +50,24 @@
                   [this] { ++changes; }};
 };
 
+// Guards against a ticket of a worker's earlier incarnation that is used for
+// the next one, also if it was still being requested at the restart.
+BOOST_FIXTURE_TEST_CASE(Forget_WorkerStartedAgain_ItsTicketsAreDropped,
+                        TicketFixture) {
+  book.RequestTickets("s", {"w1", "w2"});
+  time.Run(Millis(100));
+  book.RequestTickets("other", {"w1", "w2"});
+  book.Forget("w1");
+  BOOST_TEST(book.Find("s", "w1").empty());
+  BOOST_TEST(book.Find("s", "w2") == "s-w2");
+  time.Run(Millis(100));
+  BOOST_TEST(book.Find("other", "w1").empty());
+  BOOST_TEST(book.Find("other", "w2") == "other-w2");
+  book.RequestTickets("other", {"w1", "w2"});
+  time.Run(Millis(100));
+  BOOST_TEST(book.Find("other", "w1") == "other-w1");
+}
+
 BOOST_FIXTURE_TEST_CASE(RequestTickets_Answered_TicketIsUsedUntilNearExpiry,
                         TicketFixture) {
   book.RequestTickets("s", {"w1", "refused"});
