--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -20,6 +20,7 @@
 #ifndef DOORWOOD_CELL_JOURNAL_H_
 #define DOORWOOD_CELL_JOURNAL_H_
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -56,6 +57,10 @@
 struct KnownWorker {
   std::string id;
   std::string address;
+  /// `WorkerSession::started_at`; 0: not known, also in records of older
+  /// versions. Nothing is started on an incarnation until its start time is
+  /// recorded, unless the recorded one is 0.
+  int64_t started_at = 0;
   /// Time that a successor deducts from its wait for the worker's runs, because
   /// no leader extended a lease there; zero: nothing to deduct.
   /// - If the recording leader has not yet contacted the worker
@@ -74,6 +79,18 @@
   std::optional<std::vector<std::string>> tasks;
 };
 
+/// An incarnation of a worker: the session that the leader has had with it. A
+/// worker that starts again under its id gets another session.
+struct WorkerSessionKey {
+  std::string worker;
+  uint64_t session = 0;
+
+  auto operator<=>(const WorkerSessionKey&) const = default;
+};
+
+/// Numbers of ended runs (see `EndedRun::number`), by incarnation.
+using EndNumbers = std::map<WorkerSessionKey, uint64_t>;
+
 /// Revision of a lane's chain key, and sequence number of one of its batches.
 struct ChainLink {
   int64_t revision = 0;
@@ -124,7 +141,7 @@
   /// For each worker with ends that are not recorded yet, the number of the
   /// newest end that the worker has listed. Every job that these ends changed
   /// has been passed to `CellJournal::MarkDirty`.
-  virtual std::map<std::string, uint64_t> HighestUnrecordedEnds() = 0;
+  virtual EndNumbers HighestUnrecordedEnds() = 0;
 
   virtual void OnAccepted(const JobPlan& plan) = 0;
   /// The state that `EncodeState` last returned for the job is stored. The job
@@ -133,7 +150,7 @@
   /// Called after `OnEncodedStateStored` if the job was not marked dirty since
   /// its state was encoded.
   virtual void OnNewestStateStored(const std::string& job) = 0;
-  virtual void OnEndsRecorded(const std::map<std::string, uint64_t>& ends) = 0;
+  virtual void OnEndsRecorded(const EndNumbers& ends) = 0;
   virtual void OnWorkersRecorded(const std::vector<KnownWorker>& workers) = 0;
   /// The attempt sent at `sent` committed a batch, so the lead key was then at
   /// the expected revision. Not called if an earlier, unanswered attempt had
@@ -238,7 +255,7 @@
   /// states have to be stored before these ends count as recorded: each with
   /// `Batch::number` of the first batch whose state of the job is new enough.
   struct EndsToRecord {
-    std::map<std::string, uint64_t> ends;
+    EndNumbers ends;
     std::map<std::string, uint64_t> jobs;
   };
 
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -166,11 +166,11 @@
   // JournalOwner
   std::string EncodeState(const std::string& job) override;
   int64_t PlacementsValidTo() override;
-  std::map<std::string, uint64_t> HighestUnrecordedEnds() override;
+  EndNumbers HighestUnrecordedEnds() override;
   void OnAccepted(const JobPlan& plan) override;
   void OnEncodedStateStored(const std::string& job) override;
   void OnNewestStateStored(const std::string& job) override;
-  void OnEndsRecorded(const std::map<std::string, uint64_t>& ends) override;
+  void OnEndsRecorded(const EndNumbers& ends) override;
   void OnWorkersRecorded(const std::vector<KnownWorker>& workers) override;
   void OnLeadConfirmed(Instant sent) override;
   void OnLeadLost(std::string_view reason) override;
@@ -192,6 +192,8 @@
   /// The leader's state for one worker of the cell.
   struct CellWorker {
     std::shared_ptr<WorkerSession> session;
+    /// Number of `session`, unique in this process.
+    uint64_t session_number = 0;
     /// The worker's record as last passed to the journal for the workers' key
     /// or, until then, as read at the takeover. Its address is empty if there
     /// is no such record.
@@ -199,6 +201,8 @@
     /// The worker's address under the workers' key in the store. Empty: the key
     /// does not name the worker.
     std::optional<std::string> recorded_address;
+    /// `KnownWorker::started_at` there.
+    int64_t recorded_started_at = 0;
     /// The directory, as last read, has an entry for the worker, and that entry
     /// is not rejected (see `entry_rejected`).
     bool listed = false;
@@ -332,13 +336,22 @@
   /// Sets `CellWorker::unlisted_since` for workers without a directory entry.
   void MarkUnlistedWorkers();
   void AddWorker(const WorkerIncarnation& incarnation, bool from_takeover);
+  /// Opens sessions with the next incarnations of workers that have started
+  /// again under their ids. What concerns the worker's row in the store stays;
+  /// what concerns the incarnation begins anew.
+  void ReplaceRestartedWorkers();
+  void ReplaceSession(const std::string& id, CellWorker* cell_worker);
   /// Removes workers that are dead or have no valid directory entry, unless
   /// they have runs or unrecorded ends or are not yet contacted.
   void RemoveGoneWorkers();
   // cell_worker_records.cpp: records of workers for a successor.
   /// Whether the workers' key in the store has the worker with its current
-  /// address. Required before the worker gets any work.
-  static bool IsAddressRecorded(const CellWorker& cell_worker);
+  /// address and, unless the start time there is 0, with its start time.
+  /// Required before the worker gets any work.
+  static bool IsIncarnationRecorded(const CellWorker& cell_worker);
+  /// Records the workers if one has reported another start time than its
+  /// record has.
+  void RecordChangedIncarnations();
   /// Whether the worker is not yet contacted: it was added from an earlier
   /// leader's record, has not answered this leader, is not proven to have
   /// ended, and the takeover goes on. This leader has extended no lease there.
@@ -833,10 +846,11 @@
   TicketBook tickets_;
   UpkeepWaveController upkeep_waves_;
   std::map<std::string, CellWorker> cell_workers_;
-  /// Removed workers in whose place another incarnation has answered, with
-  /// their addresses. Kept until the next directory read that does not list
-  /// them.
-  std::map<std::string, std::string> listed_dead_workers_;
+  /// Number of sessions opened so far; see `CellWorker::session_number`.
+  uint64_t session_count_ = 0;
+  /// Removed workers in whose place another incarnation has answered, by id.
+  /// Kept until the next directory read that does not list them.
+  std::map<std::string, WorkerIncarnation> listed_dead_workers_;
   RejectedEntryLog rejected_entries_{log_, "cell"};
   /// Pending cancellations, by job.
   std::multimap<std::string, PendingCancel> cancels_;
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -109,6 +109,9 @@
   /// This session first learned of the run from a report, usually because an
   /// earlier leader ordered it. When the run began is not known.
   bool adopted = false;
+  /// A report of this incarnation has listed the run as active, so that it can
+  /// be at work on no other one.
+  bool listed = false;
 };
 
 /// A run of `task` that is not ordered yet, without a checkpoint.
@@ -160,7 +163,8 @@
   /// The run has ended and is removed from the session. `end` is one of:
   /// - what the worker reported;
   /// - kStopped, if the start was deferred and never sent;
-  /// - kLeaseExpired, if the worker is lost (see `OnWorkerLost`), or if a
+  /// - kLeaseExpired, if the worker is lost (see `OnWorkerLost`) and the run is
+  ///   not one of `WorkerSession::TakeUnsettledRuns`; or if a
   ///   report without `has_more_ends` proves that the run is not active and
   ///   cannot begin any more.
   /// `reported_by_worker` is false only in the third case.
@@ -170,7 +174,8 @@
                           bool reported_by_worker) = 0;
   /// All runs on the worker have ended, although the worker did not report it:
   /// another incarnation has replaced it, or all leases there have expired.
-  /// `OnRunEnded` follows for each run.
+  /// `OnRunEnded` follows for each run that cannot be at work on the next
+  /// incarnation under the same id.
   virtual void OnWorkerLost(WorkerSession& session) = 0;
   /// A poll failed for the first time since a poll succeeded or, if none has,
   /// since the session was opened. Not called if the poll was refused with
@@ -209,6 +214,10 @@
                 WorkerIncarnation incarnation,
                 uint64_t token);
 
+  /// Takes over runs of the earlier incarnation under this id that may be at
+  /// work on this one, or may still begin there. They end once a report shows
+  /// that they neither are nor can. To be called before `Open`.
+  void AddUnsettledRuns(std::vector<Run> runs);
   /// Sends the first poll. Once the worker has received it, the worker refuses
   /// orders with lower fencing tokens.
   void Open();
@@ -264,8 +273,12 @@
   /// address is used only after this incarnation has answered there as well.
   void UpdateFromDirectory(const WorkerIncarnation& incarnation);
   /// Notes that this incarnation has answered at its current address, according
-  /// to the record of an earlier leader.
-  void MarkAddressVerified();
+  /// to the record of an earlier leader. If `incarnation` has a start time, an
+  /// answer with a later one is of the next incarnation.
+  void MarkVerified();
+  /// Polls at once, also if nothing runs there: the directory names another
+  /// start time than that of this incarnation.
+  void CheckIncarnation();
   /// To be called every `CellOptions::tick`: calls `EndRunsIfWorkerLost`, logs
   /// if the worker has become unresponsive, and sends stops and paces again
   /// that have not taken effect.
@@ -304,6 +317,23 @@
   /// This incarnation has ended: another one has answered at the address at
   /// which this one had answered.
   bool dead() const { return dead_; }
+  /// `dead`, and the incarnation that has answered has the same id.
+  bool restarted() const { return restarted_; }
+  /// If `restarted`: the next incarnation, as far as it is known. Its id and
+  /// address are set, and its start time if it was reported.
+  const WorkerIncarnation& next_incarnation() const {
+    return next_incarnation_;
+  }
+  /// If `restarted`, and after the other runs have ended: removes and returns
+  /// the runs that may be at work on the next incarnation, or may still begin
+  /// there. No report of this incarnation has listed them as active.
+  std::vector<Run> TakeUnsettledRuns();
+  /// Start time of this incarnation as it reported it or, before its first
+  /// report, according to the directory or the record; 0: not known.
+  int64_t started_at() const {
+    return fenced_ || answered_started_at_ != 0 ? answered_started_at_
+                                                : incarnation_.started_at;
+  }
   /// The worker has answered a poll of this leader with a report, `dead` is
   /// false, and at least one of these holds:
   /// - `last_response_at` is less than `unresponsive_after` plus
@@ -352,12 +382,28 @@
     bool failure_logged = false;
   };
 
+  /// A poll in flight.
+  struct SentPoll {
+    uint64_t sequence = 0;
+    Instant sent{};
+    std::string address;
+    uint64_t forget_up_to = 0;
+    /// `worker_clock_` when the poll was sent.
+    int64_t clock = 0;
+  };
+
   void Poll(Millis wait);
-  void OnPollResponse(uint64_t sequence,
-                      Instant sent,
-                      uint64_t forget_up_to,
+  void OnPollResponse(const SentPoll& poll,
                       std::error_code error,
                       WorkerReport report);
+  /// Which incarnation under this id sent a report, the answer to a poll that
+  /// was sent when the clock was `clock_at_send`.
+  enum class Sender { kThis, kEarlier, kNext };
+  Sender SenderOf(const WorkerReport& report, int64_t clock_at_send) const;
+  /// Whether an answer with the worker's clock `clock` (0: not reported) to an
+  /// order sent when the last reported clock was `clock_at_send` is of a later
+  /// incarnation; if so, calls `MarkRestarted`.
+  bool ShowsRestart(int64_t clock, int64_t clock_at_send);
   void SchedulePoll(Millis delay);
   void ApplyReport(Instant sent, WorkerReport report);
   void ApplyEndedRuns(const std::vector<EndedRun>& ended);
@@ -370,7 +416,8 @@
   void OnStartAnswer(const std::string& task,
                      uint32_t number,
                      std::error_code error,
-                     int64_t clock);
+                     int64_t clock,
+                     int64_t clock_at_send);
   /// What a start order carries besides its run.
   struct StartArguments {
     std::string payload;
@@ -383,10 +430,15 @@
   /// Notes that another incarnation has replaced this one. The runs end only
   /// with `EndRunsIfWorkerLost`.
   void MarkDead();
+  /// As `MarkDead`; the next incarnation has the same id and has answered at
+  /// `address`. `started_at` is 0 if not known.
+  void MarkRestarted(const std::string& address, int64_t started_at);
   /// Polls at `next_address_` without extending leases, unless such a poll is
   /// in flight.
   void ProbeNextAddress();
-  void OnNextAddressResponse(const std::string& address, std::error_code error);
+  void OnNextAddressResponse(const std::string& address,
+                             std::error_code error,
+                             const WorkerReport& report);
   /// Notes and logs, unless already noted, that another incarnation answers at
   /// `address`, if `address` is the listed one and this incarnation has never
   /// answered.
@@ -419,8 +471,10 @@
   std::optional<Run> RemoveRun(const std::string& task);
   /// Removes the run, if there is one, and notifies the leader of its end.
   void EndRun(const std::string& task, RunEnd end, bool reported_by_worker);
-  /// Notifies the leader that the worker is lost, and ends all runs there.
+  /// Notifies the leader that the worker is lost, and ends all runs there but
+  /// those of `TakeUnsettledRuns`.
   void EndAllRuns();
+  bool IsUnsettled(const Run& run) const;
 
   Executor& executor_;
   RunWorkerClient& workers_;
@@ -445,6 +499,13 @@
   bool dead_ = false;
   /// When `dead_` was set.
   Instant dead_since_{};
+  bool restarted_ = false;
+  WorkerIncarnation next_incarnation_;
+  /// The leader was notified that the worker is lost.
+  bool loss_reported_ = false;
+  /// Start time in the reports of this incarnation, or in the record of an
+  /// earlier leader; 0: not known.
+  int64_t answered_started_at_ = 0;
   bool fenced_ = false;
   /// `OnHigherTokenSeen` was called: the worker has seen a higher token than
   /// `token_`.
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -319,6 +319,7 @@
     WorkerIncarnation incarnation;
     incarnation.id = worker.id;
     incarnation.address = worker.address;
+    incarnation.started_at = worker.started_at;
     // Gets no new work until the directory lists it.
     incarnation.draining = true;
     AddWorker(incarnation, /*from_takeover=*/true);
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -30,6 +30,19 @@
   return row.is_array() ? std::optional(std::move(tasks)) : std::nullopt;
 }
 
+// Returns 0, which means that the start time is not known, if the row has none
+// of the form that leaders write. Earlier versions wrote none and ignore it.
+int64_t DecodeStarted(const Json& row) {
+  constexpr size_t kStarted = 4;
+  if (row.size() <= kStarted || !row.at(kStarted).is_number_unsigned()) {
+    return 0;
+  }
+  const auto started = row.at(kStarted).get<uint64_t>();
+  return started <= static_cast<uint64_t>(kMaxExactInteger)
+             ? static_cast<int64_t>(started)
+             : 0;
+}
+
 std::optional<KnownWorker> DecodeKnownWorker(const Json& row) {
   try {
     KnownWorker worker;
@@ -42,6 +55,7 @@
     if (row.size() > 3) {
       worker.tasks = DecodeTasks(row.at(3));
     }
+    worker.started_at = DecodeStarted(row);
     const bool valid =
         IsVisibleAscii(worker.id) && IsVisibleAscii(worker.address);
     return valid ? std::optional(std::move(worker)) : std::nullopt;
@@ -128,6 +142,12 @@
     if (worker.tasks) {
       row.push_back(*worker.tasks);
     }
+    if (worker.started_at != 0) {
+      if (!worker.tasks) {
+        row.push_back(nullptr);
+      }
+      row.push_back(worker.started_at);
+    }
     rows.push_back(std::move(row));
   }
   return rows.dump();
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -356,6 +356,8 @@
   }
   interference_.Decay(options_.tick);
   HandleDeadWorkers();
+  ReplaceRestartedWorkers();
+  RecordChangedIncarnations();
   CheckTakeover();
   UpdateTrials();
   SendDeferredStarts();
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -367,20 +367,21 @@
   return EncodeJobState(*job);
 }
 
-std::map<std::string, uint64_t> CellLeader::HighestUnrecordedEnds() {
-  std::map<std::string, uint64_t> ends;
+EndNumbers CellLeader::HighestUnrecordedEnds() {
+  EndNumbers ends;
   for (const auto& [id, cell_worker] : cell_workers_) {
     if (cell_worker.session->has_unrecorded_ends()) {
-      ends[id] = cell_worker.session->last_end();
+      ends[{id, cell_worker.session_number}] = cell_worker.session->last_end();
     }
   }
   return ends;
 }
 
-void CellLeader::OnEndsRecorded(const std::map<std::string, uint64_t>& ends) {
-  for (const auto& [id, number] : ends) {
-    const auto found = cell_workers_.find(id);
-    if (found != cell_workers_.end()) {
+void CellLeader::OnEndsRecorded(const EndNumbers& ends) {
+  for (const auto& [key, number] : ends) {
+    const auto found = cell_workers_.find(key.worker);
+    if (found != cell_workers_.end() &&
+        found->second.session_number == key.session) {
       found->second.session->MarkRecorded(number);
     }
   }
--- a/src/libdoorwood/cell/cell_worker_records.cpp
+++ b/src/libdoorwood/cell/cell_worker_records.cpp
@@ -62,6 +62,7 @@
     KnownWorker worker;
     worker.id = id;
     worker.address = cell_worker.session->incarnation().address;
+    worker.started_at = cell_worker.session->started_at();
     worker.deductible_wait = DeductibleWaitToRecord(cell_worker);
     worker.tasks = TasksToRecord(cell_worker);
     known.push_back(std::move(worker));
@@ -151,10 +152,27 @@
 
 // If another incarnation answers at the recorded address, a successor takes the
 // worker to be dead. Before a worker gets work, the recorded address therefore
-// has to be one at which this incarnation has answered.
-bool CellLeader::IsAddressRecorded(const CellWorker& cell_worker) {
-  return cell_worker.recorded_address ==
-         cell_worker.session->incarnation().address;
+// has to be one at which this incarnation has answered. The same holds for the
+// start time: a successor takes an incarnation with a later one for the next.
+bool CellLeader::IsIncarnationRecorded(const CellWorker& cell_worker) {
+  const WorkerSession& session = *cell_worker.session;
+  return cell_worker.recorded_address == session.incarnation().address &&
+         (cell_worker.recorded_started_at == 0 ||
+          cell_worker.recorded_started_at == session.started_at());
+}
+
+void CellLeader::RecordChangedIncarnations() {
+  const bool any = std::any_of(
+      cell_workers_.begin(), cell_workers_.end(), [](const auto& entry) {
+        const CellWorker& cell_worker = entry.second;
+        const WorkerSession& session = *cell_worker.session;
+        const int64_t recorded = cell_worker.submitted_record.started_at;
+        return session.fenced() && !session.dead() && recorded != 0 &&
+               recorded != session.started_at();
+      });
+  if (any) {
+    RecordWorkers();
+  }
 }
 
 bool CellLeader::IsUncontacted(const CellWorker& cell_worker) const {
@@ -246,8 +264,10 @@
       cell_worker.session->PollNow();
       changed = true;
     }
-    if (cell_worker.recorded_address != worker.address) {
+    if (cell_worker.recorded_address != worker.address ||
+        cell_worker.recorded_started_at != worker.started_at) {
       cell_worker.recorded_address = worker.address;
+      cell_worker.recorded_started_at = worker.started_at;
       changed = true;
     }
   }
--- a/src/libdoorwood/cell/cell_workers.cpp
+++ b/src/libdoorwood/cell/cell_workers.cpp
@@ -34,6 +34,24 @@
                                                           : "";
 }
 
+enum class Lifetime { kSame, kEarlier, kLater };
+
+// Which incarnation of the session's worker the directory entry describes. Of a
+// worker that has not answered yet, a later one is not told apart: the first
+// answer decides.
+Lifetime CompareStartTimes(const WorkerSession& session,
+                           const WorkerIncarnation& entry) {
+  const int64_t known = session.started_at();
+  if (!entry.is_valid || entry.started_at == 0 || known == 0 ||
+      entry.started_at == known) {
+    return Lifetime::kSame;
+  }
+  if (entry.started_at < known) {
+    return Lifetime::kEarlier;
+  }
+  return session.fenced() ? Lifetime::kLater : Lifetime::kSame;
+}
+
 }  // namespace
 
 void CellLeader::ReadWorkers() {
@@ -117,8 +135,10 @@
     const auto found = cell_workers_.find(incarnation.id);
     if (found != cell_workers_.end()) {
       ApplyDirectoryEntry(incarnation, &found->second);
-      to_record |= found->second.submitted_record.address !=
-                   found->second.session->incarnation().address;
+      const WorkerSession& session = *found->second.session;
+      const KnownWorker& submitted = found->second.submitted_record;
+      to_record |= submitted.address != session.incarnation().address ||
+                   submitted.started_at != session.started_at();
     } else if (MayAddWorker(incarnation)) {
       AddWorker(incarnation, /*from_takeover=*/false);
       to_record = true;
@@ -140,7 +160,13 @@
 void CellLeader::ApplyDirectoryEntry(const WorkerIncarnation& incarnation,
                                      CellWorker* cell_worker) {
   const WorkerIncarnation& known = cell_worker->session->incarnation();
-  if (incarnation.is_valid) {
+  const Lifetime lifetime =
+      CompareStartTimes(*cell_worker->session, incarnation);
+  if (lifetime == Lifetime::kLater) {
+    // The entry may be of another writer, so the worker is asked.
+    cell_worker->session->CheckIncarnation();
+  }
+  if (incarnation.is_valid && lifetime != Lifetime::kEarlier) {
     // The session uses the address at once if it knows of no address where this
     // incarnation has answered; otherwise once this incarnation answers there.
     WorkerIncarnation readdressed = known;
@@ -150,8 +176,11 @@
   // "unreadable" also stands for a data centre outside the cell.
   const bool usable =
       incarnation.is_valid && BelongsToCell(incarnation.data_centre);
-  const std::string_view problem =
+  std::string_view problem =
       usable ? FindContradiction(known, incarnation) : "unreadable";
+  if (lifetime != Lifetime::kSame) {
+    problem = "another start time";
+  }
   cell_worker->unlisted_since = Instant{};
   cell_worker->entry_rejected = !problem.empty();
   if (cell_worker->entry_rejected) {
@@ -177,7 +206,8 @@
   }
   const auto dead_entry = listed_dead_workers_.find(incarnation.id);
   return dead_entry == listed_dead_workers_.end() ||
-         dead_entry->second != incarnation.address;
+         dead_entry->second.address != incarnation.address ||
+         dead_entry->second.started_at < incarnation.started_at;
 }
 
 bool CellLeader::IsServiceOfAnyQueue(const std::string& service) const {
@@ -219,6 +249,7 @@
   cell_worker.session = std::make_shared<WorkerSession>(
       executor_, workers_, log_, *this, options_.sessions, incarnation,
       static_cast<uint64_t>(epoch_));
+  cell_worker.session_number = ++session_count_;
   cell_worker.listed = !from_takeover;
   // A worker that only the directory names runs nothing that an earlier leader
   // of this cell ordered, since leaders record a worker under the workers' key
@@ -229,18 +260,66 @@
   if (from_takeover) {
     cell_worker.submitted_record.address = incarnation.address;
     cell_worker.recorded_address = incarnation.address;
-    cell_worker.session->MarkAddressVerified();
+    cell_worker.recorded_started_at = incarnation.started_at;
+    cell_worker.session->MarkVerified();
   }
   const auto session = cell_worker.session;
   cell_workers_.emplace(incarnation.id, std::move(cell_worker));
   session->Open();
 }
 
+void CellLeader::ReplaceRestartedWorkers() {
+  bool any = false;
+  for (auto& [id, cell_worker] : cell_workers_) {
+    const WorkerSession& session = *cell_worker.session;
+    if (session.restarted() && cell_worker.death_processed) {
+      ReplaceSession(id, &cell_worker);
+      any = true;
+    }
+  }
+  if (any) {
+    ReadWorkers();
+  }
+}
+
+void CellLeader::ReplaceSession(const std::string& id,
+                                CellWorker* cell_worker) {
+  const std::shared_ptr<WorkerSession> ended = cell_worker->session;
+  ended->EndRunsIfWorkerLost();
+  CellWorker next;
+  next.session = std::make_shared<WorkerSession>(
+      executor_, workers_, log_, *this, options_.sessions,
+      ended->next_incarnation(), static_cast<uint64_t>(epoch_));
+  next.session_number = ++session_count_;
+  next.submitted_record = cell_worker->submitted_record;
+  next.submitted_as_closed = cell_worker->submitted_as_closed;
+  next.recorded_address = cell_worker->recorded_address;
+  next.recorded_started_at = cell_worker->recorded_started_at;
+  next.renewals_blocked = cell_worker->renewals_blocked;
+  next.starts_blocked = cell_worker->starts_blocked;
+  next.contact_record_pending = cell_worker->contact_record_pending;
+  // Orders of earlier leaders may have reached this incarnation, too, so it is
+  // waited for as the recorded one was.
+  next.from_takeover = cell_worker->from_takeover;
+  next.predecessors_waited = cell_worker->predecessors_waited;
+  next.inherited_tasks = cell_worker->inherited_tasks;
+  // Gets no new work until the directory lists it.
+  next.entry_rejected = true;
+  UpdateSessionLimits(next, OrderDeadline());
+  next.session->AddUnsettledRuns(ended->TakeUnsettledRuns());
+  ended->Close();
+  quarantine_.RemoveWorker(id);
+  tickets_.Forget(id);
+  *cell_worker = std::move(next);
+  cell_worker->session->Open();
+}
+
 void CellLeader::RemoveGoneWorkers() {
   bool removed_any = false;
   for (auto it = cell_workers_.begin(); it != cell_workers_.end();) {
     const WorkerSession& session = *it->second.session;
-    const bool is_gone = session.dead() || !it->second.listed;
+    const bool is_replaced = session.dead() && !session.restarted();
+    const bool is_gone = is_replaced || !it->second.listed;
     // A worker is kept until all ends that it has listed are recorded,
     // so that a successor learns of them.
     const bool is_still_needed = !session.runs().empty() ||
@@ -251,8 +330,9 @@
           "info", "cell",
           "removed a worker that is dead or has no valid directory entry",
           {{"worker", it->first}, {"dead", session.dead()}});
-      if (session.dead()) {
-        listed_dead_workers_[it->first] = session.incarnation().address;
+      if (is_replaced) {
+        listed_dead_workers_[it->first] = session.incarnation();
+        listed_dead_workers_[it->first].started_at = session.started_at();
       }
       it->second.session->Close();
       quarantine_.RemoveWorker(it->first);
--- a/src/libdoorwood/cell/worker_address.cpp
+++ b/src/libdoorwood/cell/worker_address.cpp
@@ -10,8 +10,9 @@
 
 namespace doorwood {
 
-void WorkerSession::MarkAddressVerified() {
+void WorkerSession::MarkVerified() {
   answered_at_ = incarnation_.address;
+  answered_started_at_ = incarnation_.started_at;
 }
 
 void WorkerSession::UpdateFromDirectory(const WorkerIncarnation& incarnation) {
@@ -53,13 +54,14 @@
   order.token = token_;
   workers_.Poll(there, order,
                 [self = shared_from_this(), address = there.address](
-                    std::error_code error, const WorkerReport&) {
-                  self->OnNextAddressResponse(address, error);
+                    std::error_code error, const WorkerReport& report) {
+                  self->OnNextAddressResponse(address, error, report);
                 });
 }
 
 void WorkerSession::OnNextAddressResponse(const std::string& address,
-                                          std::error_code error) {
+                                          std::error_code error,
+                                          const WorkerReport& report) {
   if (closed_ || dead_ || !next_address_ || next_address_->address != address) {
     return;
   }
@@ -75,6 +77,15 @@
     }
     return;
   }
+  switch (SenderOf(report, /*clock_at_send=*/0)) {
+    case Sender::kThis:
+      break;
+    case Sender::kEarlier:
+      return;
+    case Sender::kNext:
+      MarkRestarted(address, report.started_at);
+      return;
+  }
   log_.Write("info", "worker", "worker answers at its new address",
              {{"worker", incarnation_.id},
               {"before", incarnation_.address},
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -102,10 +102,12 @@
   workers_.Start(
       incarnation_, order,
       [self = shared_from_this(), task = order.task, number = order.run,
+       clock_at_send = worker_clock_,
        address = incarnation_.address](std::error_code error, int64_t clock) {
         if (!self->closed_ && !self->dead_) {
           self->OnStartAnswer(task, number,
-                              self->ClassifyResponse(address, error), clock);
+                              self->ClassifyResponse(address, error), clock,
+                              clock_at_send);
         }
       });
 }
@@ -113,12 +115,16 @@
 void WorkerSession::OnStartAnswer(const std::string& task,
                                   uint32_t number,
                                   std::error_code error,
-                                  int64_t clock) {
+                                  int64_t clock,
+                                  int64_t clock_at_send) {
   if (error == make_error_code(RunErrc::kOtherIncarnation)) {
     MarkDead();
     return;
   }
   if (error != make_error_code(RunErrc::kNoAnswer)) {
+    if (ShowsRestart(clock, clock_at_send)) {
+      return;
+    }
     NoteResponse(clock);
   }
   Run* run = FindRun(task);
@@ -185,8 +191,8 @@
   const StopOrder order{token_, task, number};
   workers_.Stop(
       incarnation_, order,
-      [self = shared_from_this(), task, number, address = incarnation_.address](
-          std::error_code error, int64_t clock) {
+      [self = shared_from_this(), task, number, clock_at_send = worker_clock_,
+       address = incarnation_.address](std::error_code error, int64_t clock) {
         if (self->closed_ || self->dead_) {
           return;
         }
@@ -200,7 +206,7 @@
         if (known) {
           stopped->stop_in_flight = false;
         }
-        if (error) {
+        if (error || self->ShowsRestart(clock, clock_at_send)) {
           return;
         }
         self->NoteResponse(clock);
@@ -242,7 +248,8 @@
   const PaceOrder order{token_, run->task, run->number, run->wanted_pace};
   workers_.Pace(
       incarnation_, order,
-      [self = shared_from_this(), order](std::error_code error, int64_t clock) {
+      [self = shared_from_this(), order, clock_at_send = worker_clock_](
+          std::error_code error, int64_t clock) {
         if (self->closed_ || self->dead_) {
           return;
         }
@@ -254,6 +261,9 @@
         if (error) {
           return;  // Tick sends it again.
         }
+        if (self->ShowsRestart(clock, clock_at_send)) {
+          return;
+        }
         self->NoteResponse(clock);
         paced->pace = order.percent;
         self->SendPace(paced);
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -68,8 +68,32 @@
       token_(token),
       short_wait_(options.short_poll_wait) {}
 
+void WorkerSession::AddUnsettledRuns(std::vector<Run> runs) {
+  for (Run& run : runs) {
+    if (run.phase != RunPhase::kStopping) {
+      run.phase = RunPhase::kUnresolved;
+    }
+    run.confirmed = Instant{};
+    run.stop_confirmed = false;
+    run.stop_in_flight = false;
+    run.stop_sent = Instant{};
+    run.pace_in_flight = false;
+    run.atypical_duration = true;
+    Insert(std::move(run));
+  }
+}
+
 void WorkerSession::Open() {
   last_response_at_ = executor_.Now();
+  std::vector<std::pair<std::string, uint32_t>> to_stop;
+  for (const auto& [task, run] : runs_) {
+    if (run.phase == RunPhase::kStopping) {
+      to_stop.emplace_back(task, run.number);
+    }
+  }
+  for (const auto& [task, number] : to_stop) {
+    SendStop(task, number);
+  }
   Poll(Millis(0));
 }
 
@@ -199,15 +223,15 @@
       !runs_.empty() && sent < lease_extension_end_ && !last_poll_failed_;
   order.lease_end = extend ? RecordLeaseGrant(sent) : 0;
   order.max_wait = wait;
-  workers_.Poll(
-      incarnation_, order,
-      [self = shared_from_this(), sequence, sent,
-       forget_up_to = order.forget_up_to, address = incarnation_.address](
-          std::error_code error, WorkerReport report) {
-        self->OnPollResponse(sequence, sent, forget_up_to,
-                             self->ClassifyResponse(address, error),
-                             std::move(report));
-      });
+  SentPoll poll{sequence, sent, incarnation_.address, order.forget_up_to,
+                worker_clock_};
+  workers_.Poll(incarnation_, order,
+                [self = shared_from_this(), poll = std::move(poll)](
+                    std::error_code error, WorkerReport report) {
+                  self->OnPollResponse(
+                      poll, self->ClassifyResponse(poll.address, error),
+                      std::move(report));
+                });
 }
 
 void WorkerSession::PollNow() {
@@ -216,9 +240,7 @@
   }
 }
 
-void WorkerSession::OnPollResponse(uint64_t sequence,
-                                   Instant sent,
-                                   uint64_t forget_up_to,
+void WorkerSession::OnPollResponse(const SentPoll& poll,
                                    std::error_code error,
                                    WorkerReport report) {
   if (closed_ || dead_) {
@@ -227,7 +249,7 @@
   // Several polls may be in flight. After a success, only the poll sent last
   // may schedule the next; after a failure, any of them may if the newest is no
   // longer in flight.
-  const bool newest = sequence == poll_sequence_;
+  const bool newest = poll.sequence == poll_sequence_;
   if (newest) {
     poll_in_flight_ = false;
   }
@@ -254,11 +276,26 @@
     }
     return;
   }
+  switch (SenderOf(report, poll.clock)) {
+    case Sender::kThis:
+      break;
+    case Sender::kEarlier:
+      if (newest) {
+        SchedulePoll(options_.retry_pause);
+      }
+      return;
+    case Sender::kNext:
+      MarkRestarted(poll.address, report.started_at);
+      return;
+  }
   if (std::exchange(last_poll_failed_, false)) {
     listener_.OnPollRecovered(*this);
   }
   const bool first = !fenced_;
   fenced_ = true;
+  if (first || report.started_at != 0) {
+    answered_started_at_ = report.started_at;
+  }
   if (first) {
     // Until the worker received this poll, an earlier leader may have extended
     // the leases of the runs that are adopted now.
@@ -267,8 +304,8 @@
     last_lease_order_at_ = executor_.Now();
   }
   const bool lists_forgotten_ends =
-      !report.ended.empty() && report.ended.front().number <= forget_up_to;
-  ApplyReport(sent, std::move(report));
+      !report.ended.empty() && report.ended.front().number <= poll.forget_up_to;
+  ApplyReport(poll.sent, std::move(report));
   if (closed_ || dead_ || !newest) {
     return;
   }
@@ -284,6 +321,35 @@
   }
 }
 
+WorkerSession::Sender WorkerSession::SenderOf(const WorkerReport& report,
+                                              int64_t clock_at_send) const {
+  if (report.started_at != 0 && answered_started_at_ != 0) {
+    if (report.started_at > answered_started_at_) {
+      return Sender::kNext;
+    }
+    // This leader's polls were sent after the record was written, so before the
+    // first answer, a later start time in the record can only be wrong.
+    const bool earlier = report.started_at < answered_started_at_;
+    return earlier && fenced_ ? Sender::kEarlier : Sender::kThis;
+  }
+  return report.clock < clock_at_send ? Sender::kNext : Sender::kThis;
+}
+
+// A worker's steady clock never goes back within one incarnation.
+bool WorkerSession::ShowsRestart(int64_t clock, int64_t clock_at_send) {
+  if (clock <= 0 || clock >= clock_at_send) {
+    return false;
+  }
+  MarkRestarted(incarnation_.address, /*started_at=*/0);
+  return true;
+}
+
+void WorkerSession::CheckIncarnation() {
+  if (!closed_ && !dead_) {
+    Poll(Millis(0));
+  }
+}
+
 void WorkerSession::MarkRecorded(uint64_t end_number) {
   if (end_number <= recorded_end_) {
     return;
@@ -376,6 +442,7 @@
     if (run->number != row.run) {
       continue;
     }
+    run->listed = true;
     if (run->phase == RunPhase::kStarting ||
         run->phase == RunPhase::kUnresolved) {
       run->phase = RunPhase::kRunning;
@@ -441,6 +508,24 @@
              {{"worker", incarnation_.id}, {"runs", runs_.size()}});
 }
 
+void WorkerSession::MarkRestarted(const std::string& address,
+                                  int64_t started_at) {
+  if (dead_) {
+    return;
+  }
+  dead_ = true;
+  dead_since_ = executor_.Now();
+  restarted_ = true;
+  next_incarnation_.id = incarnation_.id;
+  next_incarnation_.address = address;
+  next_incarnation_.started_at = started_at;
+  log_.Write("warn", "worker", "worker has started again under its id",
+             {{"worker", incarnation_.id},
+              {"started_ms", answered_started_at_},
+              {"started_again_ms", started_at},
+              {"runs", runs_.size()}});
+}
+
 std::optional<Instant> WorkerSession::EndedSince() const {
   if (closed_) {
     return std::nullopt;
@@ -457,7 +542,8 @@
 // a later proof of the lead shows that there was no such successor.
 void WorkerSession::EndRunsIfWorkerLost() {
   const std::optional<Instant> ended_since = EndedSince();
-  if (runs_.empty() || !ended_since || *ended_since >= lead_confirmed_until_) {
+  if (runs_.empty() || loss_reported_ || !ended_since ||
+      *ended_since >= lead_confirmed_until_) {
     return;
   }
   log_.Write(
@@ -473,11 +559,44 @@
 }
 
 void WorkerSession::EndAllRuns() {
+  loss_reported_ = dead_;
   listener_.OnWorkerLost(*this);
-  while (!runs_.empty() && !closed_) {
-    const std::string task = runs_.begin()->first;
-    EndRun(task, RunEnd::kLeaseExpired, /*reported_by_worker=*/false);
+  std::vector<std::string> tasks;
+  for (const auto& [task, run] : runs_) {
+    if (!IsUnsettled(run)) {
+      tasks.push_back(task);
+    }
+  }
+  for (const std::string& task : tasks) {
+    if (closed_) {
+      return;
+    }
+    const Run* run = FindRun(task);
+    const bool never_sent = restarted_ && run != nullptr && run->start_deferred;
+    EndRun(task, never_sent ? RunEnd::kStopped : RunEnd::kLeaseExpired,
+           /*reported_by_worker=*/never_sent);
+  }
+}
+
+// An order that was sent before the restart may have reached the next
+// incarnation, or may still do so: the proof that this one has ended holds for
+// the runs that it has listed only.
+bool WorkerSession::IsUnsettled(const Run& run) const {
+  return restarted_ && !run.listed && !run.start_deferred;
+}
+
+std::vector<Run> WorkerSession::TakeUnsettledRuns() {
+  std::vector<std::string> tasks;
+  for (const auto& [task, run] : runs_) {
+    if (IsUnsettled(run)) {
+      tasks.push_back(task);
+    }
+  }
+  std::vector<Run> unsettled;
+  for (const std::string& task : tasks) {
+    unsettled.push_back(*RemoveRun(task));
   }
+  return unsettled;
 }
 
 void WorkerSession::Tick() {
