--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -311,10 +311,10 @@
   }
   // The first poll that was answered was sent before any run was known and
   // extended no lease, so the next one follows at once if runs were adopted.
-  if (has_unrecorded_ends() && (!first || runs_.empty())) {
-    SchedulePoll(options_.unrecorded_pause);
-  } else if (lists_forgotten_ends) {
-    // The acknowledgement was not sent; see `PollOrder::forget_up_to`.
+  const bool awaits_record = has_unrecorded_ends() && (!first || runs_.empty());
+  // Ends are listed again if their acknowledgement was not sent; see
+  // `PollOrder::forget_up_to`.
+  if (awaits_record || lists_forgotten_ends) {
     SchedulePoll(options_.unrecorded_pause);
   } else if (!runs_.empty() || has_unwanted_runs()) {
     SchedulePoll(Millis(0));
