--- a/src/include/doorwood/run_worker.h
+++ b/src/include/doorwood/run_worker.h
@@ -99,7 +99,23 @@
   std::string checkpoint;
 };
 
-/// Answer to `Poll`.
+/// Why a poll brought no report.
+enum class PollFailure {
+  kNone,
+  /// No connection; nothing was sent.
+  kNotSent,
+  /// No complete answer arrived in time.
+  kNoResponse,
+  /// The worker answered with an error.
+  kRefused,
+  /// The answer does not have the form of a report. It may have listed ends.
+  kUnreadable,
+};
+inline constexpr size_t kPollFailureCount = 5;
+
+std::string_view ToString(PollFailure failure);
+
+/// Answer to `Poll`. If the poll failed, only `failure` and `problem` are set.
 struct WorkerReport {
   /// The worker's steady clock, in milliseconds.
   int64_t clock = 0;
@@ -108,6 +124,9 @@
   /// The worker may have more ended runs than the report lists; a run that the
   /// report does not name may be among them.
   bool has_more_ends = false;
+  PollFailure failure = PollFailure::kNone;
+  /// What was wrong, in words; only for logs.
+  std::string problem;
 };
 
 struct PollOrder {
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -352,11 +352,21 @@
     bool failure_logged = false;
   };
 
+  struct SentPoll {
+    uint64_t sequence = 0;
+    Instant sent{};
+    std::string address;
+    Millis max_wait{0};
+  };
+
   void Poll(Millis wait);
-  void OnPollResponse(uint64_t sequence,
-                      Instant sent,
+  void OnPollResponse(const SentPoll& poll,
                       std::error_code error,
                       WorkerReport report);
+  void LogFailedPoll(const SentPoll& poll, const WorkerReport& report) const;
+  /// Logs, once, that the worker lists the end numbered `listed` although the
+  /// one before it in the session's account is not `listed` - 1.
+  void NoteEndOutOfOrder(uint64_t listed, uint64_t before);
   void SchedulePoll(Millis delay);
   void ApplyReport(Instant sent, WorkerReport report);
   void ApplyEndedRuns(const std::vector<EndedRun>& ended);
@@ -463,6 +473,9 @@
   uint64_t tasks_version_ = 0;
   uint64_t last_end_ = 0;
   uint64_t recorded_end_ = 0;
+  /// Highest `PollOrder::forget_up_to` sent.
+  uint64_t acknowledged_end_ = 0;
+  bool end_out_of_order_logged_ = false;
   /// Tasks whose ends are not recorded, by the number of the end.
   std::map<uint64_t, std::string> unrecorded_ends_;
   /// Tasks of those runs in the newest report that this leader did not adopt
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -188,11 +188,12 @@
 
 void WorkerSession::Poll(Millis wait) {
   poll_in_flight_ = true;
-  const uint64_t sequence = ++poll_sequence_;
   const Instant sent = executor_.Now();
+  SentPoll poll{++poll_sequence_, sent, incarnation_.address, wait};
   PollOrder order;
   order.token = token_;
   order.forget_up_to = recorded_end_;
+  acknowledged_end_ = recorded_end_;
   // After a failed poll no lease is extended, so that the leases are certain to
   // expire if the worker stays unresponsive.
   const bool extend =
@@ -200,12 +201,11 @@
   order.lease_end = extend ? RecordLeaseGrant(sent) : 0;
   order.max_wait = wait;
   workers_.Poll(incarnation_, order,
-                [self = shared_from_this(), sequence, sent,
-                 address = incarnation_.address](std::error_code error,
-                                                 WorkerReport report) {
-                  self->OnPollResponse(sequence, sent,
-                                       self->ClassifyResponse(address, error),
-                                       std::move(report));
+                [self = shared_from_this(), poll = std::move(poll)](
+                    std::error_code error, WorkerReport report) {
+                  self->OnPollResponse(
+                      poll, self->ClassifyResponse(poll.address, error),
+                      std::move(report));
                 });
 }
 
@@ -215,8 +215,7 @@
   }
 }
 
-void WorkerSession::OnPollResponse(uint64_t sequence,
-                                   Instant sent,
+void WorkerSession::OnPollResponse(const SentPoll& poll,
                                    std::error_code error,
                                    WorkerReport report) {
   if (closed_ || dead_) {
@@ -225,7 +224,7 @@
   // Several polls may be in flight. After a success, only the poll sent last
   // may schedule the next; after a failure, any of them may if the newest is no
   // longer in flight.
-  const bool newest = sequence == poll_sequence_;
+  const bool newest = poll.sequence == poll_sequence_;
   if (newest) {
     poll_in_flight_ = false;
   }
@@ -242,6 +241,7 @@
   }
   if (error) {
     if (!std::exchange(last_poll_failed_, true)) {
+      LogFailedPoll(poll, report);
       listener_.OnPollFailed(*this);
     }
     // Poll again even if a newer poll was answered meanwhile: only another
@@ -264,7 +264,7 @@
         std::max(latest_lease_end_, report.clock + options_.run_lease.count());
     last_lease_order_at_ = executor_.Now();
   }
-  ApplyReport(sent, std::move(report));
+  ApplyReport(poll.sent, std::move(report));
   if (closed_ || dead_ || !newest) {
     return;
   }
@@ -277,6 +277,38 @@
   }
 }
 
+void WorkerSession::LogFailedPoll(const SentPoll& poll,
+                                  const WorkerReport& report) const {
+  const Instant now = executor_.Now();
+  log_.Write("warn", "worker", "poll failed",
+             {{"worker", incarnation_.id},
+              {"at", poll.address},
+              {"reason", ToString(report.failure)},
+              {"problem", report.problem},
+              {"sent_ms_ago", MillisBetween(poll.sent, now)},
+              {"max_wait_ms", poll.max_wait.count()},
+              {"newest", poll.sequence == poll_sequence_},
+              {"heard_ms_ago", MillisBetween(last_response_at_, now)},
+              {"runs", runs_.size()},
+              {"leaving", incarnation_.draining},
+              {"last_end", last_end_},
+              {"recorded_end", recorded_end_},
+              {"acknowledged_end", acknowledged_end_}});
+}
+
+void WorkerSession::NoteEndOutOfOrder(uint64_t listed, uint64_t before) {
+  if (std::exchange(end_out_of_order_logged_, true)) {
+    return;
+  }
+  log_.Write("error", "worker", "worker lists its ends with gaps or unordered",
+             {{"worker", incarnation_.id},
+              {"listed", listed},
+              {"before", before},
+              {"last_end", last_end_},
+              {"recorded_end", recorded_end_},
+              {"acknowledged_end", acknowledged_end_}});
+}
+
 void WorkerSession::MarkRecorded(uint64_t end_number) {
   if (end_number <= recorded_end_) {
     return;
@@ -325,10 +357,17 @@
 }
 
 void WorkerSession::ApplyEndedRuns(const std::vector<EndedRun>& ended) {
+  uint64_t before = 0;
   for (const EndedRun& end : ended) {
     if (closed_) {
       return;
     }
+    if (end.number <= before) {
+      NoteEndOutOfOrder(end.number, before);
+    } else if (last_end_ > 0 && end.number > last_end_ + 1) {
+      NoteEndOutOfOrder(end.number, last_end_);
+    }
+    before = end.number;
     if (end.number <= last_end_) {
       continue;
     }
--- a/src/libdoorwood/cell/worker_session_test.cpp
+++ b/src/libdoorwood/cell/worker_session_test.cpp
@@ -2,6 +2,7 @@
 
 #include "doorwood/worker_session.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <utility>
@@ -41,6 +42,12 @@
     }
     if (poll_fault == Fault::kReplyLost) {
       error = RunErrc::kNoAnswer;
+      report = WorkerReport{};
+      report.failure = PollFailure::kNoResponse;
+      report.problem = "reading the body: reset";
+    }
+    if (edit_report) {
+      edit_report(&report);
     }
     const Millis delay = error ? Millis(300) : Millis(100);
     executor_.Schedule(delay, [error, report, done = std::move(done)] {
@@ -76,6 +83,8 @@
   int polls = 0;
   int stops = 0;
   int64_t last_lease_end = 0;
+  /// Changes the answers to polls; may be empty.
+  std::function<void(WorkerReport*)> edit_report;
 
  private:
   void CarryOut(Fault fault,
@@ -180,6 +189,63 @@
   const char* end;
 };
 
+int CountLines(const fakes::Trace& trace, const std::string& text) {
+  return static_cast<int>(
+      std::count_if(trace.begin(), trace.end(), [&](const std::string& line) {
+        return line.find(text) != std::string::npos;
+      }));
+}
+
+// Guards against an unheard end of which the log does not tell how the polls
+// went. Repeated failures give one line, and a calm session gives none.
+BOOST_FIXTURE_TEST_CASE(Poll_FailsRepeatedly_IsLoggedOnceWithItsReason,
+                        SessionFixture) {
+  Start("ms=1000");
+  AdvanceTime(Millis(3000));
+  BOOST_TEST(ends.size() == 1U);
+  BOOST_TEST(CountLines(trace, "poll failed") == 0);
+  Run second;
+  second.task = "u";
+  second.number = 1;
+  session->Start(second, "ms=60000", "");
+  workers.poll_fault = Fault::kReplyLost;
+  AdvanceTime(Millis(2500));
+  BOOST_TEST(CountLines(trace, "poll failed") == 1);
+  for (const char* field :
+       {R"("reason":"no_response")", R"("problem":"reading the body: reset")",
+        R"("worker":"w1")", R"("last_end":1)", R"("recorded_end":1)",
+        R"("acknowledged_end":1)", R"("runs":1)", R"("newest":true)"}) {
+    BOOST_TEST(CountLines(trace, field) == 1, field);
+  }
+  workers.poll_fault = Fault::kNone;
+  AdvanceTime(Millis(500));
+  workers.poll_fault = Fault::kReplyLost;
+  AdvanceTime(Millis(2500));
+  BOOST_TEST(CountLines(trace, "poll failed") == 2);
+}
+
+// Guards against acknowledging an end that was never listed, without a word: a
+// worker whose list skips a number or is unordered is named once.
+BOOST_AUTO_TEST_CASE(Poll_EndsWithGapOrUnordered_IsLoggedOnce) {
+  const auto end = [](uint64_t number) {
+    return EndedRun{number, "x", 1, RunEnd::kDone, ""};
+  };
+  const std::pair<std::vector<EndedRun>, int> rows[] = {
+      {{end(7), end(8)}, 0},
+      {{end(7), end(9)}, 1},
+      {{end(8), end(7)}, 1},
+  };
+  for (const auto& [listed, lines] : rows) {
+    SessionFixture fixture;
+    fixture.workers.edit_report = [&listed = listed](WorkerReport* report) {
+      report->ended = listed;
+    };
+    fixture.Start("ms=1000");
+    fixture.AdvanceTime(Millis(3000));
+    BOOST_TEST(CountLines(fixture.trace, "with gaps or unordered") == lines);
+  }
+}
+
 // Whether the start call succeeds or fails, the run ends exactly once, and its
 // resources are released. A start order that is executed 4 s late is refused.
 BOOST_AUTO_TEST_CASE(Start_CallSucceedsOrFails_RunEndsExactlyOnce) {
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -78,6 +78,22 @@
   }
 }
 
+std::string_view ToString(PollFailure failure) {
+  switch (failure) {
+    case PollFailure::kNone:
+      return "none";
+    case PollFailure::kNotSent:
+      return "not_sent";
+    case PollFailure::kNoResponse:
+      return "no_response";
+    case PollFailure::kRefused:
+      return "refused";
+    case PollFailure::kUnreadable:
+      return "unreadable";
+  }
+  return "unknown";
+}
+
 std::string_view ToString(RunEnd end) {
   switch (end) {
     case RunEnd::kDone:
--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -124,7 +124,7 @@
     const auto endpoint = ParseEndpoint(call_.address);
     if (!endpoint) {
       asio::post(pool_->context, [self = shared_from_this()] {
-        self->Finish(PeerErrc::kNotSent);
+        self->Finish(PeerErrc::kNotSent, "invalid address");
       });
       return;
     }
@@ -133,22 +133,23 @@
     connection_ = std::make_shared<Connection>(pool_->context);
     connection_->stream.expires_after(
         std::min<Instant::duration>(RemainingTime(), kConnectTimeout));
-    connection_->stream.async_connect(*endpoint, [self = shared_from_this()](
-                                                     const error_code& error) {
-      if (error) {
-        // An earlier attempt on a pooled connection may have reached the
-        // server.
-        self->Finish(self->sent_ ? PeerErrc::kNoAnswer : PeerErrc::kNotSent);
-        return;
-      }
-      error_code ignored;
-      self->connection_->stream.socket().set_option(
-          asio::ip::tcp::no_delay(true), ignored);
-      // The check of an idle connection peeks at the socket and must not
-      // block.
-      self->connection_->stream.socket().non_blocking(true, ignored);
-      self->Write();
-    });
+    connection_->stream.async_connect(
+        *endpoint, [self = shared_from_this()](const error_code& error) {
+          if (error) {
+            // An earlier attempt on a pooled connection may have reached the
+            // server.
+            self->Finish(self->sent_ ? PeerErrc::kNoAnswer : PeerErrc::kNotSent,
+                         "connecting: " + error.message());
+            return;
+          }
+          error_code ignored;
+          self->connection_->stream.socket().set_option(
+              asio::ip::tcp::no_delay(true), ignored);
+          // The check of an idle connection peeks at the socket and must not
+          // block.
+          self->connection_->stream.socket().non_blocking(true, ignored);
+          self->Write();
+        });
   }
 
   void Write() {
@@ -171,7 +172,7 @@
         connection_->stream, request_,
         [self = shared_from_this()](const error_code& error, size_t) {
           if (error) {
-            self->OnConnectionError();
+            self->OnConnectionError("sending: " + error.message());
             return;
           }
           self->Read();
@@ -185,7 +186,7 @@
         connection_->stream, connection_->buffer, *parser_,
         [self = shared_from_this()](const error_code& error, size_t) {
           if (error) {
-            self->OnConnectionError();
+            self->OnConnectionError(self->ReadProgress() + error.message());
             return;
           }
           self->OnReply();
@@ -194,14 +195,25 @@
 
   // The server may have closed a pooled connection before this call was sent
   // on it, so a repeatable call is sent once more on a new connection.
-  void OnConnectionError() {
+  void OnConnectionError(std::string problem) {
     const bool in_time = RemainingTime() > Instant::duration::zero();
     if (reused_ && call_.repeatable && in_time) {
       sent_before_ = true;
+      first_problem_ = std::move(problem);
       Connect();
       return;
     }
-    Finish(PeerErrc::kNoAnswer);
+    Finish(PeerErrc::kNoAnswer, problem);
+  }
+
+  // How much of the response arrived before the connection failed.
+  std::string ReadProgress() const {
+    if (parser_->is_header_done()) {
+      return "reading the body: ";
+    }
+    return parser_->got_some() || connection_->buffer.size() > 0
+               ? "reading the header: "
+               : "awaiting the response: ";
   }
 
   void OnReply() {
@@ -222,7 +234,12 @@
     return deadline_ - BootClock::now();
   }
 
-  void Finish(std::error_code error) { done_(error, {}); }
+  void Finish(std::error_code error, const std::string& problem) {
+    HttpReply reply;
+    reply.problem =
+        first_problem_.empty() ? problem : first_problem_ + ", then " + problem;
+    done_(error, std::move(reply));
+  }
 
   std::shared_ptr<Pool> pool_;
   HttpCall call_;
@@ -235,6 +252,8 @@
   bool sent_ = false;
   /// The whole request may have arrived on an earlier connection.
   bool sent_before_ = false;
+  /// What went wrong on the earlier connection.
+  std::string first_problem_;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
 };
--- a/src/loop.adapter/http_client.h
+++ b/src/loop.adapter/http_client.h
@@ -40,13 +40,17 @@
   /// server may have processed that first request or may still do so, so a
   /// refusal of the second one does not show the outcome of the first.
   bool sent_before = false;
+  /// On failure: what went wrong on the connection, and before that on the
+  /// pooled connection if the call was sent there first. Only for logs.
+  std::string problem;
 };
 
 class HttpClient {
  public:
   /// Called exactly once. The error is PeerErrc::kNotSent if no connection
   /// could be opened and nothing was sent, and PeerErrc::kNoAnswer if the
-  /// request may have arrived but no complete response was received.
+  /// request may have arrived but no complete response was received. The reply
+  /// of a failed call has only `problem`.
   using Callback = std::function<void(std::error_code, HttpReply)>;
 
   explicit HttpClient(boost::asio::io_context& context);
