--- a/src/loop.adapter/http_client_test.cpp
+++ b/src/loop.adapter/http_client_test.cpp
@@ -4,10 +4,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <optional>
+#include <thread>
 
 #include "loop.adapter/http_server.h"
 #include "loop.adapter/scripted_server.h"
@@ -201,5 +204,125 @@
   BOOST_TEST(sent_with_response.Send().reply.status == 200);
 }
 
+// Answers with blocking calls, so that a test decides what has arrived before
+// the client's loop runs again.
+class BlockingServer {
+ public:
+  explicit BlockingServer(boost::asio::io_context& context)
+      : context_(context),
+        acceptor_(context,
+                  tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {}
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  // Runs the client until its request has arrived, and reads it.
+  void ReceiveRequest() {
+    if (!socket_) {
+      socket_.emplace(context_);
+      acceptor_.accept(*socket_);
+    }
+    while (socket_->available() == 0) {
+      context_.poll();
+    }
+    boost::asio::streambuf request;
+    boost::asio::read_until(*socket_, request, "\r\n\r\n{}");
+  }
+  void Answer(const std::string& body) {
+    const std::string answer = ScriptedServer::Answer("200 OK", body);
+    boost::asio::write(*socket_, boost::asio::buffer(answer));
+  }
+  void Reset() {
+    socket_->set_option(boost::asio::socket_base::linger(true, 0));
+    socket_.reset();
+  }
+
+ private:
+  boost::asio::io_context& context_;
+  tcp::acceptor acceptor_;
+  std::optional<tcp::socket> socket_;
+};
+
+constexpr size_t kLongBody = 20'000;
+
+// Guards against losing the last answer of a server that leaves: the reset of
+// its connection arrives before the answer is read.
+BOOST_AUTO_TEST_CASE(Send_AnswerIsFollowedByReset_AnswerIsDelivered) {
+  for (const size_t size : {size_t{2}, kLongBody}) {
+    boost::asio::io_context context;
+    BlockingServer server(context);
+    HttpClient client(context);
+    HttpCall call;
+    call.address = server.address();
+    call.method = "POST";
+    call.body = "{}";
+    std::optional<Outcome> outcome;
+    const auto send = [&] {
+      outcome.reset();
+      client.Send(call, [&](std::error_code error, HttpReply reply) {
+        outcome = Outcome{error, std::move(reply)};
+      });
+      server.ReceiveRequest();
+      server.Answer(std::string(size, 'x'));
+    };
+    send();
+    while (!outcome) {
+      context.run_one();
+    }
+    send();
+    server.Reset();
+    while (!outcome) {
+      context.run_one();
+    }
+    BOOST_TEST(outcome->error == std::error_code());
+    BOOST_TEST(outcome->reply.body.size() == size);
+  }
+}
+
+// Guards against dropping answers that arrived in time because the loop was
+// busy until after the deadline. The loop hands out a limited number of ready
+// sockets at a time; an expired timer that comes before the others makes it
+// handle all deadlines first.
+BOOST_AUTO_TEST_CASE(Send_LoopIsBusyPastDeadline_AnswersInTimeAreDelivered) {
+  constexpr int kCalls = 200;
+  constexpr Millis kTimeout{2000};
+  boost::asio::io_context context;
+  HttpClient client(context);
+  std::vector<std::unique_ptr<BlockingServer>> servers;
+  int delivered = 0;
+  int completed = 0;
+  std::string problem;
+  for (int i = 0; i < kCalls; ++i) {
+    servers.push_back(std::make_unique<BlockingServer>(context));
+    HttpCall call;
+    call.address = servers.back()->address();
+    call.method = "POST";
+    call.body = "{}";
+    call.timeout = kTimeout;
+    client.Send(call, [&](std::error_code error, const HttpReply& reply) {
+      ++completed;
+      delivered += error ? 0 : 1;
+      problem = error ? reply.problem : problem;
+    });
+  }
+  for (const auto& server : servers) {
+    server->ReceiveRequest();
+  }
+  boost::asio::steady_timer earlier(context, Millis(1));
+  earlier.async_wait([](const auto&) {});
+  context.poll();
+  std::this_thread::sleep_for(Millis(10));
+  for (const auto& server : servers) {
+    server->Answer(std::string(kLongBody, 'x'));
+  }
+  BOOST_REQUIRE(completed == 0);
+  std::this_thread::sleep_for(kTimeout);
+  while (completed < kCalls) {
+    context.run_one();
+  }
+  BOOST_TEST_INFO(problem);
+  BOOST_TEST(delivered == kCalls);
+}
+
 }  // namespace
 }  // namespace doorwood
