--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -27,6 +28,10 @@
 // be about to close them.
 constexpr std::chrono::seconds kIdleLifetime{8};
 constexpr uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
+// A response that arrived before the loop handled the deadline is still read:
+// pause between the checks for unread data, and how many there are at most.
+constexpr Millis kLateReadPause{20};
+constexpr int kMaxLateReads = 50;
 
 struct Connection {
   explicit Connection(asio::io_context& context) : stream(context) {}
@@ -105,7 +110,10 @@
 class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(std::shared_ptr<Pool> pool, HttpCall call, Callback done)
-      : pool_(std::move(pool)), call_(std::move(call)), done_(std::move(done)) {
+      : pool_(std::move(pool)),
+        call_(std::move(call)),
+        done_(std::move(done)),
+        deadline_timer_(pool_->context) {
     deadline_ = BootClock::now() + call_.timeout;
   }
 
@@ -166,7 +174,8 @@
     }
     request_.body() = call_.body;
     request_.prepare_payload();
-    connection_->stream.expires_after(RemainingTime());
+    connection_->stream.expires_never();
+    AwaitDeadline(RemainingTime());
     sent_ = true;
     http::async_write(
         connection_->stream, request_,
@@ -179,6 +188,33 @@
         });
   }
 
+  // Not the stream's own timeout, which closes the connection even if the
+  // response has arrived: after a delay, the loop may handle expired timers
+  // before it has fetched all ready sockets.
+  void AwaitDeadline(Instant::duration delay) {
+    deadline_timer_.expires_after(
+        std::chrono::duration_cast<std::chrono::nanoseconds>(delay));
+    deadline_timer_.async_wait(
+        [self = shared_from_this()](const error_code& error) {
+          if (!error && !self->completed_) {
+            self->OnDeadline();
+          }
+        });
+  }
+
+  void OnDeadline() {
+    error_code error;
+    const bool has_unread_data =
+        connection_->stream.socket().available(error) > 0 && !error;
+    if (has_unread_data && late_reads_ < kMaxLateReads) {
+      ++late_reads_;
+      AwaitDeadline(kLateReadPause);
+      return;
+    }
+    timed_out_ = true;
+    connection_->stream.close();  // Ends the pending operation.
+  }
+
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMaxResponseBytes);
@@ -196,7 +232,8 @@
   // The server may have closed a pooled connection before this call was sent
   // on it, so a repeatable call is sent once more on a new connection.
   void OnConnectionError(std::string problem) {
-    const bool in_time = RemainingTime() > Instant::duration::zero();
+    const bool in_time =
+        !timed_out_ && RemainingTime() > Instant::duration::zero();
     if (reused_ && call_.repeatable && in_time) {
       sent_before_ = true;
       first_problem_ = std::move(problem);
@@ -221,11 +258,10 @@
     reply.status = static_cast<int>(parser_->get().result_int());
     reply.body = std::move(parser_->get().body());
     reply.sent_before = sent_before_;
-    if (parser_->get().keep_alive()) {
-      connection_->stream.expires_never();
+    if (parser_->get().keep_alive() && !timed_out_) {
       pool_->Return(call_.address, std::move(connection_));
     }
-    done_({}, std::move(reply));
+    Complete({}, std::move(reply));
   }
 
   // Uses the time since boot: the stream's timer does not advance while the
@@ -238,6 +274,15 @@
     HttpReply reply;
     reply.problem =
         first_problem_.empty() ? problem : first_problem_ + ", then " + problem;
+    if (timed_out_) {
+      reply.problem += " (timed out)";
+    }
+    Complete(error, std::move(reply));
+  }
+
+  void Complete(std::error_code error, HttpReply reply) {
+    completed_ = true;
+    deadline_timer_.cancel();
     done_(error, std::move(reply));
   }
 
@@ -245,6 +290,11 @@
   HttpCall call_;
   Callback done_;
   Instant deadline_;
+  asio::steady_timer deadline_timer_;
+  int late_reads_ = 0;
+  /// The connection was closed at the deadline.
+  bool timed_out_ = false;
+  bool completed_ = false;
   std::shared_ptr<Connection> connection_;
   bool reused_ = false;
   /// Part of the request may have been sent, on this connection or an earlier
--- a/src/loop.adapter/http_client_test.cpp
+++ b/src/loop.adapter/http_client_test.cpp
@@ -279,6 +279,26 @@
   }
 }
 
+// Guards against a call that outlives its deadline: a server that sends
+// nothing, or only a part of its answer.
+BOOST_AUTO_TEST_CASE(Send_AnswerIsIncomplete_FailsAtDeadline) {
+  for (const std::string sent :
+       {"", "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"}) {
+    ScriptFixture fixture([&sent](int) { return sent; });
+    const auto began = std::chrono::steady_clock::now();
+    const Outcome outcome = fixture.Send();
+    const auto taken = std::chrono::steady_clock::now() - began;
+    BOOST_TEST_CONTEXT(sent) {
+      BOOST_TEST(outcome.error == make_error_code(PeerErrc::kNoAnswer));
+      BOOST_TEST(outcome.reply.problem.ends_with("(timed out)"));
+      BOOST_TEST((taken >= Millis(1000)));
+      BOOST_TEST((taken < Millis(3000)));
+      BOOST_TEST(fixture.server.requests().size() == 1U);
+    }
+  }
+}
+
 // Guards against dropping answers that arrived in time because the loop was
 // busy until after the deadline. The loop hands out a limited number of ready
 // sockets at a time; an expired timer that comes before the others makes it
