--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -268,6 +268,8 @@
       {"doorwood_jobs_given_up_total", counters.jobs_given_up},
       {"doorwood_stops_total", counters.stops},
       {"doorwood_paces_total", counters.paces},
+      {"doorwood_directory_reads_failed_total",
+       counters.directory_reads_failed},
       {"doorwood_takeovers_total", counters.takeovers},
       {"doorwood_step_downs_total", counters.step_downs},
       {"doorwood_commits_total", cell_.journal().commits()},
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -309,6 +309,9 @@
   /// which can, to remove the lead key.
   void HandOverLead(const LiveInstance& other);
   void ReadWorkers();
+  /// Logs that the list of workers, whose reading began at `began`, comes late
+  /// or after failed reads.
+  void LogLateWorkers(Instant began);
   void ReadClosedDataCentres();
   void OnClosedDataCentres(std::set<std::string> closed);
   bool IsInClosedDataCentre(const CellWorker& cell_worker) const;
@@ -772,6 +775,10 @@
   /// When the list of workers was last read in this term as leader; zero: not
   /// yet.
   Instant workers_read_{};
+  /// Reads of the list of workers that failed since the last one that did not,
+  /// and the error of the newest of them.
+  uint64_t workers_reads_failed_ = 0;
+  std::error_code workers_read_error_;
   bool reading_closed_ = false;
   /// When the closed data centres were last read in this term as leader; zero:
   /// not yet, and nothing is started.
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -111,6 +111,8 @@
   uint64_t overdue = 0;
   uint64_t stops = 0;
   uint64_t paces = 0;
+  /// Reads of the list of workers that failed.
+  uint64_t directory_reads_failed = 0;
   uint64_t takeovers = 0;
   uint64_t step_downs = 0;
 };
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -296,6 +296,7 @@
   unconfirmed_after_pause_ = false;
   order_deadline_ = Instant{};
   workers_read_ = Instant{};
+  workers_reads_failed_ = 0;
   closed_read_ = Instant{};
   long_running_admission_.clear();
   trials_.Clear();
--- a/src/libdoorwood/cell/cell_leader_test.cpp
+++ b/src/libdoorwood/cell/cell_leader_test.cpp
@@ -302,5 +302,27 @@
   BOOST_TEST(world.Leader() == leader);
 }
 
+// Guards against starts by an old list of workers of which nothing tells that,
+// or why, it was old.
+BOOST_FIXTURE_TEST_CASE(ListOfWorkers_ReadsFail_EachOutageIsLoggedOnce,
+                        CellFixture) {
+  const std::string line = "the list of workers was read late";
+  fakes::WorldInstance* leader = world.Leader();
+  world.Run(Millis(5000));
+  BOOST_TEST(world.log_count(line) == 0);
+  BOOST_TEST(leader->cell->counters().directory_reads_failed == 0U);
+  constexpr int kOutages = 3;
+  for (int outage = 0; outage < kOutages; ++outage) {
+    leader->store_faults.unavailable = true;
+    world.Run(Millis(250));
+    leader->store_faults.unavailable = false;
+    world.Run(Millis(5100));
+  }
+  BOOST_REQUIRE(world.Leader() == leader);
+  BOOST_TEST(world.log_count(line) >= 1);
+  BOOST_TEST(world.log_count(line) <= kOutages);
+  BOOST_TEST(leader->cell->counters().directory_reads_failed > 0U);
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_workers.cpp
+++ b/src/libdoorwood/cell/cell_workers.cpp
@@ -11,6 +11,10 @@
 namespace doorwood {
 namespace {
 
+// A list of workers is logged as late if it is older than this, or if reading
+// it failed, when it is read again.
+constexpr Millis kLateListAge{1500};
+
 bool AreSetAndDiffer(const std::string& known, const std::string& reported) {
   return !known.empty() && !reported.empty() && known != reported;
 }
@@ -42,17 +46,44 @@
   }
   reading_workers_ = true;
   directory_.ListWorkers(
-      [this, generation = generation_](
+      [this, generation = generation_, began = executor_.Now()](
           std::error_code error, std::vector<WorkerIncarnation> incarnations) {
         reading_workers_ = false;
-        if (generation != generation_ || !leading() || error) {
+        if (generation != generation_ || !leading()) {
+          return;
+        }
+        if (error) {
+          ++workers_reads_failed_;
+          ++counters_.directory_reads_failed;
+          workers_read_error_ = error;
           return;
         }
+        LogLateWorkers(began);
         workers_read_ = executor_.Now();
         OnWorkers(std::move(incarnations));
       });
 }
 
+void CellLeader::LogLateWorkers(Instant began) {
+  const Instant now = executor_.Now();
+  const uint64_t failed = std::exchange(workers_reads_failed_, 0);
+  const bool is_late =
+      workers_read_ != Instant{} && now - workers_read_ > kLateListAge;
+  if (!is_late && failed == 0) {
+    return;
+  }
+  const auto millis = [](Instant::duration duration) {
+    return std::chrono::duration_cast<Millis>(duration).count();
+  };
+  log_.Write("warn", "cell", "the list of workers was read late",
+             {{"cell", options_.cell},
+              {"age_ms", millis(now - std::max(workers_read_, led_since_))},
+              {"taken_ms", millis(now - began)},
+              {"failed_reads", failed},
+              {"last_error", failed > 0 ? workers_read_error_.message() : ""},
+              {"epoch", epoch_}});
+}
+
 void CellLeader::ReadClosedDataCentres() {
   if (reading_closed_) {
     return;
