--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -390,6 +390,7 @@
     uint64_t forget_up_to = 0;
     /// `worker_clock_` when the poll was sent.
     int64_t clock = 0;
+    Millis max_wait{0};
   };
 
   void Poll(Millis wait);
@@ -404,6 +405,10 @@
   /// order sent when the last reported clock was `clock_at_send` is of a later
   /// incarnation; if so, calls `MarkRestarted`.
   bool ShowsRestart(int64_t clock, int64_t clock_at_send);
+  void LogFailedPoll(const SentPoll& poll, const WorkerReport& report) const;
+  /// Logs, once, that the worker lists the end numbered `listed` although the
+  /// one before it in the session's account is not `listed` - 1.
+  void NoteEndOutOfOrder(uint64_t listed, uint64_t before);
   void SchedulePoll(Millis delay);
   void ApplyReport(Instant sent, WorkerReport report);
   void ApplyEndedRuns(const std::vector<EndedRun>& ended);
@@ -525,6 +530,9 @@
   uint64_t tasks_version_ = 0;
   uint64_t last_end_ = 0;
   uint64_t recorded_end_ = 0;
+  /// Highest `PollOrder::forget_up_to` sent.
+  uint64_t acknowledged_end_ = 0;
+  bool end_out_of_order_logged_ = false;
   /// Tasks whose ends are not recorded, by the number of the end.
   std::map<uint64_t, std::string> unrecorded_ends_;
   /// Tasks of those runs in the newest report that this leader did not adopt
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -212,19 +212,20 @@
 
 void WorkerSession::Poll(Millis wait) {
   poll_in_flight_ = true;
-  const uint64_t sequence = ++poll_sequence_;
   const Instant sent = executor_.Now();
+  const uint64_t sequence = ++poll_sequence_;
   PollOrder order;
   order.token = token_;
   order.forget_up_to = recorded_end_;
+  acknowledged_end_ = recorded_end_;
   // After a failed poll no lease is extended, so that the leases are certain to
   // expire if the worker stays unresponsive.
   const bool extend =
       !runs_.empty() && sent < lease_extension_end_ && !last_poll_failed_;
   order.lease_end = extend ? RecordLeaseGrant(sent) : 0;
   order.max_wait = wait;
-  SentPoll poll{sequence, sent, incarnation_.address, order.forget_up_to,
-                worker_clock_};
+  SentPoll poll{sequence,           sent,          incarnation_.address,
+                order.forget_up_to, worker_clock_, wait};
   workers_.Poll(incarnation_, order,
                 [self = shared_from_this(), poll = std::move(poll)](
                     std::error_code error, WorkerReport report) {
@@ -266,6 +267,7 @@
   }
   if (error) {
     if (!std::exchange(last_poll_failed_, true)) {
+      LogFailedPoll(poll, report);
       listener_.OnPollFailed(*this);
     }
     // Poll again even if a newer poll was answered meanwhile: only another
@@ -350,6 +352,38 @@
   }
 }
 
+void WorkerSession::LogFailedPoll(const SentPoll& poll,
+                                  const WorkerReport& report) const {
+  const Instant now = executor_.Now();
+  log_.Write("warn", "worker", "poll failed",
+             {{"worker", incarnation_.id},
+              {"at", poll.address},
+              {"reason", ToString(report.failure)},
+              {"problem", report.problem},
+              {"sent_ms_ago", MillisBetween(poll.sent, now)},
+              {"max_wait_ms", poll.max_wait.count()},
+              {"newest", poll.sequence == poll_sequence_},
+              {"heard_ms_ago", MillisBetween(last_response_at_, now)},
+              {"runs", runs_.size()},
+              {"leaving", incarnation_.draining},
+              {"last_end", last_end_},
+              {"recorded_end", recorded_end_},
+              {"acknowledged_end", acknowledged_end_}});
+}
+
+void WorkerSession::NoteEndOutOfOrder(uint64_t listed, uint64_t before) {
+  if (std::exchange(end_out_of_order_logged_, true)) {
+    return;
+  }
+  log_.Write("error", "worker", "worker lists its ends with gaps or unordered",
+             {{"worker", incarnation_.id},
+              {"listed", listed},
+              {"before", before},
+              {"last_end", last_end_},
+              {"recorded_end", recorded_end_},
+              {"acknowledged_end", acknowledged_end_}});
+}
+
 void WorkerSession::MarkRecorded(uint64_t end_number) {
   if (end_number <= recorded_end_) {
     return;
@@ -398,10 +432,17 @@
 }
 
 void WorkerSession::ApplyEndedRuns(const std::vector<EndedRun>& ended) {
+  uint64_t before = 0;
   for (const EndedRun& end : ended) {
     if (closed_) {
       return;
     }
+    if (end.number <= before) {
+      NoteEndOutOfOrder(end.number, before);
+    } else if (last_end_ > 0 && end.number > last_end_ + 1) {
+      NoteEndOutOfOrder(end.number, last_end_);
+    }
+    before = end.number;
     if (end.number <= last_end_) {
       continue;
     }
--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -27,6 +28,10 @@
 // be about to close them.
 constexpr std::chrono::seconds kIdleLifetime{8};
 constexpr uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
+// A response that arrived before the loop handled the deadline is still read:
+// pause between the checks for unread data, and how many there are at most.
+constexpr Millis kLateReadPause{20};
+constexpr int kMaxLateReads = 50;
 
 struct Connection {
   explicit Connection(asio::io_context& context) : stream(context) {}
@@ -107,7 +112,10 @@
 class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(std::shared_ptr<Pool> pool, HttpCall call, Callback done)
-      : pool_(std::move(pool)), call_(std::move(call)), done_(std::move(done)) {
+      : pool_(std::move(pool)),
+        call_(std::move(call)),
+        done_(std::move(done)),
+        deadline_timer_(pool_->context) {
     deadline_ = BootClock::now() + call_.timeout;
   }
 
@@ -126,7 +134,7 @@
     const auto endpoint = ParseEndpoint(call_.address);
     if (!endpoint) {
       asio::post(pool_->context, [self = shared_from_this()] {
-        self->Finish(PeerErrc::kNotSent);
+        self->Finish(PeerErrc::kNotSent, "invalid address");
       });
       return;
     }
@@ -135,22 +143,23 @@
     connection_ = std::make_shared<Connection>(pool_->context);
     connection_->stream.expires_after(
         std::min<Instant::duration>(RemainingTime(), kConnectTimeout));
-    connection_->stream.async_connect(*endpoint, [self = shared_from_this()](
-                                                     const error_code& error) {
-      if (error) {
-        // An earlier attempt on a pooled connection may have reached the
-        // server.
-        self->Finish(self->sent_ ? PeerErrc::kNoAnswer : PeerErrc::kNotSent);
-        return;
-      }
-      error_code ignored;
-      self->connection_->stream.socket().set_option(
-          asio::ip::tcp::no_delay(true), ignored);
-      // The check of an idle connection peeks at the socket and must not
-      // block.
-      self->connection_->stream.socket().non_blocking(true, ignored);
-      self->Write();
-    });
+    connection_->stream.async_connect(
+        *endpoint, [self = shared_from_this()](const error_code& error) {
+          if (error) {
+            // An earlier attempt on a pooled connection may have reached the
+            // server.
+            self->Finish(self->sent_ ? PeerErrc::kNoAnswer : PeerErrc::kNotSent,
+                         "connecting: " + error.message());
+            return;
+          }
+          error_code ignored;
+          self->connection_->stream.socket().set_option(
+              asio::ip::tcp::no_delay(true), ignored);
+          // The check of an idle connection peeks at the socket and must not
+          // block.
+          self->connection_->stream.socket().non_blocking(true, ignored);
+          self->Write();
+        });
   }
 
   void Write() {
@@ -168,19 +177,47 @@
       request_.set(http::field::content_type, "application/json");
     }
     request_.prepare_payload();
-    connection_->stream.expires_after(RemainingTime());
+    connection_->stream.expires_never();
+    AwaitDeadline(RemainingTime());
     sent_ = true;
     http::async_write(
         connection_->stream, request_,
         [self = shared_from_this()](const error_code& error, size_t) {
           if (error) {
-            self->OnConnectionError();
+            self->OnConnectionError("sending: " + error.message());
             return;
           }
           self->Read();
         });
   }
 
+  // Not the stream's own timeout, which closes the connection even if the
+  // response has arrived: after a delay, the loop may handle expired timers
+  // before it has fetched all ready sockets.
+  void AwaitDeadline(Instant::duration delay) {
+    deadline_timer_.expires_after(
+        std::chrono::duration_cast<std::chrono::nanoseconds>(delay));
+    deadline_timer_.async_wait(
+        [self = shared_from_this()](const error_code& error) {
+          if (!error && !self->completed_) {
+            self->OnDeadline();
+          }
+        });
+  }
+
+  void OnDeadline() {
+    error_code error;
+    const bool has_unread_data =
+        connection_->stream.socket().available(error) > 0 && !error;
+    if (has_unread_data && late_reads_ < kMaxLateReads) {
+      ++late_reads_;
+      AwaitDeadline(kLateReadPause);
+      return;
+    }
+    timed_out_ = true;
+    connection_->stream.close();  // Ends the pending operation.
+  }
+
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMaxResponseBytes);
@@ -188,7 +225,7 @@
         connection_->stream, connection_->buffer, *parser_,
         [self = shared_from_this()](const error_code& error, size_t) {
           if (error) {
-            self->OnConnectionError();
+            self->OnConnectionError(self->ReadProgress() + error.message());
             return;
           }
           self->OnReply();
@@ -197,14 +234,26 @@
 
   // The server may have closed a pooled connection before this call was sent
   // on it, so a repeatable call is sent once more on a new connection.
-  void OnConnectionError() {
-    const bool in_time = RemainingTime() > Instant::duration::zero();
+  void OnConnectionError(std::string problem) {
+    const bool in_time =
+        !timed_out_ && RemainingTime() > Instant::duration::zero();
     if (reused_ && call_.repeatable && in_time) {
       sent_before_ = true;
+      first_problem_ = std::move(problem);
       Connect();
       return;
     }
-    Finish(PeerErrc::kNoAnswer);
+    Finish(PeerErrc::kNoAnswer, problem);
+  }
+
+  // How much of the response arrived before the connection failed.
+  std::string ReadProgress() const {
+    if (parser_->is_header_done()) {
+      return "reading the body: ";
+    }
+    return parser_->got_some() || connection_->buffer.size() > 0
+               ? "reading the header: "
+               : "awaiting the response: ";
   }
 
   void OnReply() {
@@ -213,11 +262,10 @@
     reply.body = std::move(parser_->get().body());
     reply.sent_before = sent_before_;
     const bool accepted = !call_.accepts_reply || call_.accepts_reply(reply);
-    if (accepted && parser_->get().keep_alive()) {
-      connection_->stream.expires_never();
+    if (accepted && parser_->get().keep_alive() && !timed_out_) {
       pool_->Return(call_, std::move(connection_));
     }
-    done_({}, std::move(reply));
+    Complete({}, std::move(reply));
   }
 
   // Uses the time since boot: the stream's timer does not advance while the
@@ -226,12 +274,31 @@
     return deadline_ - BootClock::now();
   }
 
-  void Finish(std::error_code error) { done_(error, {}); }
+  void Finish(std::error_code error, const std::string& problem) {
+    HttpReply reply;
+    reply.problem =
+        first_problem_.empty() ? problem : first_problem_ + ", then " + problem;
+    if (timed_out_) {
+      reply.problem += " (timed out)";
+    }
+    Complete(error, std::move(reply));
+  }
+
+  void Complete(std::error_code error, HttpReply reply) {
+    completed_ = true;
+    deadline_timer_.cancel();
+    done_(error, std::move(reply));
+  }
 
   std::shared_ptr<Pool> pool_;
   HttpCall call_;
   Callback done_;
   Instant deadline_;
+  asio::steady_timer deadline_timer_;
+  int late_reads_ = 0;
+  /// The connection was closed at the deadline.
+  bool timed_out_ = false;
+  bool completed_ = false;
   std::shared_ptr<Connection> connection_;
   bool reused_ = false;
   /// Part of the request may have been sent, on this connection or an earlier
@@ -239,6 +306,8 @@
   bool sent_ = false;
   /// The whole request may have arrived on an earlier connection.
   bool sent_before_ = false;
+  /// What went wrong on the earlier connection.
+  std::string first_problem_;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
 };
