--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -137,6 +137,21 @@
   });
 }
 
+void CellWorld::RestartWorkerInPlace(const std::string& id, Millis down_time) {
+  Trace("world: " + id + " goes down");
+  ShutDownWorker(id);
+  workers_.at(id)->refuses_calls = true;
+  time_.RunAt(time_.now() + down_time, [this, id] {
+    Trace("world: " + id + " is back");
+    WorldWorker& worker = *workers_.at(id);
+    worker.clock_origin_ms = time_.now_ms();
+    worker.model.SetObserver(worker.completions.get());
+    worker.refuses_calls = false;
+    worker.up = true;
+    worker.listed = true;
+  });
+}
+
 void CellWorld::ShutDownWorker(const std::string& id) {
   WorldWorker& worker = *workers_.at(id);
   worker.model = standin::RunWorkerModel();
@@ -202,10 +217,14 @@
 void CellWorld::AdvanceModelsToNow() {
   store_.Advance(time_.now_ms());
   for (const auto& [id, worker] : workers_) {
-    worker->model.Advance(time_.now_ms());
+    AdvanceWorkerToNow(worker.get());
   }
 }
 
+void CellWorld::AdvanceWorkerToNow(WorldWorker* worker) {
+  worker->model.Advance(time_.now_ms() - worker->clock_origin_ms);
+}
+
 double CellWorld::RandomFraction() {
   return std::uniform_real_distribution<double>(0, 1)(random_);
 }
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -106,6 +106,8 @@
   /// Address in the directory entry, if it is not the worker's own: another
   /// process answers there.
   std::string listed_address;
+  /// World time at which the worker's steady clock was zero, in milliseconds.
+  int64_t clock_origin_ms = 0;
   /// Number of calls that reached the worker, and of runs that it started. A
   /// poll that waits counts again every 20 ms, and a delayed order counts again
   /// when it is executed.
@@ -140,6 +142,10 @@
   /// machine starts another incarnation, whose id is the old one with a "+"
   /// appended.
   void CrashAndRestart(const std::string& id);
+  /// All runs on the worker end, its directory entry is removed, and calls to
+  /// it are refused. After `down_time` it comes back under the same id and
+  /// address: without any state, and with a clock that begins at zero.
+  void RestartWorkerInPlace(const std::string& id, Millis down_time);
   /// A crashed worker's address is not used by another incarnation.
   void DisableAddressReuse() { addresses_reused_ = false; }
   /// Calls to a crashed worker's machine time out instead of being refused.
@@ -215,6 +221,7 @@
   /// Advances the models of the store and of all workers to the current virtual
   /// time, so that leases and runs that are due end.
   void AdvanceModelsToNow();
+  void AdvanceWorkerToNow(WorldWorker* worker);
   double RandomFraction();
   void CountMisdirectedCall() { ++misdirected_calls_; }
   void CountLogLine(const std::string& message) { ++log_counts_[message]; }
--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -140,12 +140,14 @@
       Fail<WorkerReport>(worker, std::move(done));
       return;
     }
-    target->model.Advance(world_.time().now_ms());
+    world_.AdvanceWorkerToNow(target);
     WorkerReport report;
     const auto error = target->model.Poll(order, &report);
     if (!error && report.ended.empty() && order.max_wait > Millis(0)) {
       PollOrder rest = order;
       rest.max_wait = std::max(Millis(0), order.max_wait - kPollInterval);
+      // A worker discards acknowledged ends once, when the poll arrives.
+      rest.forget_up_to = 0;
       // The wait takes place in the worker, also while this process is frozen.
       world_.time().RunAt(
           world_.time().now() + kPollInterval,
@@ -242,7 +244,7 @@
           kNoAnswer, [done = std::move(done)] { done(RunErrc::kNoAnswer, 0); });
       return;
     }
-    target->model.Advance(world_.time().now_ms());
+    world_.AdvanceWorkerToNow(target);
     const auto error = effect(*target, /*late=*/false);
     if (draw < self_.delayed_order_share + self_.lost_order_reply_share) {
       self_.executor->DeliverAnswer(
