--- a/src/libdoorwood/cell/worker_session_test.cpp
+++ b/src/libdoorwood/cell/worker_session_test.cpp
@@ -42,7 +42,8 @@
     if (poll_fault == Fault::kReplyLost) {
       error = RunErrc::kNoAnswer;
     }
-    const Millis delay = error ? Millis(300) : Millis(100);
+    const Millis answer_delay = polls_wait ? order.max_wait : Millis(100);
+    const Millis delay = error ? Millis(300) : answer_delay;
     executor_.Schedule(delay, [error, report, done = std::move(done)] {
       done(error, report);
     });
@@ -71,6 +72,8 @@
 
   standin::RunWorkerModel model;
   Fault poll_fault = Fault::kNone;
+  /// Each poll is answered after its longest wait.
+  bool polls_wait = false;
   Fault start_fault = Fault::kNone;
   Fault stop_fault = Fault::kNone;
   int polls = 0;
@@ -152,9 +155,9 @@
       session->Tick();
     }
   }
-  void Start(const std::string& payload) {
+  void Start(const std::string& payload, const std::string& task = "t") {
     Run run;
-    run.task = "t";
+    run.task = task;
     run.number = 1;
     run.size = {1000, 10, 0};
     session->Start(run, payload, "");
@@ -207,6 +210,23 @@
   }
 }
 
+// Guards against a run that never began, or whose end the session missed, being
+// waited for as long as its stop is sent again about as often as the worker is
+// polled.
+BOOST_FIXTURE_TEST_CASE(Stop_RunNeverBeganAndStopIsSentAgain_RunEnds,
+                        SessionFixture) {
+  workers.polls_wait = true;
+  Start("", "other");
+  AdvanceTime(Millis(500));
+  workers.start_fault = Fault::kRequestLost;
+  Start("");
+  session->Stop("t");
+  AdvanceTime(Millis(3000));
+  BOOST_TEST(workers.stops > 1);
+  BOOST_TEST(ends == std::vector<std::string>{"t lapsed inferred"},
+             boost::test_tools::per_element());
+}
+
 // Polls and starts that the test answers, in any order. Stops and paces get no
 // answer.
 class ManualWorkers : public RunWorkerClient {
