--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -57,6 +57,7 @@
   /// The worker has confirmed the stop, or has refused the start with
   /// `RunErrc::kStaleRun`. Either way it refuses any later start of this run.
   bool stop_confirmed = false;
+  /// When this was first known.
   Instant stop_confirmed_at{};
   bool stop_in_flight = false;
   Instant stop_sent{};
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -207,8 +207,12 @@
         if (!known) {
           return;
         }
-        stopped->stop_confirmed = true;
-        stopped->stop_confirmed_at = self->executor_.Now();
+        // The time of the first confirmation is kept: stops are sent again
+        // about as often as polls, so that with the time of the latest one
+        // hardly any poll would count as sent after it.
+        if (!std::exchange(stopped->stop_confirmed, true)) {
+          stopped->stop_confirmed_at = self->executor_.Now();
+        }
         if (stopped->phase == RunPhase::kUnresolved) {
           self->Poll(Millis(0));
         }
