--- a/src/loop.adapter/http_client_test.cpp
+++ b/src/loop.adapter/http_client_test.cpp
@@ -279,6 +279,36 @@
   }
 }
 
+// Guards against a long answer that is read in small pieces: between two of
+// them, a busy loop handles everything else that is due, so that the answer is
+// not read before its deadline.
+BOOST_AUTO_TEST_CASE(Send_AnswerIsLong_IsReadInFewSteps) {
+  constexpr size_t kSize = 100'000;
+  constexpr int kMaxSteps = 20;
+  boost::asio::io_context context;
+  BlockingServer server(context);
+  HttpClient client(context);
+  HttpCall call;
+  call.address = server.address();
+  call.method = "POST";
+  call.body = "{}";
+  for (int repetition = 0; repetition < 2; ++repetition) {
+    std::optional<Outcome> outcome;
+    client.Send(call, [&](std::error_code error, HttpReply reply) {
+      outcome = Outcome{error, std::move(reply)};
+    });
+    server.ReceiveRequest();
+    server.Answer(std::string(kSize, 'x'));
+    int steps = 0;
+    while (!outcome) {
+      context.run_one();
+      ++steps;
+    }
+    BOOST_TEST(outcome->reply.body.size() == kSize);
+    BOOST_TEST(steps <= kMaxSteps);
+  }
+}
+
 // Guards against a call that outlives its deadline: a server that sends
 // nothing, or only a part of its answer.
 BOOST_AUTO_TEST_CASE(Send_AnswerIsIncomplete_FailsAtDeadline) {
