--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -34,9 +34,9 @@
 // Room that an idle connection keeps, at most.
 constexpr size_t kMaxIdleBuffer = 4096;
 // A response that arrived before the loop handled the deadline is still read:
-// pause between the checks for unread data, and how many there are at most.
+// pause between the checks for unread data, and for how long it may take.
 constexpr Millis kLateReadPause{20};
-constexpr int kMaxLateReads = 50;
+constexpr Millis kMaxLateReading{400};
 
 struct Connection {
   explicit Connection(asio::io_context& context) : stream(context) {}
@@ -211,8 +211,9 @@
     error_code error;
     const bool has_unread_data =
         connection_->stream.socket().available(error) > 0 && !error;
-    if (has_unread_data && late_reads_ < kMaxLateReads) {
-      ++late_reads_;
+    const Instant now = BootClock::now();
+    late_since_ = late_since_.value_or(now);
+    if (has_unread_data && now - *late_since_ < kMaxLateReading) {
       AwaitDeadline(kLateReadPause);
       return;
     }
@@ -340,7 +341,8 @@
   Callback done_;
   Instant deadline_;
   asio::steady_timer deadline_timer_;
-  int late_reads_ = 0;
+  /// When the deadline was first handled.
+  std::optional<Instant> late_since_;
   /// The connection was closed at the deadline.
   bool timed_out_ = false;
   bool completed_ = false;
