--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -28,10 +28,15 @@
 // be about to close them.
 constexpr std::chrono::seconds kIdleLifetime{8};
 constexpr uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
+// Room for reading a body, at most. The body is read in pieces of this size;
+// the loop handles everything else that is due between two of them.
+constexpr size_t kMaxReadBuffer = 64UL * 1024;
+// Room that an idle connection keeps, at most.
+constexpr size_t kMaxIdleBuffer = 4096;
 // A response that arrived before the loop handled the deadline is still read:
-// pause between the checks for unread data, and how many there are at most.
+// pause between the checks for unread data, and for how long it may take.
 constexpr Millis kLateReadPause{20};
-constexpr int kMaxLateReads = 50;
+constexpr Millis kMaxLateReading{400};
 
 struct Connection {
   explicit Connection(asio::io_context& context) : stream(context) {}
@@ -209,8 +214,9 @@
     error_code error;
     const bool has_unread_data =
         connection_->stream.socket().available(error) > 0 && !error;
-    if (has_unread_data && late_reads_ < kMaxLateReads) {
-      ++late_reads_;
+    const Instant now = BootClock::now();
+    late_since_ = late_since_.value_or(now);
+    if (has_unread_data && now - *late_since_ < kMaxLateReading) {
       AwaitDeadline(kLateReadPause);
       return;
     }
@@ -221,6 +227,33 @@
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMaxResponseBytes);
+    http::async_read_header(
+        connection_->stream, connection_->buffer, *parser_,
+        [self = shared_from_this()](const error_code& error, size_t) {
+          if (error) {
+            self->OnConnectionError(self->ReadProgress() + error.message());
+            return;
+          }
+          self->ReadBody();
+        });
+  }
+
+  void ReadBody() {
+    error_code error;
+    ParseBuffered(&error);
+    if (error) {
+      OnConnectionError(ReadProgress() + error.message());
+      return;
+    }
+    if (parser_->is_done()) {
+      OnReply();
+      return;
+    }
+    const uint64_t length =
+        parser_->content_length_remaining().value_or(kMaxReadBuffer);
+    // Without room, the body is read in pieces of 512 bytes.
+    connection_->buffer.reserve(std::min<uint64_t>(
+        length + connection_->buffer.size(), kMaxReadBuffer));
     http::async_read(
         connection_->stream, connection_->buffer, *parser_,
         [self = shared_from_this()](const error_code& error, size_t) {
@@ -232,6 +265,20 @@
         });
   }
 
+  // A short body has usually come with the header; it is not worth another turn
+  // of the loop.
+  void ParseBuffered(error_code* error) {
+    parser_->eager(true);
+    if (parser_->is_done() || connection_->buffer.size() == 0) {
+      return;
+    }
+    connection_->buffer.consume(
+        parser_->put(connection_->buffer.data(), *error));
+    if (*error == http::error::need_more) {
+      *error = {};
+    }
+  }
+
   // The server may have closed a pooled connection before this call was sent
   // on it, so a repeatable call is sent once more on a new connection.
   void OnConnectionError(std::string problem) {
@@ -263,6 +310,9 @@
     reply.sent_before = sent_before_;
     const bool accepted = !call_.accepts_reply || call_.accepts_reply(reply);
     if (accepted && parser_->get().keep_alive() && !timed_out_) {
+      if (connection_->buffer.capacity() > kMaxIdleBuffer) {
+        connection_->buffer.shrink_to_fit();
+      }
       pool_->Return(call_, std::move(connection_));
     }
     Complete({}, std::move(reply));
@@ -295,7 +345,8 @@
   Callback done_;
   Instant deadline_;
   asio::steady_timer deadline_timer_;
-  int late_reads_ = 0;
+  /// When the deadline was first handled.
+  std::optional<Instant> late_since_;
   /// The connection was closed at the deadline.
   bool timed_out_ = false;
   bool completed_ = false;
