--- a/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
+++ b/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
@@ -20,6 +20,7 @@
 using fakes::WorldInstance;
 
 constexpr char kJob[] = "00112233aabbccdd";
+constexpr char kOtherJob[] = "00112233aabbccd0";
 constexpr char kTask[] = "00112233aabbccdd.0.0.0";
 // The platform allows a long-running task to be away for 6 s, plus 3 s until
 // it counts as lost.
@@ -192,5 +193,28 @@
   }
 }
 
+// Guards against a wait that counts from the last lease extension on another
+// worker.
+BOOST_AUTO_TEST_CASE(LongRunningTask_WorkerLostBeforePlannedStop_RunsInTime) {
+  for (int lost_before_ms = 0; lost_before_ms <= 3500; lost_before_ms += 500) {
+    PlannedStopFixture fixture(static_cast<uint64_t>(lost_before_ms + 5));
+    CellWorld& world = fixture.world;
+    BOOST_REQUIRE(world.Submit(fakes::LeaderSuccession::Plan(kOtherJob, 6)));
+    world.Run(Millis(1500));
+    BOOST_REQUIRE(world.workers().at("other")->model.running_count() > 0);
+    world.ShutDownWorker("lost");
+    const Instant lost = world.time().now();
+    world.RunExactly(Millis(lost_before_ms));
+    fixture.StopLeader();
+    fixture.TimeUntilMoved(Millis(20'000));
+    const auto away =
+        std::chrono::duration_cast<Millis>(world.time().now() - lost);
+    BOOST_TEST_CONTEXT("lost " << lost_before_ms << " ms before the stop") {
+      BOOST_TEST(away.count() <= kAwayBound.count());
+      BOOST_TEST(world.violations().empty());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_worker_records.cpp
+++ b/src/libdoorwood/cell/cell_worker_records.cpp
@@ -194,15 +194,20 @@
     // contacted then.
     return std::max(cell_worker.predecessors_waited + TimeLeading(), Millis(1));
   }
-  if (!IsLongUnresponsive(cell_worker)) {
+  // Once this leader has ended its orders, it extends no lease on a worker that
+  // does not respond, however short the time without response.
+  const WorkerSession& session = *cell_worker.session;
+  const bool extends_no_more = orders_ended_ != Instant{} && session.fenced() &&
+                               session.last_poll_failed();
+  if (!IsLongUnresponsive(cell_worker) && !extends_no_more) {
     return Millis(0);
   }
   // A successor starts its wait when it takes the lead, and assumes that orders
   // that extend leases were sent until then and for `order_grace` after that.
   // This leader sends no more such orders to the worker, so the successor can
   // deduct `order_grace` as well.
-  return std::chrono::duration_cast<Millis>(
-             executor_.Now() - cell_worker.session->last_lease_order_at()) +
+  return std::chrono::duration_cast<Millis>(executor_.Now() -
+                                            session.last_lease_order_at()) +
          options_.order_grace;
 }
 
