--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -412,6 +412,8 @@
   void ExtendOrderDeadline();
   /// Whether starts may be ordered now.
   bool MayOrderStarts() const;
+  /// Whether the store confirmed the lead key shortly before.
+  bool IsStoreAnswering() const;
   /// Whether the lead key was confirmed within
   /// `CellOptions::lead_confirmed_for`.
   bool IsLeadConfirmed() const;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -20,6 +20,9 @@
 // A leader that shuts down waits at most this long for the record that says
 // that it orders nothing more.
 constexpr Millis kTermEndTimeout{300};
+// The store counts as answering for this long after the lead key was last
+// confirmed. Without other confirmations, the key is read every 0.4 s.
+constexpr Millis kStoreAnswersFor{1000};
 // Intervals at which all jobs are visited: to remove old ones, which are kept
 // for minutes, and to update the summary, which each other instance requests
 // every 0.6 s. With 29 instances and thousands of jobs, a visit for each tick
@@ -218,20 +221,24 @@
     shutdown_since_ = now;
     UpdateAllSessionLimits();
   }
-  if (orders_ended_ == Instant{} &&
-      (journal_.idle() || IsInLastShutdownPhase())) {
+  const bool last_phase = IsInLastShutdownPhase();
+  if (orders_ended_ == Instant{} && (journal_.idle() || last_phase) &&
+      IsStoreAnswering()) {
     EndOrders();
   }
-  const bool term_ended =
-      orders_ended_ != Instant{} &&
-      (journal_.is_term_end_stored() || now - orders_ended_ >= kTermEndTimeout);
+  const bool awaits_term_end = orders_ended_ != Instant{} &&
+                               !journal_.is_term_end_stored() &&
+                               now - orders_ended_ < kTermEndTimeout;
   // A busy leader never has everything recorded, since runs keep ending.
   // Without a limit it would lead until the shutdown grace period has
   // elapsed, and exit with records in flight.
-  if (term_ended) {
+  const bool seals =
+      !awaits_term_end && (last_phase || orders_ended_ != Instant{});
+  if (seals) {
     journal_.Seal();
   }
-  if (term_ended && (journal_.idle() || journal_.is_drained())) {
+  if (!awaits_term_end &&
+      (journal_.idle() || (seals && journal_.is_drained()))) {
     on_shut_down_ = std::move(done);
     StepDown("leaving");
     stage_ = Stage::kShutDown;
@@ -304,6 +311,10 @@
   return std::chrono::duration_cast<Millis>(now - live_.last_store_answer_at());
 }
 
+bool CellLeader::IsStoreAnswering() const {
+  return executor_.Now() < proof_.confirmed_at() + kStoreAnswersFor;
+}
+
 bool CellLeader::IsLeadConfirmed() const {
   return executor_.Now() < proof_.confirmed_at() + options_.lead_confirmed_for;
 }
@@ -311,10 +322,12 @@
 void CellLeader::UpdateSessionLimits(const CellWorker& cell_worker,
                                      Instant order_deadline) const {
   // A planned shutdown extends no leases, so that the next leader has to wait
-  // for less time.
-  const Instant extension_end = shutdown_since_ == Instant{}
-                                    ? order_deadline
-                                    : std::min(order_deadline, shutdown_since_);
+  // for less time. While the store does not answer, no other instance can take
+  // the lead.
+  const bool releases_lead = shutdown_since_ != Instant{} && IsStoreAnswering();
+  const Instant extension_end = releases_lead
+                                    ? std::min(order_deadline, shutdown_since_)
+                                    : order_deadline;
   cell_worker.session->SetLeaseExtensionEnd(
       cell_worker.renewals_blocked ? Instant{} : extension_end);
   cell_worker.session->SetLeadConfirmedUntil(proof_.confirmed_at());
--- a/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
+++ b/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
@@ -216,5 +216,41 @@
   }
 }
 
+// Guards against leases that a leader lets run out because it stops as planned
+// while the store answers nobody.
+BOOST_AUTO_TEST_CASE(LongRunningTask_PlannedStopInOutage_Continues) {
+  for (int further_outage_ms = 3000; further_outage_ms <= 9000;
+       further_outage_ms += 1000) {
+    PlannedStopFixture fixture(static_cast<uint64_t>(further_outage_ms));
+    CellWorld& world = fixture.world;
+    BOOST_REQUIRE(world.Submit(fakes::MakePlan(kOtherJob, 3, 1, "ms=1000")));
+    world.Run(Millis(400));
+    for (const auto& [name, instance] : world.instances()) {
+      instance->store_faults.unresponsive = true;
+    }
+    world.RunExactly(Millis(1500));
+    fixture.leader->live->AnnounceLeaving();
+    fixture.leader->cell->ShutDown([] {});
+    constexpr Millis kGrace{5000};
+    const auto end_outage = [&] {
+      for (const auto& [name, instance] : world.instances()) {
+        instance->store_faults = {};
+      }
+    };
+    world.time().RunAt(world.time().now() + Millis(further_outage_ms),
+                       end_outage);
+    world.Run(kGrace);
+    if (world.instances().contains(fixture.leader->name)) {
+      world.Kill(fixture.leader->name);
+    }
+    world.Run(Millis(20'000));
+    BOOST_TEST_CONTEXT("the outage lasts for " << further_outage_ms
+                                               << " ms more") {
+      BOOST_TEST(world.starts(kTask) == 1);
+      BOOST_TEST(world.violations().empty());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
