--- a/src/libdoorwood/cell/cell_restarted_in_place_test.cpp
+++ b/src/libdoorwood/cell/cell_restarted_in_place_test.cpp
@@ -3,10 +3,12 @@
 // Workers that start again under their id and at their address. The new life
 // knows nothing of the earlier one, and its counts begin anew.
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libdoorwood/cell/cell_fixture.h"
@@ -27,6 +29,9 @@
 constexpr Millis kCourse{30'000};
 constexpr Millis kCalm{25'000};
 
+constexpr std::array<std::pair<const char*, const char*>, 3> kInstances = {
+    {{"a1", "plaka"}, {"b1", "kerameikos"}, {"c1", "pireas"}}};
+
 enum class LeaderChange { kNone, kKilled, kShutDown };
 
 // Restarts one worker after the other in place, while jobs are submitted and
@@ -106,9 +111,6 @@
   int given_up() const { return world_.log_count("job given up"); }
 
  private:
-  static inline const std::vector<std::pair<std::string, std::string>>
-      kInstances = {{"a1", "plaka"}, {"b1", "kerameikos"}, {"c1", "pireas"}};
-
   Millis Between(int64_t least, int64_t most) {
     return Millis(least +
                   static_cast<int64_t>(world_.random()() %
