--- a/src/libdoorwood/cell/cell_restarted_in_place_test.cpp
+++ b/src/libdoorwood/cell/cell_restarted_in_place_test.cpp
@@ -32,7 +32,13 @@
 constexpr std::array<std::pair<const char*, const char*>, 3> kInstances = {
     {{"a1", "plaka"}, {"b1", "kerameikos"}, {"c1", "pireas"}}};
 
-enum class LeaderChange { kNone, kKilled, kShutDown };
+enum class LeaderChange {
+  kNone,
+  kKilled,
+  kShutDown,
+  /// As `kKilled`; the store answers half of the writes only.
+  kKilledAndRepliesLost
+};
 
 // Restarts one worker after the other in place, while jobs are submitted and
 // leaders change.
@@ -56,6 +62,9 @@
         fakes::MakePlan(kLongRunningJob, 1, kLongRunningTasks, "");
     lasting.steps[0].long_running = true;
     BOOST_REQUIRE(world_.Submit(lasting));
+    for (const auto& [name, instance] : world_.instances()) {
+      LoseReplies(instance);
+    }
     const Instant begin = world_.time().now();
     Instant next_restart = begin + kRestartInterval;
     Instant next_submit = begin;
@@ -75,6 +84,9 @@
         ChangeLeader();
       }
     }
+    for (const auto& [name, instance] : world_.instances()) {
+      instance->store_faults.lost_reply_share = 0;
+    }
     world_.Run(kCalm);
   }
 
@@ -150,11 +162,17 @@
     world_.Kill(name);
     for (const auto& [known, centre] : kInstances) {
       if (known == name) {
-        world_.AddInstance(name, centre);
+        LoseReplies(&world_.AddInstance(name, centre));
       }
     }
   }
 
+  void LoseReplies(fakes::WorldInstance* instance) const {
+    if (change_ == LeaderChange::kKilledAndRepliesLost) {
+      instance->store_faults.lost_reply_share = 0.5;
+    }
+  }
+
   fakes::CellWorld world_;
   const LeaderChange change_;
   unsigned submitted_ = 0;
@@ -196,6 +214,13 @@
   RunCourses(LeaderChange::kShutDown);
 }
 
+// As for killed leaders, with records whose answers are lost: guards against
+// completions that are forgotten while their record is in flight.
+BOOST_AUTO_TEST_CASE(
+    Cell_WorkersRestartAndStoreRepliesAreLost_NothingRunsTwice) {
+  RunCourses(LeaderChange::kKilledAndRepliesLost);
+}
+
 struct RestartedWorkerFixture : public fakes::CellFixture {
   // One long-running task on each worker.
   void StartLongRunningTasks() {
