--- a/src/loop.adapter/http_client_test.cpp
+++ b/src/loop.adapter/http_client_test.cpp
@@ -312,10 +312,9 @@
 // Guards against a call that outlives its deadline: a server that sends
 // nothing, or only a part of its answer.
 BOOST_AUTO_TEST_CASE(Send_AnswerIsIncomplete_FailsAtDeadline) {
-  for (const std::string sent :
-       {"", "HTTP/1.1 200 OK\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"}) {
-    ScriptFixture fixture([&sent](int) { return sent; });
+  for (const char* sent : {"", "HTTP/1.1 200 OK\r\n",
+                           "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"}) {
+    ScriptFixture fixture([sent](int) { return std::string(sent); });
     const auto began = std::chrono::steady_clock::now();
     const Outcome outcome = fixture.Send();
     const auto taken = std::chrono::steady_clock::now() - began;
