fix(cell): an instance told to stop before it leads releases the lead at once

No instance led for 2.6 to 3.0 s when the one that had just taken the lead was told to stop while it campaigned or read the records: callers got no answer to new jobs, nothing was started, and no lease was extended.

Cause: a planned shutdown released the lead key of an instance that led, but not of one that did not lead yet. The key stood until the process exited, which is 2.6 s after the signal, when the balancer has removed it: longer than the 2 s after which the store removes the key of a process that has crashed.

Evidence: Lead_SecondLeaderStopsBeforeItLeads_IsTakenInTime (stopped 0 to 100 ms after its campaign, store answers after 0, 38 and 150 ms) failed in 45 of 63 cases before, 2,630 to 2,960 ms. The further cases are those in which it led already.

Change: an instance that reads the records steps down as a leader does. A campaign that is under way may still succeed, so a stopped instance removes a lead key of its own when it learns of it, and logs that.

Measured: 0 of 63 since.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -106,7 +106,9 @@
   /// Planned shutdown: records pending changes, releases the lead, then runs
   /// `done`. After 0.3 s, the shutdown waits only for the jobs that were
   /// submitted, and the changes that were urgent, by then. An instance that
-  /// does not lead runs `done` immediately.
+  /// is still reading the records of earlier leaders releases the lead at once.
+  /// Any other that does not lead runs `done` immediately, and releases the
+  /// lead if a campaign that is under way succeeds.
   void ShutDown(std::function<void()> done);
 
   void OnQueueTable(std::shared_ptr<const QueueTable> table);
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -73,15 +73,20 @@
   }
   // The key may be from any campaign of this process: a write that got no
   // answer may take effect seconds later.
-  const bool own_key = stage_ == Stage::kStandby &&
-                       lead != live_.leads().end() &&
-                       lead->second.nonce == nonce_;
-  if (own_key && lead->second.epoch > epoch_) {
+  const bool idle = stage_ == Stage::kStandby || stage_ == Stage::kShutDown;
+  const bool own_key =
+      idle && lead != live_.leads().end() && lead->second.nonce == nonce_;
+  if (own_key && stage_ == Stage::kStandby && lead->second.epoch > epoch_) {
     OnCampaignWon(lead->second.epoch);  // The answer to the write was lost.
     return;
   }
   if (own_key) {
-    ReleaseLeadKey();  // The key is left from a term that has ended.
+    // The key is left from a term that has ended, or was written by a campaign
+    // that was under way when this process was told to stop.
+    epoch_ = std::max(epoch_, lead->second.epoch);
+    log_.Write("info", "cell", "removing a lead key that is no longer needed",
+               {{"cell", options_.cell}, {"epoch", epoch_}});
+    ReleaseLeadKey();
     return;
   }
   ScheduleCampaign();
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -210,7 +210,15 @@
 }
 
 void CellLeader::ShutDown(std::function<void()> done) {
+  if (stage_ == Stage::kReading) {
+    // It has ordered nothing, so it has nothing to record.
+    on_shut_down_ = std::move(done);
+    StepDown("leaving");
+    stage_ = Stage::kShutDown;
+    return;
+  }
   if (stage_ != Stage::kLeading) {
+    // If a campaign is under way and succeeds, `OnLiveChange` releases the key.
     ++generation_;
     stage_ = Stage::kShutDown;
     done();
--- a/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
+++ b/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
@@ -76,6 +76,19 @@
     BOOST_REQUIRE(leader != last);
   }
 
+  /// Lets the leader's process handle a shutdown signal as the daemon does: it
+  /// exits, and releases its store lease, once the balancer has removed it.
+  void BeginProcessShutdown() {
+    constexpr Millis kBalancerRemovalTime{2600};
+    leader->live->AnnounceLeaving();
+    leader->cell->ShutDown([] {});
+    world.time().RunAt(world.time().now() + kBalancerRemovalTime,
+                       [this, stopped = leader] {
+                         stopped->live->Stop();
+                         world.Kill(stopped->name);
+                       });
+  }
+
   /// Runs the world until the task runs on "other"; returns the time it took.
   Millis TimeUntilMoved(Millis limit) {
     Millis passed{0};
@@ -129,6 +142,67 @@
   }
 }
 
+// Guards against a successor that is told to stop before it has read the
+// records, keeps the lead until its process exits, and leaves the next leader
+// without the end of its predecessor's term.
+BOOST_AUTO_TEST_CASE(
+    LongRunningTask_SecondLeaderStopsBeforeItLeads_RunsInTime) {
+  for (const int answer_delay_ms : {0, 38}) {
+    for (int campaigns_ms = 0; campaigns_ms <= 100; campaigns_ms += 5) {
+      PlannedStopFixture fixture(static_cast<uint64_t>(campaigns_ms + 1));
+      CellWorld& world = fixture.world;
+      fixture.StopLeader();
+      world.ShutDownWorker("lost");
+      const Instant lost = world.time().now();
+      for (const auto& [name, instance] : world.instances()) {
+        instance->store_faults.answer_delay = Millis(answer_delay_ms);
+      }
+      fixture.WaitForNextCampaign();
+      world.RunExactly(Millis(campaigns_ms));
+      fixture.BeginProcessShutdown();
+      fixture.TimeUntilMoved(Millis(25'000));
+      const auto away =
+          std::chrono::duration_cast<Millis>(world.time().now() - lost);
+      BOOST_TEST_CONTEXT("the store answers after "
+                         << answer_delay_ms << " ms, stopped " << campaigns_ms
+                         << " ms after the campaign") {
+        BOOST_TEST(away.count() <= kAwayBound.count());
+        BOOST_TEST(world.violations().empty());
+      }
+    }
+  }
+}
+
+// Guards against a lead that stays with a process that was told to stop before
+// it led, for longer than if that process had crashed.
+BOOST_AUTO_TEST_CASE(Lead_SecondLeaderStopsBeforeItLeads_IsTakenInTime) {
+  for (const int answer_delay_ms : {0, 38, 150}) {
+    for (int campaigns_ms = 0; campaigns_ms <= 100; campaigns_ms += 5) {
+      PlannedStopFixture fixture(static_cast<uint64_t>(campaigns_ms + 1));
+      CellWorld& world = fixture.world;
+      fixture.StopLeader();
+      for (const auto& [name, instance] : world.instances()) {
+        instance->store_faults.answer_delay = Millis(answer_delay_ms);
+      }
+      fixture.WaitForNextCampaign();
+      world.RunExactly(Millis(campaigns_ms));
+      fixture.BeginProcessShutdown();
+      const WorldInstance* stopped = fixture.leader;
+      const Instant stop_begins = world.time().now();
+      while (world.Leader() == nullptr || world.Leader() == stopped) {
+        world.RunExactly(kStep);
+      }
+      const Millis vacant =
+          std::chrono::duration_cast<Millis>(world.time().now() - stop_begins);
+      BOOST_TEST_CONTEXT("the store answers after "
+                         << answer_delay_ms << " ms, stopped " << campaigns_ms
+                         << " ms after the campaign") {
+        BOOST_TEST(vacant.count() <= LiveOptions{}.lease_ttl.count());
+      }
+    }
+  }
+}
+
 // Guards against a wait in full after a leader that was lost before it ordered
 // anything, for a worker that was lost when its predecessor stopped as planned.
 BOOST_AUTO_TEST_CASE(
