test(cell): late completions reach the next leader, or a store that refuses

Four of them are courses now: it is reported to the next leader, which read that the task is queued (17 cases); to the next leader while a second run is at work (40); while the order of the second run is unanswered, carried out at once or 6 s late (26); and 0 to 1.2 s before the store turns the leader away, with and without its keys (50).

--- a/src/libdoorwood/cell/cell_late_done_test.cpp
+++ b/src/libdoorwood/cell/cell_late_done_test.cpp
@@ -27,6 +27,11 @@
 // Time from `RestoreContact` until the worker is listed and called again, and
 // its report is processed.
 constexpr Millis kReportDelay{1100};
+// The platform allows a task whose turn has come to wait for 6 s, plus 3 s
+// until the job counts as lost.
+constexpr Millis kLeadLossBound{9000};
+constexpr Millis kStep{10};
+constexpr char kRunLost[] = "run ended without a report from the worker";
 
 std::string TaskOf(int step, int index) {
   return std::string(kFixtureJob) + ".0." + std::to_string(step) + "." +
@@ -235,5 +240,125 @@
   }
 }
 
+/// Checks after the worker is back that its report counts, whatever the leaders
+/// did meanwhile: the next step starts in time, and the job ends.
+void ExpectNextStepStarts(LateCompletionFixture& fixture, Millis bound) {
+  const auto next_step_started = [&fixture] {
+    return fixture.world.starts(TaskOf(1, 0)) > 0 &&
+           fixture.world.starts(TaskOf(1, 1)) > 0 &&
+           fixture.world.starts(TaskOf(1, 2)) > 0;
+  };
+  for (Millis passed{0}; passed < bound && !next_step_started();
+       passed += kStep) {
+    fixture.world.RunExactly(kStep);
+  }
+  BOOST_TEST(next_step_started());
+  fixture.world.Run(Millis(20'000));
+  fixture.ExpectCompleted();
+  BOOST_TEST(fixture.world.completed_task_starts().empty());
+}
+
+// Guards against a leader that ignores a completion because it read records in
+// which the task was queued again.
+BOOST_AUTO_TEST_CASE(LateCompletion_ReportedToNextLeader_TaskDoesNotRunAgain) {
+  for (int back_ms = 0; back_ms <= 16'000; back_ms += 1000) {
+    BOOST_TEST_CONTEXT("reachable " << back_ms << " ms after the leader ends") {
+      LateCompletionFixture fixture(3, /*gang=*/false);
+      fixture.world.Run(Millis(8000));
+      fixture.world.Kill(fixture.world.Leader()->name);
+      fixture.world.Run(Millis(back_ms));
+      RestoreContact(fixture.world, "w1");
+      ExpectNextStepStarts(fixture, kLeadLossBound + kReportDelay);
+      for (int index = 0; index < 3; ++index) {
+        BOOST_TEST(fixture.world.starts(TaskOf(0, index)) == 1);
+      }
+    }
+  }
+}
+
+// Guards against a leader that adopts the second run of a task and ignores the
+// completion of the first.
+BOOST_AUTO_TEST_CASE(
+    LateCompletion_ReportedToNextLeaderDuringSecondRun_NextStepStarts) {
+  for (int leader_ends_ms = 0; leader_ends_ms <= 600; leader_ends_ms += 200) {
+    for (int back_ms = 0; back_ms <= 4500; back_ms += 500) {
+      BOOST_TEST_CONTEXT("leader ends " << leader_ends_ms
+                                        << " ms after the second start, "
+                                           "reachable "
+                                        << back_ms << " ms later") {
+        LateCompletionFixture fixture(3, /*gang=*/false);
+        fixture.WaitForSecondRun();
+        fixture.world.Run(Millis(leader_ends_ms));
+        fixture.world.Kill(fixture.world.Leader()->name);
+        fixture.world.Run(Millis(back_ms));
+        RestoreContact(fixture.world, "w1");
+        ExpectNextStepStarts(fixture, kLeadLossBound + kReportDelay);
+      }
+    }
+  }
+}
+
+// Guards against a completion that is ignored, or a next step that waits, while
+// the order of a second run is unanswered or takes effect seconds later.
+BOOST_AUTO_TEST_CASE(LateCompletion_SecondStartUnanswered_NextStepStarts) {
+  for (const bool executed : {false, true}) {
+    for (int back_ms = 0; back_ms <= 3000; back_ms += 250) {
+      BOOST_TEST_CONTEXT("start executed " << (executed ? "at once" : "late")
+                                           << ", reachable " << back_ms
+                                           << " ms after it") {
+        LateCompletionFixture fixture(3, /*gang=*/false);
+        WorldInstance* leader = fixture.world.Leader();
+        (executed ? leader->lost_order_reply_share
+                  : leader->delayed_order_share) = 1.0;
+        fixture.world.AddWorker("w2", 8000);
+        const int lost = fixture.world.log_count(kRunLost);
+        for (int i = 0; i < 600 && fixture.world.log_count(kRunLost) == lost;
+             ++i) {
+          fixture.world.RunExactly(kStep);
+        }
+        BOOST_REQUIRE(fixture.world.log_count(kRunLost) > lost);
+        fixture.world.RunExactly(Millis(back_ms));
+        leader->lost_order_reply_share = 0;
+        leader->delayed_order_share = 0;
+        RestoreContact(fixture.world, "w1");
+        ExpectNextStepStarts(fixture, kReportDelay);
+      }
+    }
+  }
+}
+
+// Guards against a worker that discards its completion although the batch with
+// it was refused, as by a store that has just turned the leader away.
+BOOST_AUTO_TEST_CASE(
+    LateCompletion_StoreTurnsLeaderAwayAtReport_TaskDoesNotRunAgain) {
+  for (const bool keys_lost : {false, true}) {
+    for (int turned_away_ms = 0; turned_away_ms <= 1200; turned_away_ms += 50) {
+      BOOST_TEST_CONTEXT("turned away " << turned_away_ms
+                                        << " ms after the worker is back, keys "
+                                        << (keys_lost ? "lost" : "kept")) {
+        LateCompletionFixture fixture(3, /*gang=*/false);
+        fixture.world.Run(Millis(9000));
+        RestoreContact(fixture.world, "w1");
+        fixture.world.RunExactly(Millis(turned_away_ms));
+        WorldInstance* leader = fixture.world.Leader();
+        leader->store_faults.unavailable = true;
+        if (keys_lost) {
+          fixture.world.store().DropLeaseKeys(*leader->live->lease());
+          fixture.world.store().Compact();
+        }
+        fixture.world.time().RunAt(fixture.world.time().now() + Millis(5000),
+                                   [leader, &fixture] {
+                                     fixture.world.store().Compact();
+                                     leader->store_faults = {};
+                                   });
+        ExpectNextStepStarts(fixture, kLeadLossBound + kReportDelay);
+        for (int index = 0; index < 3; ++index) {
+          BOOST_TEST(fixture.world.starts(TaskOf(0, index)) == 1);
+        }
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
