test(cell): a leader that can't store its first batch extends no leases

A leader that reads the end of its predecessor's term orders nothing before its own first batch is stored. No test failed without that rule, since the check of the epoch hid it; the next leader now relies on it.

LongRunningTask_SecondLeaderCannotStoreItsFirstBatch_RunsOnce: the second leader has read the records, loses the store and all other instances, and reaches a worker that nobody else reaches.

--- a/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
+++ b/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
@@ -343,6 +343,43 @@
   }
 }
 
+// Guards against a leader that extends leases before its first batch has
+// replaced the end of its predecessor's term, on which a third leader relies.
+BOOST_AUTO_TEST_CASE(
+    LongRunningTask_SecondLeaderCannotStoreItsFirstBatch_RunsOnce) {
+  // Long enough for the store to be lost between the read of the records and
+  // its answer.
+  constexpr Millis kAnswerDelay{100};
+  for (int reads_ms = 1; reads_ms < kAnswerDelay.count(); reads_ms += 7) {
+    PlannedStopFixture fixture(static_cast<uint64_t>(reads_ms));
+    CellWorld& world = fixture.world;
+    fixture.StopLeader();
+    for (const auto& [name, instance] : world.instances()) {
+      instance->store_faults.answer_delay = kAnswerDelay;
+    }
+    fixture.WaitForNextCampaign();
+    WorldInstance* second = fixture.leader;
+    while (second->cell->epoch() == 0) {
+      world.RunExactly(Millis(1));
+    }
+    world.RunExactly(Millis(reads_ms));
+    second->store_faults.unresponsive = true;
+    second->partitioned_from_peers = true;
+    for (const auto& [name, instance] : world.instances()) {
+      if (instance != second) {
+        instance->unreachable_workers.insert("lost");
+      }
+    }
+    fixture.TimeUntilMoved(Millis(25'000));
+    BOOST_TEST_CONTEXT("the store is lost " << reads_ms
+                                            << " ms after the campaign") {
+      BOOST_TEST(second->cell->counters().takeovers == 1U);
+      BOOST_TEST(WorkerRunning(world, kTask) == "other");
+      BOOST_TEST(world.violations().empty());
+    }
+  }
+}
+
 // Guards against a wait that relies on a planned stop although a leader of a
 // version that gives orders before its first batch has led since.
 BOOST_AUTO_TEST_CASE(
