fix(cell): a stopped instance removes a late lead key once

After each planned stop of a leader, every change in the directory until the removal of its key was seen sent the removal again and logged it.

Cause: took any lead key of a stopped process for one that a campaign had written after the signal, also the one that the leader had just released.

Change: only a key of a newer epoch than the last term of this process is such a key, and it is removed once. Found by reading; the calls were harmless, since each expects the key at its revision.

--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -73,22 +73,25 @@
   }
   // The key may be from any campaign of this process: a write that got no
   // answer may take effect seconds later.
-  const bool idle = stage_ == Stage::kStandby || stage_ == Stage::kShutDown;
   const bool own_key =
-      idle && lead != live_.leads().end() && lead->second.nonce == nonce_;
-  if (own_key && stage_ == Stage::kStandby && lead->second.epoch > epoch_) {
+      lead != live_.leads().end() && lead->second.nonce == nonce_;
+  const bool newer = own_key && lead->second.epoch > epoch_;
+  if (newer && stage_ == Stage::kStandby) {
     OnCampaignWon(lead->second.epoch);  // The answer to the write was lost.
     return;
   }
-  if (own_key) {
-    // The key is left from a term that has ended, or was written by a campaign
-    // that was under way when this process was told to stop.
-    epoch_ = std::max(epoch_, lead->second.epoch);
-    log_.Write("info", "cell", "removing a lead key that is no longer needed",
+  if (newer && stage_ == Stage::kShutDown) {
+    epoch_ = lead->second.epoch;
+    log_.Write("info", "cell",
+               "releasing a lead that was taken during the shutdown",
                {{"cell", options_.cell}, {"epoch", epoch_}});
     ReleaseLeadKey();
     return;
   }
+  if (own_key && stage_ == Stage::kStandby) {
+    ReleaseLeadKey();  // The key is left from a term that has ended.
+    return;
+  }
   ScheduleCampaign();
 }
 
--- a/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
+++ b/src/libdoorwood/cell/cell_planned_stop_wait_test.cpp
@@ -59,6 +59,12 @@
     BOOST_REQUIRE(!leader->cell->leading());
   }
 
+  void DelayStoreAnswers(Millis delay) {
+    for (const auto& [name, instance] : world.instances()) {
+      instance->store_faults.answer_delay = delay;
+    }
+  }
+
   /// Runs the world until the lead key names another instance than `leader`,
   /// which makes that one the leader; it has not read the records yet.
   void WaitForNextCampaign() {
@@ -154,9 +160,7 @@
       fixture.StopLeader();
       world.ShutDownWorker("lost");
       const Instant lost = world.time().now();
-      for (const auto& [name, instance] : world.instances()) {
-        instance->store_faults.answer_delay = Millis(answer_delay_ms);
-      }
+      fixture.DelayStoreAnswers(Millis(answer_delay_ms));
       fixture.WaitForNextCampaign();
       world.RunExactly(Millis(campaigns_ms));
       fixture.BeginProcessShutdown();
@@ -181,9 +185,7 @@
       PlannedStopFixture fixture(static_cast<uint64_t>(campaigns_ms + 1));
       CellWorld& world = fixture.world;
       fixture.StopLeader();
-      for (const auto& [name, instance] : world.instances()) {
-        instance->store_faults.answer_delay = Millis(answer_delay_ms);
-      }
+      fixture.DelayStoreAnswers(Millis(answer_delay_ms));
       fixture.WaitForNextCampaign();
       world.RunExactly(Millis(campaigns_ms));
       fixture.BeginProcessShutdown();
@@ -217,9 +219,7 @@
       fixture.StopLeader();
       world.ShutDownWorker("lost");
       const Instant lost = world.time().now();
-      for (const auto& [name, instance] : world.instances()) {
-        instance->store_faults.answer_delay = kAnswerDelay;
-      }
+      fixture.DelayStoreAnswers(kAnswerDelay);
       for (int i = 0; i < leaders_killed; ++i) {
         fixture.WaitForNextCampaign();
         world.RunExactly(Millis(campaigns_ms));
@@ -290,9 +290,7 @@
   for (const int runs_before_stop_ms : {0, 37, 300, 611}) {
     PlannedStopFixture fixture(static_cast<uint64_t>(runs_before_stop_ms + 1));
     CellWorld& world = fixture.world;
-    for (const auto& [name, instance] : world.instances()) {
-      instance->store_faults.answer_delay = Millis(38);
-    }
+    fixture.DelayStoreAnswers(Millis(38));
     world.AddWorker("busy", 400'000).incarnation.labels = {"b"};
     world.Run(Millis(1000));
     for (int i = 0; i < 40; ++i) {
@@ -354,9 +352,7 @@
     PlannedStopFixture fixture(static_cast<uint64_t>(reads_ms));
     CellWorld& world = fixture.world;
     fixture.StopLeader();
-    for (const auto& [name, instance] : world.instances()) {
-      instance->store_faults.answer_delay = kAnswerDelay;
-    }
+    fixture.DelayStoreAnswers(kAnswerDelay);
     fixture.WaitForNextCampaign();
     WorldInstance* second = fixture.leader;
     while (second->cell->epoch() == 0) {
