feat(store): list a prefix page by page

Cause: a reader that is in no hurry could only list a whole prefix at once.

Change: RecordStore::ListPage returns one page; List is built from it.

--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -17,6 +17,9 @@
 // Workers shorten longer leases.
 constexpr Millis kLongestLease{10'000};
 
+// The most items that the platform's store lists in one answer.
+constexpr size_t kStorePage = 500;
+
 // The store client of one instance; applies that instance's faults and
 // partitions.
 class WorldStore : public RecordStore {
@@ -29,11 +32,18 @@
       return world_.store().Get(key, item);
     });
   }
+  // Reads page by page, like the platform's client.
   void List(const std::string& prefix, Callback<StoreItems> done) override {
-    Call<StoreItems>(false, std::move(done), [this, prefix](StoreItems* items) {
-      *items = world_.store().List(prefix);
-      return std::error_code();
-    });
+    ListFrom(prefix, {}, std::move(done));
+  }
+  void ListPage(const std::string& prefix,
+                const std::string& after,
+                Callback<StoreItems> done) override {
+    Call<StoreItems>(
+        false, std::move(done), [this, prefix, after](StoreItems* page) {
+          *page = world_.store().ListPage(prefix, after, kStorePage);
+          return std::error_code();
+        });
   }
   void Watch(const std::string& prefix,
              int64_t after,
@@ -82,6 +92,27 @@
   }
 
  private:
+  void ListFrom(const std::string& prefix,
+                StoreItems so_far,
+                Callback<StoreItems> done) {
+    const std::string after =
+        so_far.items.empty() ? "" : so_far.items.back().key;
+    ListPage(prefix, after,
+             [this, prefix, so_far, done = std::move(done)](
+                 std::error_code error, const StoreItems& page) mutable {
+               if (so_far.revision == 0) {
+                 so_far.revision = page.revision;
+               }
+               so_far.items.insert(so_far.items.end(), page.items.begin(),
+                                   page.items.end());
+               if (error || !page.more) {
+                 done(error, error ? StoreItems{} : so_far);
+               } else {
+                 ListFrom(prefix, std::move(so_far), done);
+               }
+             });
+  }
+
   template <typename T>
   void Answer(Millis delay, std::error_code error, T value, Callback<T> done) {
     self_.executor->DeliverAnswer(
--- a/src/fakes/commit_only_store.h
+++ b/src/fakes/commit_only_store.h
@@ -22,6 +22,9 @@
 
   void Get(const std::string&, Callback<StoreItem>) override {}
   void List(const std::string&, Callback<StoreItems>) override {}
+  void ListPage(const std::string&,
+                const std::string&,
+                Callback<StoreItems>) override {}
   void Watch(const std::string&,
              int64_t,
              Millis,
--- a/src/include/doorwood/record_store.h
+++ b/src/include/doorwood/record_store.h
@@ -70,6 +70,8 @@
   std::vector<StoreItem> items;
   /// The store's revision at the time of the answer.
   int64_t revision = 0;
+  /// Set only by `RecordStore::ListPage`: further items follow the last one.
+  bool more = false;
 };
 
 /// Calls complete on the control thread, exactly once, with a KvErrc on
@@ -87,6 +89,12 @@
   /// Returns all items under `prefix`, read in pages. Each page is
   /// linearizable, the list as a whole is not.
   virtual void List(const std::string& prefix, Callback<StoreItems> done) = 0;
+  /// Returns one page of the items under `prefix`, by ascending key: those
+  /// after the key `after`, or the first ones if it is empty. A page that is
+  /// not the last has at least one item.
+  virtual void ListPage(const std::string& prefix,
+                        const std::string& after,
+                        Callback<StoreItems> done) = 0;
   /// Waits up to `wait` for changes under `prefix` after revision `after`.
   /// After KvErrc::kCompacted the caller has to list again.
   virtual void Watch(const std::string& prefix,
--- a/src/standin/record_store_model.cpp
+++ b/src/standin/record_store_model.cpp
@@ -40,6 +40,23 @@
   return items;
 }
 
+StoreItems RecordStoreModel::ListPage(const std::string& prefix,
+                                      const std::string& after,
+                                      size_t max_items) const {
+  StoreItems page;
+  page.revision = revision_;
+  auto it =
+      after < prefix ? items_.lower_bound(prefix) : items_.upper_bound(after);
+  for (; it != items_.end() && it->first.starts_with(prefix); ++it) {
+    if (page.items.size() == max_items) {
+      page.more = true;
+      break;
+    }
+    page.items.push_back(it->second);
+  }
+  return page;
+}
+
 std::error_code RecordStoreModel::ChangesAfter(const std::string& prefix,
                                                int64_t after,
                                                StoreItems* events) const {
--- a/src/standin/record_store_model.h
+++ b/src/standin/record_store_model.h
@@ -26,6 +26,10 @@
 
   std::error_code Get(const std::string& key, StoreItem* item) const;
   StoreItems List(const std::string& prefix) const;
+  /// At most `max_items` items under `prefix` whose keys follow `after`.
+  StoreItems ListPage(const std::string& prefix,
+                      const std::string& after,
+                      size_t max_items) const;
   /// Changes under `prefix` after revision `after`; KvErrc::kCompacted if that
   /// part of the history has been compacted.
   std::error_code ChangesAfter(const std::string& prefix,
