feat(cell): a takeover reads open work only

Cause: a new leader read plan and state of every job of the last 150 s before it ordered anything, ended jobs included.

Plans, states, workers and chain keys are listed beside each other, and beside them the list of workers and the closed data centres, which were read only afterwards.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -270,6 +270,8 @@
       {"doorwood_paces_total", counters.paces},
       {"doorwood_directory_reads_failed_total",
        counters.directory_reads_failed},
+      {"doorwood_jobs_archived_total", counters.jobs_archived},
+      {"doorwood_takeover_read_ms", counters.takeover_read_ms},
       {"doorwood_takeovers_total", counters.takeovers},
       {"doorwood_step_downs_total", counters.step_downs},
       {"doorwood_commits_total", cell_.journal().commits()},
--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -133,6 +133,12 @@
   /// Time after which a change that is not urgent causes a batch to be sent. A
   /// batch that is sent earlier for another reason may carry the change.
   Millis delay{80};
+  /// Time after which ended jobs that wait to be archived cause a batch to be
+  /// sent. Any batch with free entries may carry them earlier.
+  Millis archive_delay{1000};
+  /// Ended jobs are archived only while the store is expected to answer within
+  /// this time.
+  Millis max_archive_answer_time{100};
   Millis retry_pause{120};
   /// Time after which a caller that submits or cancels a job is answered with
   /// an error if the job or its end is not known to be recorded. Checked when
@@ -167,6 +173,9 @@
   /// Called after `OnEncodedStateStored` if the job was not marked dirty since
   /// its state was encoded.
   virtual void OnNewestStateStored(const std::string& job) = 0;
+  /// The job's record replaces its plan and state in the store. A state that
+  /// was marked dirty since then is not written any more.
+  virtual void OnArchived(const std::string& job) = 0;
   virtual void OnEndsRecorded(const EndNumbers& ends) = 0;
   virtual void OnWorkersRecorded(const std::vector<KnownWorker>& workers) = 0;
   /// The attempt sent at `sent` committed a batch, so the lead key was then at
@@ -229,12 +238,17 @@
   /// The newest chain key of this journal has a TermEnd, and no batch in flight
   /// can replace it by one without.
   bool is_term_end_stored() const;
-  /// Removes all keys of a job that has ended.
-  void RemoveJob(const std::string& job);
+  /// Replaces the plan and the state of a job that has ended by `record`, with
+  /// low priority: behind all other changes, and not while the store refuses
+  /// batches or answers slowly. The outcome in the job's stored state is final.
+  void Archive(const std::string& job, std::string record);
+  /// Removes all keys of an archived job.
+  void RemoveArchivedJob(const std::string& job);
 
   /// The new job is queued, or in a batch in flight and may already be stored.
   bool IsRecording(std::string_view job) const;
-  /// Every change is in the store, except for removals that are not yet sent.
+  /// Every change is in the store, except for ended jobs to be archived or
+  /// removed that are not yet sent.
   bool idle() const;
   /// Number of batches sent, counting repeated attempts.
   uint64_t commits() const { return commits_; }
@@ -256,6 +270,8 @@
     std::optional<std::vector<KnownWorker>> workers;
     std::vector<PendingAccept> accepts;
     std::vector<std::string> states;
+    /// Jobs with their records.
+    std::map<std::string, std::string> archived;
     std::vector<std::string> removals;
     StoreTransaction transaction;
     Instant sent{};
@@ -287,6 +303,8 @@
   std::optional<size_t> FindLaneToSend() const;
   bool HasPendingWork() const;
   bool HasSealedUrgentJobs() const;
+  /// Whether ended jobs may be archived now, and some wait for it.
+  bool MayArchive() const;
   /// Builds the lane's next batch. Empty: there is nothing to send, or only
   /// changes that have to wait for batches in flight on other lanes.
   std::optional<Batch> Build(size_t lane);
@@ -296,8 +314,11 @@
   void AddAccepts(Batch* batch);
   void AddStates(Batch* batch);
   void AddState(const std::string& job, Batch* batch);
+  void AddArchived(Batch* batch);
   void AddRemovals(Batch* batch);
   void UpdateRecordedEnds(const Batch& batch);
+  /// The state of an archived job needs no record.
+  void DropState(const std::string& job);
   void Submit(size_t lane);
   void OnAnswer(size_t lane, std::error_code error, const StoreCommit& commit);
   void ScheduleResend(size_t lane);
@@ -358,9 +379,10 @@
   /// Once sealed: the jobs that were urgent then. Those that are still
   /// in `urgent_` have to be recorded.
   std::optional<std::set<std::string>> sealed_urgent_;
-  /// Jobs whose state is written, or whose keys are removed, by a batch in
-  /// flight.
+  /// Jobs whose state is written, or which are archived or removed, by a batch
+  /// in flight.
   std::set<std::string> in_flight_jobs_;
+  std::map<std::string, std::string> to_archive_;
   std::set<std::string> to_remove_;
   std::optional<EndsToRecord> ends_;
   /// Set if the store refuses a batch. Also set if the store does not answer a
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -24,6 +24,7 @@
 #include "doorwood/cell_options.h"
 #include "doorwood/cell_policy.h"
 #include "doorwood/crash_policy.h"
+#include "doorwood/ended_jobs.h"
 #include "doorwood/event_log.h"
 #include "doorwood/executor.h"
 #include "doorwood/job_table.h"
@@ -84,9 +85,11 @@
  public:
   using SubmitCallback = CellJournal::AcceptCallback;
   /// Errors: CoreErrc::kNotFound if the cell has no such job, kNoOwner if this
-  /// instance does not lead or is about to release the lead, kOutcomeUnknown if
-  /// the cancellation was not recorded in time or this instance stepped down.
+  /// instance does not lead or is about to release the lead, kStoreUnavailable
+  /// if it is not known whether the cell has the job, kOutcomeUnknown if the
+  /// cancellation was not recorded in time or this instance stepped down.
   using CancelCallback = std::function<void(std::error_code)>;
+  using PhaseCallback = std::function<void(std::error_code, JobPhase)>;
 
   /// `adviser` may be null: tasks of queues that need advice then never start.
   /// `machines` may be null: no machine is then taken down for upkeep.
@@ -141,7 +144,12 @@
   /// Cancels a job and stops its runs. `done` runs without an error once the
   /// job's outcome is recorded, also if the job had ended before.
   void Cancel(const std::string& job, CancelCallback done);
+  /// The state of a job that this leader has in memory.
   std::optional<JobPhase> FindJobPhase(const std::string& job) const;
+  /// Also finds ended jobs whose records this leader has not read yet. Errors:
+  /// CoreErrc::kNotFound if the cell has no such job, kNoOwner or
+  /// kStoreUnavailable if that is not known.
+  void FetchJobPhase(const std::string& job, PhaseCallback done);
   /// The summary as of its last periodic update.
   const CellSummary& summary() const { return summary_; }
   const CellCounters& counters() const { return counters_; }
@@ -173,6 +181,7 @@
   void OnAccepted(const JobPlan& plan) override;
   void OnEncodedStateStored(const std::string& job) override;
   void OnNewestStateStored(const std::string& job) override;
+  void OnArchived(const std::string& job) override;
   void OnEndsRecorded(const EndNumbers& ends) override;
   void OnWorkersRecorded(const std::vector<KnownWorker>& workers) override;
   void OnLeadConfirmed(Instant sent) override;
@@ -186,6 +195,12 @@
   Occupancy EvacuateWorker(const std::string& worker) override;
 
  private:
+  /// What was read, and when the answer came.
+  template <typename T>
+  struct EarlyRead {
+    T value;
+    Instant at{};
+  };
   enum class Stage { kStandby, kCampaigning, kReading, kLeading, kShutDown };
   /// Value of `CellWorker::submitted_version` that matches no version of a
   /// session.
@@ -291,6 +306,8 @@
   /// Whether workers and instances of the data centre belong to this cell.
   bool BelongsToCell(std::string_view data_centre) const;
   void OnCampaignWon(int64_t epoch);
+  /// Lists the records of earlier leaders. No other process can write them, so
+  /// that lists of several prefixes fit together.
   void ReadRecords();
   /// Restores the state that earlier leaders recorded, and begins to lead.
   void Restore(const StoreItems& items);
@@ -304,6 +321,9 @@
   /// Lower bound on the age of a record that was written at `revision`; zero if
   /// the age is not known.
   Millis AgeOfRecord(int64_t revision) const;
+  /// Uses what `ReadWorkers` and `ReadClosedDataCentres` have read beside the
+  /// records, unless it is due to be read again.
+  void ApplyEarlyReads();
   void StepDown(std::string_view reason);
   /// Whether a planned shutdown is in its last phase, in which no task is
   /// placed and no cancellation is accepted. New jobs are refused from the next
@@ -427,7 +447,12 @@
   /// Longest wait of polls that watch interference; longer in larger cells.
   Millis InterferencePollWait() const;
   void Tick();
-  /// Removes jobs whose outcome is recorded and that ended more than
+  // cell_ended_jobs.cpp: archive of ended jobs.
+  /// Passes the jobs in `to_archive_` to the journal, except those with a run
+  /// whose end is not known yet.
+  void ArchiveEndedJobs();
+  static EndedJob ToEndedJob(const Job& job);
+  /// Removes archived jobs that ended more than
   /// `CellOptions::finished_job_retention` ago.
   void RemoveOldJobs();
   /// Answers callers whose cancellation was not recorded in time with
@@ -782,6 +807,8 @@
   /// Written with the lead key, to recognize a win whose answer was lost. Drawn
   /// once per `CellLeader`.
   const uint64_t nonce_;
+  /// When this instance knew that its campaign was won.
+  Instant won_at_{};
   /// When this leader finished reading the records of earlier leaders.
   Instant led_since_{};
   /// When the unaccounted workers were last logged.
@@ -815,6 +842,8 @@
   /// not yet, and nothing is started.
   Instant closed_read_{};
   std::set<std::string> closed_data_centres_;
+  std::optional<EarlyRead<std::vector<WorkerIncarnation>>> early_workers_;
+  std::optional<EarlyRead<std::set<std::string>>> early_closed_;
   /// Reported to other instances; updated periodically.
   CellSummary summary_;
   Instant summarized_{};
@@ -847,6 +876,10 @@
   std::map<std::string, Queue> known_queues_;
   JobTable jobs_;
   CellJournal journal_;
+  EndedJobs ended_jobs_;
+  /// Jobs in `jobs_` whose outcome is recorded and that are not passed to the
+  /// journal to be archived yet.
+  std::vector<std::string> to_archive_;
   LeadProof proof_;
   WorkerQuarantine quarantine_;
   /// Whether the recorded placements of long-running tasks were known to be
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -113,6 +113,9 @@
   uint64_t paces = 0;
   /// Reads of the list of workers that failed.
   uint64_t directory_reads_failed = 0;
+  uint64_t jobs_archived = 0;
+  /// Time that the newest takeover took to read the records, in ms.
+  uint64_t takeover_read_ms = 0;
   uint64_t takeovers = 0;
   uint64_t step_downs = 0;
 };
--- a/src/libdoorwood/cell/cell_calls.cpp
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -30,7 +30,7 @@
     done(CoreErrc::kNoOwner, {});
     return;
   }
-  if (jobs_.Find(plan.id) != nullptr) {
+  if (jobs_.Find(plan.id) != nullptr || ended_jobs_.Find(plan.id)) {
     done({}, AcceptOutcome::kAlreadyKnown);
     return;
   }
@@ -39,7 +39,14 @@
   if (!journal_.IsRecording(plan.id) &&
       (AreAllWorkersInClosedDataCentres(plan.queue) ||
        !HasLongRunningCapacity(plan))) {
-    done(CoreErrc::kNoCapacity, {});
+    // An ended job is known, and needs no capacity.
+    ended_jobs_.Fetch(
+        plan.id, [done = std::move(done)](std::error_code error,
+                                          std::optional<JobOutcome> outcome) {
+          const bool known = !error && outcome;
+          done(known ? std::error_code() : CoreErrc::kNoCapacity,
+               AcceptOutcome::kAlreadyKnown);
+        });
     return;
   }
   journal_.Accept(std::move(plan), std::move(done));
@@ -134,32 +141,19 @@
   RequestSchedulingPass();
 }
 
-std::optional<JobPhase> CellLeader::FindJobPhase(const std::string& id) const {
-  const auto found = jobs_.jobs().find(id);
-  if (!leading() || found == jobs_.jobs().end()) {
-    return std::nullopt;
-  }
-  const Job& job = *found->second;
-  if (job.outcome_recorded) {
-    switch (job.outcome) {
-      case JobOutcome::kCompleted:
-        return JobPhase::kCompleted;
-      case JobOutcome::kFailed:
-        return JobPhase::kFailed;
-      case JobOutcome::kCancelled:
-        return JobPhase::kCancelled;
-      case JobOutcome::kOpen:
-        break;
-    }
-  }
-  return job.started ? JobPhase::kRunning : JobPhase::kQueued;
-}
-
 void CellLeader::Cancel(const std::string& id, CancelCallback done) {
   const bool takes_calls = leading() && !IsInLastShutdownPhase();
   Job* job = takes_calls ? jobs_.Find(id) : nullptr;
+  if (!takes_calls) {
+    done(CoreErrc::kNoOwner);
+    return;
+  }
   if (job == nullptr) {
-    done(takes_calls ? CoreErrc::kNotFound : CoreErrc::kNoOwner);
+    ended_jobs_.Fetch(
+        id, [done = std::move(done)](std::error_code error,
+                                     std::optional<JobOutcome> outcome) {
+          done(error || outcome ? error : CoreErrc::kNotFound);
+        });
     return;
   }
   if (job->outcome_recorded) {
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -170,27 +170,50 @@
               {"epoch", epoch},
               {"lease", live_.lease().value_or(0)}});
   proof_.Open(epoch);
+  won_at_ = executor_.Now();
+  early_workers_.reset();
+  early_closed_.reset();
+  reading_closed_ = false;
   ReadRecords();
+  ReadWorkers();
+  ReadClosedDataCentres();
 }
 
 void CellLeader::ReadRecords() {
+  struct Reading {
+    StoreItems items;
+    size_t lists_left = 0;
+    std::error_code error;
+  };
   const uint64_t generation = ++generation_;
-  store_.List(
-      CellPrefix(options_.cell),
-      [this, generation](std::error_code error, const StoreItems& items) {
-        if (generation != generation_) {
-          return;
-        }
-        if (error) {
-          executor_.Schedule(options_.retry_pause, [this, generation] {
-            if (generation == generation_) {
-              ReadRecords();
-            }
-          });
-          return;
+  const std::vector<std::string> prefixes = {
+      ChainKey(options_.cell, 0), WorkersKey(options_.cell),
+      PlanKey(options_.cell, ""), StateKey(options_.cell, "")};
+  const auto reading = std::make_shared<Reading>();
+  reading->lists_left = prefixes.size();
+  for (const std::string& prefix : prefixes) {
+    store_.List(prefix, [this, generation, reading](std::error_code error,
+                                                    const StoreItems& list) {
+      if (generation != generation_) {
+        return;
+      }
+      reading->error = error ? error : reading->error;
+      reading->items.items.insert(reading->items.items.end(),
+                                  list.items.begin(), list.items.end());
+      if (--reading->lists_left > 0) {
+        return;
+      }
+      if (!reading->error) {
+        Restore(reading->items);
+        return;
+      }
+      executor_.Schedule(options_.retry_pause, [this, generation] {
+        if (generation == generation_) {
+          ReadRecords();
         }
-        Restore(items);
       });
+    });
+  }
 }
 
 int CellLeader::RestoreJobs(const StoreItems& items) {
@@ -328,12 +351,15 @@
   mass_crash_detector_.Clear();
   unrecorded_placements_.clear();
   starts_awaiting_record_.clear();
-  reading_closed_ = false;
   summarized_ = Instant{};
   ++generation_;
+  const auto read_time =
+      std::chrono::duration_cast<Millis>(led_since_ - won_at_);
+  counters_.takeover_read_ms = static_cast<uint64_t>(read_time.count());
   log_.Write("info", "cell", "read the records of earlier leaders",
              {{"cell", options_.cell},
               {"epoch", epoch_},
+              {"after_ms", read_time.count()},
               {"jobs", jobs_.jobs().size()},
               {"open", open},
               {"chains", chains.size()},
@@ -343,6 +369,12 @@
               {"waited_ms", waited_since_term_end.count()},
               {"agreeing_since", live_.no_agreement_since()}});
   journal_.Open(epoch_, chains);
+  ended_jobs_.Open();
+  for (const auto& [id, job] : jobs_.jobs()) {
+    if (job->outcome_recorded) {
+      to_archive_.push_back(id);
+    }
+  }
   for (const KnownWorker& worker : known) {
     WorkerIncarnation incarnation;
     incarnation.id = worker.id;
@@ -368,7 +400,22 @@
     journal_.RequestCommit();
   }
   ExtendOrderDeadline();
+  ApplyEarlyReads();
   Tick();
 }
 
+void CellLeader::ApplyEarlyReads() {
+  const Instant now = executor_.Now();
+  if (early_closed_ && now - early_closed_->at < options_.closed_interval) {
+    closed_read_ = early_closed_->at;
+    OnClosedDataCentres(std::move(early_closed_->value));
+  }
+  if (early_workers_ && now - early_workers_->at < options_.list_interval) {
+    workers_read_ = early_workers_->at;
+    OnWorkers(std::move(early_workers_->value));
+  }
+  early_closed_.reset();
+  early_workers_.reset();
+}
+
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -239,6 +239,7 @@
   urgent_.clear();
   sealed_urgent_.reset();
   in_flight_jobs_.clear();
+  to_archive_.clear();
   to_remove_.clear();
   ends_.reset();
   workers_changed_ = false;
@@ -360,7 +361,14 @@
   }
 }
 
-void CellJournal::RemoveJob(const std::string& job) {
+void CellJournal::Archive(const std::string& job, std::string record) {
+  if (open_) {
+    to_archive_.insert_or_assign(job, std::move(record));
+    ScheduleSend(options_.archive_delay);
+  }
+}
+
+void CellJournal::RemoveArchivedJob(const std::string& job) {
   if (open_) {
     to_remove_.insert(job);
     ScheduleSend(options_.delay);
@@ -407,12 +415,21 @@
   return first;
 }
 
+bool CellJournal::MayArchive() const {
+  return !to_archive_.empty() && !sealed_urgent_ && !store_unavailable_ &&
+         !flow_.IsUnresponsive(executor_.Now()) &&
+         flow_.answer_time() <= options_.max_archive_answer_time;
+}
+
 bool CellJournal::HasPendingWork() const {
   if (sealed_urgent_) {
     return !accepts_.empty() || HasSealedUrgentJobs();
   }
+  // Ended jobs alone open no further lane.
+  const bool archives = MayArchive() && flow_.in_flight() == 0;
   return !accepts_.empty() || !dirty_.empty() || !to_remove_.empty() ||
-         (workers_changed_ && !workers_in_flight_) || force_commit_ ||
+         archives || (workers_changed_ && !workers_in_flight_) ||
+         force_commit_ ||
          std::any_of(lanes_.begin(), lanes_.end(), [](const Lane& lane) {
            return lane.force_commit && !lane.batch;
          });
--- a/src/libdoorwood/cell/cell_journal_answers.cpp
+++ b/src/libdoorwood/cell/cell_journal_answers.cpp
@@ -94,6 +94,9 @@
   for (const std::string& job : batch.states) {
     in_flight_jobs_.erase(job);
   }
+  for (const auto& [job, record] : batch.archived) {
+    in_flight_jobs_.erase(job);
+  }
   for (const std::string& job : batch.removals) {
     in_flight_jobs_.erase(job);
   }
@@ -107,6 +110,7 @@
       dirty_order_.push_front(job);
     }
   }
+  to_archive_.merge(batch.archived);
   for (const std::string& job : batch.removals) {
     to_remove_.insert(job);
   }
@@ -178,6 +182,10 @@
       owner_.OnNewestStateStored(job);
     }
   }
+  for (const auto& [job, record] : batch.archived) {
+    DropState(job);
+    owner_.OnArchived(job);
+  }
   UpdateRecordedEnds(batch);
   if (batch.workers) {
     owner_.OnWorkersRecorded(*batch.workers);
@@ -190,6 +198,18 @@
     ScheduleSend(Millis(0));
   } else if (!dirty_.empty() || !to_remove_.empty()) {
     ScheduleSend(options_.delay);
+  } else if (!to_archive_.empty()) {
+    // Those that did not fit have waited already.
+    ScheduleSend(batch.archived.empty() ? options_.archive_delay
+                                        : options_.delay);
+  }
+}
+
+void CellJournal::DropState(const std::string& job) {
+  dirty_.erase(job);
+  urgent_.erase(job);
+  if (ends_) {
+    ends_->jobs.erase(job);
   }
 }
 
--- a/src/libdoorwood/cell/cell_journal_build.cpp
+++ b/src/libdoorwood/cell/cell_journal_build.cpp
@@ -7,15 +7,18 @@
 #include <utility>
 
 #include "doorwood/cell_journal.h"
+#include "doorwood/ended_jobs.h"
 
 namespace doorwood {
 namespace {
 
-// Maximum number of jobs whose keys are removed in one batch; three keys each.
+// Maximum number of jobs whose keys are removed in one batch.
 constexpr size_t kRemovalsPerBatch = 4;
 // Entries needed to accept one job: one expectation, two puts.
 constexpr size_t kEntriesPerAccept = 3;
-constexpr size_t kEntriesPerRemoval = 3;
+// Entries needed to archive one job: one put, two removals.
+constexpr size_t kEntriesPerArchivedJob = 3;
+constexpr size_t kEntriesPerRemoval = 2;
 // Maximum number of entries of a batch that new jobs leave free for pending
 // states, so that ends are recorded even while many jobs arrive.
 constexpr size_t kEntriesReservedForStates = 8;
@@ -37,6 +40,7 @@
   AddUrgentStates(&batch);
   AddAccepts(&batch);
   AddStates(&batch);
+  AddArchived(&batch);
   AddRemovals(&batch);
   if (transaction.entries() == base_entries && !force_commit_ &&
       !lanes_[lane].force_commit) {
@@ -62,8 +66,13 @@
     return;
   }
   ends_ = EndsToRecord{owner_.HighestUnrecordedEnds(), {}};
-  for (const std::string& job : in_flight_jobs_) {
-    ends_->jobs[job] = 0;
+  // A job that is being archived or removed has ended, so that no end of its
+  // runs needs a record.
+  for (const Lane& lane : lanes_) {
+    for (const std::string& job :
+         lane.batch ? lane.batch->states : std::vector<std::string>()) {
+      ends_->jobs[job] = 0;
+    }
   }
   for (const std::string& job : dirty_) {
     ends_->jobs[job] = batches_;
@@ -88,6 +97,29 @@
   }
 }
 
+// A batch that holds as many entries as fit is followed by another one at once,
+// so ended jobs leave at least one entry free.
+void CellJournal::AddArchived(Batch* batch) {
+  if (!MayArchive()) {
+    return;
+  }
+  StoreTransaction& transaction = batch->transaction;
+  for (auto it = to_archive_.begin();
+       it != to_archive_.end() &&
+       transaction.entries() + kEntriesPerArchivedJob <
+           kMaxTransactionEntries;) {
+    const auto& [job, record] = *it;
+    if (dirty_.contains(job) || !in_flight_jobs_.insert(job).second) {
+      ++it;
+      continue;
+    }
+    transaction.puts.push_back({EndedJobKey(cell_, job), record});
+    transaction.removes.push_back(PlanKey(cell_, job));
+    transaction.removes.push_back(StateKey(cell_, job));
+    batch->archived.insert(to_archive_.extract(it++));
+  }
+}
+
 void CellJournal::AddRemovals(Batch* batch) {
   StoreTransaction& transaction = batch->transaction;
   for (auto it = to_remove_.begin();
@@ -99,8 +131,7 @@
     }
     batch->removals.push_back(*it);
     transaction.removes.push_back(JobIdKey(*it));
-    transaction.removes.push_back(PlanKey(cell_, *it));
-    transaction.removes.push_back(StateKey(cell_, *it));
+    transaction.removes.push_back(EndedJobKey(cell_, *it));
     it = to_remove_.erase(it);
   }
 }
--- a/src/libdoorwood/cell/cell_journal_load_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_load_test.cpp
@@ -96,6 +96,7 @@
       cancelled.erase(entry);
     }
   }
+  void OnArchived(const std::string&) override { ++jobs_archived; }
   void OnEndsRecorded(const EndNumbers& ends) override {
     recorded_end = ends.at({"w", 1});
   }
@@ -134,6 +135,7 @@
         ++highest_end;
         journal.MarkDirty(job, false);
       }
+      journal.Archive("ended" + std::to_string(++jobs_ended), "record");
       if (step % 20 == 0) {
         const std::string job = "cancelled" + std::to_string(step);
         ++changed[job];
@@ -175,6 +177,8 @@
   uint64_t recorded_end = 0;
   bool lead_lost = false;
   int jobs_made = 0;
+  int jobs_archived = 0;
+  int jobs_ended = 0;
   int next_change = 0;
 };
 
@@ -275,5 +279,38 @@
   BOOST_TEST(!fixture.lead_lost);
 }
 
+// Guards against ended jobs that take the place of new ones in a slow store,
+// and against ones that are never archived in a quick one.
+BOOST_AUTO_TEST_CASE(Archive_UnderLoad_OnlyWhileTheStoreIsQuick) {
+  LoadFixture quick;
+  quick.GenerateLoad(Millis(6000));
+  quick.time.Run(Millis(2000));
+  BOOST_TEST(quick.jobs_archived == quick.jobs_ended);
+  LoadFixture slow;
+  slow.store.answer_time = Millis(364);
+  slow.GenerateLoad(Millis(6000));
+  // The answer time is not known before the first answer.
+  BOOST_TEST(slow.jobs_archived <= 9);
+  slow.store.answer_time = Millis(4);
+  slow.GenerateLoad(Millis(3000));
+  slow.time.Run(Millis(2000));
+  BOOST_TEST(slow.jobs_archived == slow.jobs_ended);
+}
+
+// Guards against ends that are never recorded because they wait for the state
+// of a job whose keys a batch on another lane removes.
+BOOST_AUTO_TEST_CASE(RemoveArchivedJob_SlowStore_EndsAreRecorded) {
+  LoadFixture fixture;
+  fixture.store.answer_time = Millis(364);
+  for (int i = 0; i < 20; ++i) {
+    fixture.journal.RemoveArchivedJob("old" + std::to_string(i));
+    fixture.GenerateLoad(Millis(250));
+  }
+  fixture.time.Run(Millis(2000));
+  fixture.journal.MarkDirty("open0", false);
+  fixture.time.Run(Millis(2000));
+  BOOST_TEST(fixture.recorded_end == fixture.highest_end);
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_journal_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_test.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 #include "doorwood/cell_journal.h"
+#include "doorwood/ended_jobs.h"
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
@@ -79,6 +80,7 @@
   void OnNewestStateStored(const std::string& job) override {
     recorded.push_back(job);
   }
+  void OnArchived(const std::string& job) override { archived.push_back(job); }
   void OnEndsRecorded(const EndNumbers& ends) override { ends_recorded = ends; }
   void OnWorkersRecorded(const std::vector<KnownWorker>&) override {}
   void OnLeadConfirmed(Instant) override {}
@@ -111,6 +113,7 @@
   std::optional<TermEnd> term_end;
   std::vector<std::string> accepted;
   std::vector<std::string> recorded;
+  std::vector<std::string> archived;
   EndNumbers ends_recorded;
   bool lead_lost = false;
   int answers = 0;
@@ -350,5 +353,95 @@
   BOOST_TEST(!DecodeTermEnd(EncodeChainValue(3, 4, std::nullopt)).has_value());
 }
 
+// Stores the plan and the state of an accepted job.
+void StoreOpenJob(JournalFixture* fixture) {
+  fixture->Accept();
+  fixture->journal.MarkDirty(kJob, true);
+  fixture->time.Run(Millis(100));
+  BOOST_REQUIRE(fixture->IsStored(PlanKey("all", kJob)));
+  BOOST_REQUIRE(fixture->IsStored(StateKey("all", kJob)));
+}
+
+// Guards against an ended job that is lost, or archived but still listed, when
+// the batch that archives it fails.
+BOOST_AUTO_TEST_CASE(Archive_StoreFails_RecordReplacesPlanAndStateOnce) {
+  const std::pair<const char*, std::vector<Step>> rows[] = {
+      {"no fault", {}},
+      {"refused", {Step::kRefuse, Step::kRefuse}},
+      {"answer lost", {Step::kLoseAnswer}},
+      {"answer lost twice", {Step::kLoseAnswer, Step::kLoseAnswer}},
+      {"request lost", {Step::kLoseRequest}},
+      {"request late", {Step::kDelay}},
+      {"request late, then refused",
+       {Step::kDelay, Step::kRefuse, Step::kRefuse, Step::kRefuse}},
+  };
+  for (const auto& [name, script] : rows) {
+    JournalFixture fixture;
+    StoreOpenJob(&fixture);
+    fixture.store.script = script;
+    fixture.journal.Archive(kJob, "record");
+    fixture.time.Run(Millis(10'000));
+    BOOST_TEST_CONTEXT(name) {
+      BOOST_TEST(fixture.archived == std::vector<std::string>{kJob});
+      StoreItem item;
+      BOOST_TEST(!fixture.store.model.Get(EndedJobKey("all", kJob), &item));
+      BOOST_TEST(item.value == "record");
+      BOOST_TEST(fixture.IsStored(JobIdKey(kJob)));
+      BOOST_TEST(!fixture.IsStored(PlanKey("all", kJob)));
+      BOOST_TEST(!fixture.IsStored(StateKey("all", kJob)));
+      BOOST_TEST(!fixture.lead_lost);
+    }
+  }
+}
+
+// The batch also carries a job that another cell has, so that it conflicts.
+BOOST_FIXTURE_TEST_CASE(Archive_BatchConflicts_IsArchivedByTheNext,
+                        JournalFixture) {
+  StoreOpenJob(this);
+  StoreTransaction other;
+  other.puts.push_back({JobIdKey("1111111111111111"), "other", 0});
+  StoreCommit ignored;
+  store.model.Commit(other, &ignored);
+  journal.Archive(kJob, "record");
+  Accept("1111111111111111");
+  time.Run(Millis(2000));
+  BOOST_TEST((answer_outcome == AcceptOutcome::kAlreadyKnown));
+  BOOST_TEST(archived == std::vector<std::string>{kJob});
+}
+
+BOOST_FIXTURE_TEST_CASE(Archive_AnotherInstanceLeads_NothingIsRemoved,
+                        JournalFixture) {
+  StoreOpenJob(this);
+  store.WriteLeaderKey("all", "other");
+  journal.Archive(kJob, "record");
+  time.Run(Millis(2000));
+  BOOST_TEST(lead_lost);
+  BOOST_TEST(archived.empty());
+  BOOST_TEST(IsStored(PlanKey("all", kJob)));
+  BOOST_TEST(IsStored(StateKey("all", kJob)));
+}
+
+// Guards against a state that is written after the job was archived, which a
+// successor would read without a plan, and against ends that wait for it.
+BOOST_FIXTURE_TEST_CASE(Archive_StateChangesInFlight_IsNotWrittenAgain,
+                        JournalFixture) {
+  StoreOpenJob(this);
+  store.script = {Step::kLoseAnswer};
+  journal.Archive(kJob, "record");
+  const int commits_before = store.commits;
+  while (store.commits == commits_before) {
+    time.Run(Millis(1));
+  }
+  ends_recorded.clear();
+  journal.MarkDirty(kJob, true);
+  journal.MarkDirty("other", true);
+  time.Run(Millis(2000));
+  BOOST_TEST(archived == std::vector<std::string>{kJob});
+  BOOST_TEST(!IsStored(StateKey("all", kJob)));
+  BOOST_TEST(IsStored(StateKey("all", "other")));
+  BOOST_TEST(ends_recorded.contains({"w", 1}));
+  BOOST_TEST(journal.idle());
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -52,6 +52,7 @@
       options_(options),
       nonce_(executor.Random()),
       journal_(executor, store, log, *this, options.journal, options.cell),
+      ended_jobs_(executor, store, log, EndedJobsOptions{}, options.cell),
       proof_(executor, store, *this, options.proof, LeadKey(options.cell)),
       quarantine_(options.policy),
       trials_(options.policy.crashes),
@@ -128,6 +129,8 @@
     tick_timer_ = 0;
   }
   journal_.Close();
+  ended_jobs_.Close();
+  to_archive_.clear();
   proof_.Close();
   tickets_.Clear();
   upkeep_waves_.Close();
@@ -452,6 +455,7 @@
     upkeep_waves_.Tick();
   }
   ExpireCancels();
+  ArchiveEndedJobs();
   if (now - old_jobs_removed_ >= kOldJobRemovalInterval) {
     old_jobs_removed_ = now;
     RemoveOldJobs();
@@ -469,19 +473,4 @@
   });
 }
 
-void CellLeader::RemoveOldJobs() {
-  const int64_t now = unix_millis_();
-  std::vector<std::string> old;
-  for (const auto& [id, job] : jobs_.jobs()) {
-    if (job->outcome_recorded && job->finished_at > 0 &&
-        now - job->finished_at > options_.finished_job_retention.count()) {
-      old.push_back(id);
-    }
-  }
-  for (const std::string& id : old) {
-    journal_.RemoveJob(id);
-    jobs_.Remove(id);
-  }
-}
-
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -397,6 +397,7 @@
     return;
   }
   job->outcome_recorded = true;
+  to_archive_.push_back(id);
   const auto [begin, end] = cancels_.equal_range(id);
   std::vector<CancelCallback> callbacks;
   for (auto it = begin; it != end; ++it) {
--- a/src/libdoorwood/cell/cell_workers.cpp
+++ b/src/libdoorwood/cell/cell_workers.cpp
@@ -64,10 +64,16 @@
   }
   reading_workers_ = true;
   directory_.ListWorkers(
-      [this, generation = generation_, began = executor_.Now()](
+      [this, epoch = epoch_, began = executor_.Now()](
           std::error_code error, std::vector<WorkerIncarnation> incarnations) {
         reading_workers_ = false;
-        if (generation != generation_ || !leading()) {
+        if (epoch != epoch_) {
+          return;
+        }
+        if (stage_ == Stage::kReading && !error) {
+          early_workers_ = {std::move(incarnations), executor_.Now()};
+        }
+        if (!leading()) {
           return;
         }
         if (error) {
@@ -108,13 +114,16 @@
   }
   reading_closed_ = true;
   directory_.ListClosedDataCentres(
-      [this, generation = generation_](std::error_code error,
-                                       std::set<std::string> closed) {
-        if (generation != generation_ || !leading()) {
+      [this, epoch = epoch_](std::error_code error,
+                             std::set<std::string> closed) {
+        if (epoch != epoch_) {
           return;
         }
         reading_closed_ = false;
-        if (!error) {
+        if (stage_ == Stage::kReading && !error) {
+          early_closed_ = {std::move(closed), executor_.Now()};
+        }
+        if (leading() && !error) {
           closed_read_ = executor_.Now();
           OnClosedDataCentres(std::move(closed));
         }
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -292,9 +292,10 @@
       return;
     }
     if (CellLeader* leader = LocalLeader(cell)) {
-      const auto phase = leader->FindJobPhase(job);
-      done(phase ? std::error_code() : CoreErrc::kNoOwner,
-           phase.value_or(JobPhase::kQueued));
+      leader->FetchJobPhase(
+          job, [done](std::error_code result, JobPhase phase) {
+            done(result ? make_error_code(CoreErrc::kNoOwner) : result, phase);
+          });
       return;
     }
     const CellLead* lead = ReachableLead(cell);
--- a/src/libdoorwood/ingress/ingress_test.cpp
+++ b/src/libdoorwood/ingress/ingress_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "doorwood/ended_jobs.h"
 #include "fakes/cell_world.h"
 
 namespace doorwood {
@@ -226,5 +227,41 @@
   BOOST_TEST(peers->job_calls == 2);
 }
 
+// Guards against a new leader on this instance that denies an archived job, or
+// cannot answer about it, because it has not read the archive yet.
+BOOST_AUTO_TEST_CASE(StateAndCancel_ArchivedJobAfterTakeover_IsAnswered) {
+  for (const bool cancel : {false, true}) {
+    for (const bool store_unavailable : {false, true}) {
+      IngressFixture fixture;
+      fixture.RecordJob();
+      StoreTransaction archived;
+      archived.puts.push_back({EndedJobKey("all", kJob),
+                               EncodeEndedJob({JobOutcome::kCompleted, "", 1}),
+                               0});
+      StoreCommit ignored;
+      fixture.world.store().Commit(archived, &ignored);
+      fixture.world.Kill("a1");
+      while (!fixture.self->cell->leading()) {
+        fixture.world.RunExactly(Millis(5));
+      }
+      fixture.self->store_faults.unavailable = store_unavailable;
+      if (cancel) {
+        fixture.Cancel();
+      } else {
+        fixture.QueryState();
+      }
+      fixture.world.RunExactly(Millis(100));
+      BOOST_TEST_CONTEXT((cancel ? "cancel" : "state")
+                         << (store_unavailable ? ", store unavailable" : "")) {
+        BOOST_TEST(fixture.answered);
+        const auto expected = store_unavailable
+                                  ? make_error_code(CoreErrc::kStoreUnavailable)
+                                  : std::error_code();
+        BOOST_TEST(fixture.answer == expected);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -347,9 +347,9 @@
   } else if (request.method == "DELETE") {
     leader->Cancel(job, [answer](std::error_code error) { answer(error, ""); });
   } else {
-    const auto phase = leader->FindJobPhase(job);
-    answer(phase ? std::error_code() : CoreErrc::kNotFound,
-           phase ? std::string(ToString(*phase)) : "");
+    leader->FetchJobPhase(job, [answer](std::error_code error, JobPhase phase) {
+      answer(error, error ? "" : std::string(ToString(phase)));
+    });
   }
 }
 
