fix(cell): a leader that is told to stop in an outage leads on until the store answers

Cause: a leader that shuts down ended its orders if the lead key had been confirmed within 1 s, so also when the store had just gone silent. It then stood still for its whole grace, and renewed the store lease of the lead when the store was back. A leader without pending records gave the lead up into a store that was away. A release without an answer was not repeated.

Change: orders end only within 0.1 s of an answer to a call sent after the signal. Until then the leader orders starts and extends leases by its order deadline. If the store falls silent again before a batch with the end of the term was sent, it orders again; once such a batch may be in the store, nothing is ordered, since a successor may rely on it. When the store answers after an outage, the orders end at once, the end of the term is waited for 0.15 s at most, and the lead is released; with less than 1 s of the grace left, no record is waited for. The release is repeated until it is answered. The lead key is read again if a read was not answered for 0.3 s.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -219,7 +219,8 @@
   stopping_since_ = executor_.Now();
   front_server_.Drain();
   live_.AnnounceLeaving();
-  cell_.ShutDown([this] { lead_released_ = true; });
+  cell_.ShutDown([this] { lead_released_ = true; },
+                 settings_.shutdown_grace - kExitReserve);
   FinishWhenIdle();
 }
 
--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -229,6 +229,10 @@
   /// The newest chain key of this journal has a TermEnd, and no batch in flight
   /// can replace it by one without.
   bool is_term_end_stored() const;
+  /// The newest chain key of this journal has a TermEnd, or may get one by a
+  /// batch that was sent and whose outcome is not known. A successor may then
+  /// rely on it.
+  bool may_have_term_end() const;
   /// Removes all keys of a job that has ended.
   void RemoveJob(const std::string& job);
 
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -87,6 +87,7 @@
   /// instance does not lead or is about to release the lead, kOutcomeUnknown if
   /// the cancellation was not recorded in time or this instance stepped down.
   using CancelCallback = std::function<void(std::error_code)>;
+  static constexpr Millis kUnlimitedGrace = std::chrono::hours(24);
 
   /// `adviser` may be null: tasks of queues that need advice then never start.
   /// `machines` may be null: no machine is then taken down for upkeep.
@@ -104,12 +105,15 @@
 
   void Start();
   /// Planned shutdown: records pending changes, releases the lead, then runs
-  /// `done`. After 0.3 s, the shutdown waits only for the jobs that were
-  /// submitted, and the changes that were urgent, by then. An instance that
-  /// is still reading the records of earlier leaders releases the lead at once.
-  /// Any other that does not lead runs `done` immediately, and releases the
-  /// lead if a campaign that is under way succeeds.
-  void ShutDown(std::function<void()> done);
+  /// `done`. Once the store has answered for 0.3 s, the shutdown waits only for
+  /// the jobs that were submitted, and the changes that were urgent, by then.
+  /// While the store is away, the leader goes on as far as its lead allows; it
+  /// releases the lead as soon as the store answers, and without waiting for
+  /// records if little is left of `grace`, after which the process ends. An
+  /// instance that is still reading the records of earlier leaders releases the
+  /// lead at once. Any other that does not lead runs `done` immediately, and
+  /// releases the lead if a campaign that is under way succeeds.
+  void ShutDown(std::function<void()> done, Millis grace = kUnlimitedGrace);
 
   void OnQueueTable(std::shared_ptr<const QueueTable> table);
   /// Called when instances, leads or the lease of this instance may have
@@ -308,15 +312,25 @@
   /// the age is not known.
   Millis AgeOfRecord(int64_t revision) const;
   void StepDown(std::string_view reason);
-  /// Whether a planned shutdown is in its last phase, in which no task is
-  /// placed and no cancellation is accepted. New jobs are refused from the next
-  /// check of the shutdown on, which seals the journal.
-  bool IsInLastShutdownPhase() const;
+  /// Whether the store did not answer when a planned shutdown began, and only
+  /// later.
+  bool WasStoreAwayAtShutdown() const;
+  /// Sets `releasing_since_` once the store has answered a call of a planned
+  /// shutdown. If the store has not answered for a while, resets it and
+  /// `orders_ended_`, unless a TermEnd of this term may be in the store.
+  void UpdateRelease();
+  /// Whether a planned shutdown may end the orders now: the store has just
+  /// answered, and what had to be recorded before is recorded or late.
+  bool MayEndOrders() const;
+  /// Whether the lead may be released now, once the orders have ended. Seals
+  /// the journal if only records that were urgent by now are waited for.
+  bool MayRelease(Millis grace);
   /// Ends all orders of a leader that shuts down, and requests the record of
   /// that.
   void EndOrders();
-  /// Removes this instance's lead key. Once the store has answered, or the call
-  /// has failed, completes a planned shutdown if one is under way.
+  /// Removes this instance's lead key. Once the key is certainly gone,
+  /// completes a planned shutdown if one is under way; until then, a process
+  /// that shuts down tries again.
   void ReleaseLeadKey();
   /// Steps down because this instance cannot reach the store, and asks `other`,
   /// which can, to remove the lead key.
@@ -417,8 +431,6 @@
   void ExtendOrderDeadline();
   /// Whether starts may be ordered now.
   bool MayOrderStarts() const;
-  /// Whether the store confirmed the lead key shortly before.
-  bool IsStoreAnswering() const;
   /// Whether the lead key was confirmed within
   /// `CellOptions::lead_confirmed_for`.
   bool IsLeadConfirmed() const;
@@ -836,6 +848,11 @@
   std::function<void()> on_shut_down_;
   /// Since when a planned shutdown is under way; zero: it is not.
   Instant shutdown_since_{};
+  /// Since when a planned shutdown extends no leases, because the store has
+  /// answered since it began; zero: there is none, or the store is away.
+  Instant releasing_since_{};
+  /// When the store last confirmed the lead key, by the arrival of its answer.
+  Instant store_answered_at_{};
   /// Since when a planned shutdown orders no starts and no lease extensions any
   /// more; zero: it still does, or there is none.
   Instant orders_ended_{};
--- a/src/include/doorwood/lead_proof.h
+++ b/src/include/doorwood/lead_proof.h
@@ -26,6 +26,10 @@
   /// load, committed records confirm it ten times a second, so these reads are
   /// only needed at low load.
   Millis interval{400};
+  /// `Tick` reads the key again if a read was not answered for this long: after
+  /// an outage of the store, a read that was sent during it may still be
+  /// waiting for an answer that never comes.
+  Millis unanswered_interval{300};
 };
 
 /// Receives the results of `LeadProof`, on the control thread.
@@ -62,7 +66,8 @@
   /// fails, `Tick` sends the next one when it is due.
   void RequestRead();
   /// Reads the key if it was last confirmed `LeadProofOptions::interval` ago or
-  /// earlier and no read is under way. To be called several times a second.
+  /// earlier and no read is under way (see `unanswered_interval`). To be called
+  /// several times a second.
   void Tick();
 
   /// When the latest call to the store that found the key in place was sent.
@@ -85,7 +90,9 @@
   bool open_ = false;
   int64_t epoch_ = 0;
   Instant confirmed_at_{};
+  /// The newest read is under way; it was sent at `read_sent_`.
   bool reading_ = false;
+  Instant read_sent_{};
   bool read_requested_ = false;
 };
 
--- a/src/libdoorwood/cell/cell_calls.cpp
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -156,7 +156,7 @@
 }
 
 void CellLeader::Cancel(const std::string& id, CancelCallback done) {
-  const bool takes_calls = leading() && !IsInLastShutdownPhase();
+  const bool takes_calls = leading() && orders_ended_ == Instant{};
   Job* job = takes_calls ? jobs_.Find(id) : nullptr;
   if (job == nullptr) {
     done(takes_calls ? CoreErrc::kNotFound : CoreErrc::kNoOwner);
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -300,6 +300,13 @@
   return newest_with_term_end_ > newest_without_term_end_ && !may_be_replaced;
 }
 
+bool CellJournal::may_have_term_end() const {
+  return newest_with_term_end_ > newest_without_term_end_ ||
+         std::any_of(lanes_.begin(), lanes_.end(), [](const Lane& lane) {
+           return lane.batch && lane.batch->has_term_end;
+         });
+}
+
 bool CellJournal::is_drained() const {
   return flow_.in_flight() == 0 && accepts_.empty() && !HasSealedUrgentJobs();
 }
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -18,11 +18,19 @@
 // jobs and of urgent changes. Workers report the rest to its successor.
 constexpr Millis kFullRecordTimeout{300};
 // A leader that shuts down waits at most this long for the record that says
-// that it orders nothing more.
+// that it orders nothing more; if the store was away, less, since the lead has
+// to be released first.
 constexpr Millis kTermEndTimeout{300};
-// The store counts as answering for this long after the lead key was last
-// confirmed. Without other confirmations, the key is read every 0.4 s.
-constexpr Millis kStoreAnswersFor{1000};
+constexpr Millis kTermEndTimeoutAfterOutage{150};
+// With less than this left of its grace, a leader releases the lead without
+// waiting for records.
+constexpr Millis kShortGrace{1000};
+// During a planned shutdown the lead key is read again and again. A slow store
+// answers within 0.4 s; one that has not answered for this long is away.
+constexpr Millis kStoreSilence{600};
+// Orders end only within this time after an answer of the store. Longer than
+// `kShutdownCheckInterval`.
+constexpr Millis kFreshAnswer{100};
 // Intervals at which all jobs are visited: to remove old ones, which are kept
 // for minutes, and to update the summary, which each other instance requests
 // every 0.6 s. With 29 instances and thousands of jobs, a visit for each tick
@@ -114,6 +122,7 @@
              {{"cell", options_.cell}, {"epoch", epoch_}, {"reason", reason}});
   ++counters_.step_downs;
   orders_ended_ = Instant{};
+  releasing_since_ = Instant{};
   ReleaseLeadKey();
   ++generation_;
   stage_ = Stage::kStandby;
@@ -196,6 +205,12 @@
     if (!error) {
       live_.Refresh();
     }
+    const bool is_decided =
+        !error || error == make_error_code(KvErrc::kConflict);
+    if (!is_decided && stage_ == Stage::kShutDown) {
+      executor_.Schedule(options_.retry_pause, [this] { ReleaseLeadKey(); });
+      return;
+    }
     if (on_shut_down_) {
       const auto done = std::move(on_shut_down_);
       on_shut_down_ = nullptr;
@@ -204,12 +219,47 @@
   });
 }
 
-bool CellLeader::IsInLastShutdownPhase() const {
-  return shutdown_since_ != Instant{} &&
-         executor_.Now() - shutdown_since_ >= kFullRecordTimeout;
+bool CellLeader::WasStoreAwayAtShutdown() const {
+  return releasing_since_ != Instant{} &&
+         releasing_since_ - shutdown_since_ >= kStoreSilence;
+}
+
+// A store that answers may be silent a moment later, and a leader that has
+// recorded the end of its orders must not order again. So the proof of an
+// earlier moment does not count.
+void CellLeader::UpdateRelease() {
+  const Instant now = executor_.Now();
+  const bool answers = proof_.confirmed_at() >= shutdown_since_ &&
+                       now - store_answered_at_ < kStoreSilence;
+  if (answers && releasing_since_ == Instant{}) {
+    releasing_since_ = now;
+    UpdateAllSessionLimits();
+    return;
+  }
+  if (answers || releasing_since_ == Instant{} ||
+      journal_.may_have_term_end()) {
+    return;
+  }
+  releasing_since_ = Instant{};
+  const bool resumes = std::exchange(orders_ended_, Instant{}) != Instant{};
+  log_.Write("warn", "cell",
+             "the store is away during a planned shutdown; extending leases",
+             {{"cell", options_.cell},
+              {"epoch", epoch_},
+              {"orders_resumed", resumes}});
+  UpdateAllSessionLimits();
+  RequestSchedulingPass();
+}
+
+bool CellLeader::MayEndOrders() const {
+  const Instant now = executor_.Now();
+  return releasing_since_ != Instant{} &&
+         now - store_answered_at_ <= kFreshAnswer &&
+         (journal_.idle() || WasStoreAwayAtShutdown() ||
+          now - releasing_since_ >= kFullRecordTimeout);
 }
 
-void CellLeader::ShutDown(std::function<void()> done) {
+void CellLeader::ShutDown(std::function<void()> done, Millis grace) {
   if (stage_ == Stage::kReading) {
     // It has ordered nothing, so it has nothing to record.
     on_shut_down_ = std::move(done);
@@ -225,36 +275,45 @@
     return;
   }
   const Instant now = executor_.Now();
-  if (shutdown_since_ == Instant{}) {
+  const bool begins = shutdown_since_ == Instant{};
+  if (begins) {
     shutdown_since_ = now;
-    UpdateAllSessionLimits();
   }
-  const bool last_phase = IsInLastShutdownPhase();
-  if (orders_ended_ == Instant{} && (journal_.idle() || last_phase) &&
-      IsStoreAnswering()) {
+  UpdateRelease();
+  if (begins || releasing_since_ != Instant{}) {
+    proof_.RequestRead();
+  }
+  if (orders_ended_ == Instant{} && MayEndOrders()) {
     EndOrders();
   }
-  const bool awaits_term_end = orders_ended_ != Instant{} &&
-                               !journal_.is_term_end_stored() &&
-                               now - orders_ended_ < kTermEndTimeout;
-  // A busy leader never has everything recorded, since runs keep ending.
-  // Without a limit it would lead until the shutdown grace period has
-  // elapsed, and exit with records in flight.
-  const bool seals =
-      !awaits_term_end && (last_phase || orders_ended_ != Instant{});
-  if (seals) {
-    journal_.Seal();
-  }
-  if (!awaits_term_end &&
-      (journal_.idle() || (seals && journal_.is_drained()))) {
+  if (orders_ended_ != Instant{} && MayRelease(grace)) {
     on_shut_down_ = std::move(done);
     StepDown("leaving");
     stage_ = Stage::kShutDown;
     return;
   }
-  executor_.Schedule(
-      kShutdownCheckInterval,
-      [this, done = std::move(done)]() mutable { ShutDown(std::move(done)); });
+  executor_.Schedule(kShutdownCheckInterval,
+                     [this, grace, done = std::move(done)]() mutable {
+                       ShutDown(std::move(done), grace);
+                     });
+}
+
+// A busy leader never has everything recorded, since runs keep ending. Without
+// a limit it would lead until its grace has elapsed, and exit with records in
+// flight.
+bool CellLeader::MayRelease(Millis grace) {
+  const Instant now = executor_.Now();
+  const bool was_away = WasStoreAwayAtShutdown();
+  const bool hurries = now - shutdown_since_ > grace - kShortGrace;
+  const Millis timeout =
+      was_away ? kTermEndTimeoutAfterOutage : kTermEndTimeout;
+  const bool awaits_term_end = !hurries && !journal_.is_term_end_stored() &&
+                               now - orders_ended_ < timeout;
+  if (awaits_term_end) {
+    return false;
+  }
+  journal_.Seal();
+  return was_away || hurries || journal_.is_drained();
 }
 
 // The next leader waits for a worker that it cannot contact for as long as
@@ -319,10 +378,6 @@
   return std::chrono::duration_cast<Millis>(now - live_.last_store_answer_at());
 }
 
-bool CellLeader::IsStoreAnswering() const {
-  return executor_.Now() < proof_.confirmed_at() + kStoreAnswersFor;
-}
-
 bool CellLeader::IsLeadConfirmed() const {
   return executor_.Now() < proof_.confirmed_at() + options_.lead_confirmed_for;
 }
@@ -330,11 +385,9 @@
 void CellLeader::UpdateSessionLimits(const CellWorker& cell_worker,
                                      Instant order_deadline) const {
   // A planned shutdown extends no leases, so that the next leader has to wait
-  // for less time. While the store does not answer, no other instance can take
-  // the lead.
-  const bool releases_lead = shutdown_since_ != Instant{} && IsStoreAnswering();
-  const Instant extension_end = releases_lead
-                                    ? std::min(order_deadline, shutdown_since_)
+  // for less time. While the store does not answer, the lead can't be released.
+  const Instant extension_end = releasing_since_ != Instant{}
+                                    ? std::min(order_deadline, releasing_since_)
                                     : order_deadline;
   cell_worker.session->SetLeaseExtensionEnd(
       cell_worker.renewals_blocked ? Instant{} : extension_end);
@@ -353,6 +406,7 @@
 }
 
 void CellLeader::OnLeadProved() {
+  store_answered_at_ = executor_.Now();
   if (!leading()) {
     return;
   }
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -49,8 +49,7 @@
   const auto pause = std::chrono::ceil<Millis>(next_pass_ - executor_.Now());
   executor_.Schedule(std::max(kScheduleDelay, pause), [this] {
     pass_scheduled_ = false;
-    if (!MayOrderStarts() || closed_read_ == Instant{} ||
-        IsInLastShutdownPhase()) {
+    if (!MayOrderStarts() || closed_read_ == Instant{}) {
       return;
     }
     const Instant begin = executor_.Now();
--- a/src/libdoorwood/cell/lead_proof.cpp
+++ b/src/libdoorwood/cell/lead_proof.cpp
@@ -48,8 +48,10 @@
 }
 
 void LeadProof::Tick() {
-  if (open_ && !reading_ &&
-      executor_.Now() - confirmed_at_ >= options_.interval) {
+  const Instant now = executor_.Now();
+  const bool may_read =
+      !reading_ || now - read_sent_ >= options_.unanswered_interval;
+  if (open_ && may_read && now - confirmed_at_ >= options_.interval) {
     Read();
   }
 }
@@ -58,6 +60,7 @@
   reading_ = true;
   read_requested_ = false;
   const Instant sent = executor_.Now();
+  read_sent_ = sent;
   store_.Get(key_, [this, sent, generation = generation_](
                        std::error_code error, const StoreItem& item) {
     if (generation == generation_) {
@@ -69,7 +72,7 @@
 void LeadProof::OnRead(Instant sent,
                        std::error_code error,
                        const StoreItem& item) {
-  reading_ = false;
+  reading_ = reading_ && sent != read_sent_;
   if (error == make_error_code(KvErrc::kNotFound)) {
     listener_.OnLeadDisproved("the lead key no longer exists");
     return;
