--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -244,6 +244,10 @@
   void Archive(const std::string& job, std::string record);
   /// Removes all keys of an archived job.
   void RemoveArchivedJob(const std::string& job);
+  /// The newest chain key of this journal has a TermEnd, or may get one by a
+  /// batch that was sent and whose outcome is not known. A successor may then
+  /// rely on it.
+  bool may_have_term_end() const;
 
   /// The new job is queued, or in a batch in flight and may already be stored.
   bool IsRecording(std::string_view job) const;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -90,6 +90,7 @@
   /// cancellation was not recorded in time or this instance stepped down.
   using CancelCallback = std::function<void(std::error_code)>;
   using PhaseCallback = std::function<void(std::error_code, JobPhase)>;
+  static constexpr Millis kUnlimitedGrace = std::chrono::hours(24);
 
   /// `adviser` may be null: tasks of queues that need advice then never start.
   /// `machines` may be null: no machine is then taken down for upkeep.
@@ -107,12 +108,15 @@
 
   void Start();
   /// Planned shutdown: records pending changes, releases the lead, then runs
-  /// `done`. After 0.3 s, the shutdown waits only for the jobs that were
-  /// submitted, and the changes that were urgent, by then. An instance that
-  /// is still reading the records of earlier leaders releases the lead at once.
-  /// Any other that does not lead runs `done` immediately, and releases the
-  /// lead if a campaign that is under way succeeds.
-  void ShutDown(std::function<void()> done);
+  /// `done`. Once the store has answered for 0.3 s, the shutdown waits only for
+  /// the jobs that were submitted, and the changes that were urgent, by then.
+  /// While the store is away, the leader goes on as far as its lead allows; it
+  /// releases the lead as soon as the store answers, and without waiting for
+  /// records if little is left of `grace`, after which the process ends. An
+  /// instance that is still reading the records of earlier leaders releases the
+  /// lead at once. Any other that does not lead runs `done` immediately, and
+  /// releases the lead if a campaign that is under way succeeds.
+  void ShutDown(std::function<void()> done, Millis grace = kUnlimitedGrace);
 
   void OnQueueTable(std::shared_ptr<const QueueTable> table);
   /// Called when instances, leads or the lease of this instance may have
@@ -302,6 +306,9 @@
   void Campaign();
   /// Earliest time at which this instance may campaign for a vacant lead.
   Instant EarliestCampaignTime() const;
+  /// When the instances that would register at the same time as this one have
+  /// done so; zero: this one need not wait for them.
+  Instant EndOfRegistrations() const;
   bool MayCampaign() const;
   /// Whether workers and instances of the data centre belong to this cell.
   bool BelongsToCell(std::string_view data_centre) const;
@@ -325,15 +332,25 @@
   /// records, unless it is due to be read again.
   void ApplyEarlyReads();
   void StepDown(std::string_view reason);
-  /// Whether a planned shutdown is in its last phase, in which no task is
-  /// placed and no cancellation is accepted. New jobs are refused from the next
-  /// check of the shutdown on, which seals the journal.
-  bool IsInLastShutdownPhase() const;
+  /// Whether the store did not answer when a planned shutdown began, and only
+  /// later.
+  bool WasStoreAwayAtShutdown() const;
+  /// Sets `releasing_since_` once the store has answered a call of a planned
+  /// shutdown. If the store has not answered for a while, resets it and
+  /// `orders_ended_`, unless a TermEnd of this term may be in the store.
+  void UpdateRelease();
+  /// Whether a planned shutdown may end the orders now: the store has just
+  /// answered, and what had to be recorded before is recorded or late.
+  bool MayEndOrders() const;
+  /// Whether the lead may be released now, once the orders have ended. Seals
+  /// the journal if only records that were urgent by now are waited for.
+  bool MayRelease(Millis grace);
   /// Ends all orders of a leader that shuts down, and requests the record of
   /// that.
   void EndOrders();
-  /// Removes this instance's lead key. Once the store has answered, or the call
-  /// has failed, completes a planned shutdown if one is under way.
+  /// Removes this instance's lead key. Once the key is certainly gone,
+  /// completes a planned shutdown if one is under way; until then, a process
+  /// that shuts down tries again.
   void ReleaseLeadKey();
   /// Steps down because this instance cannot reach the store, and asks `other`,
   /// which can, to remove the lead key.
@@ -434,8 +451,6 @@
   void ExtendOrderDeadline();
   /// Whether starts may be ordered now.
   bool MayOrderStarts() const;
-  /// Whether the store confirmed the lead key shortly before.
-  bool IsStoreAnswering() const;
   /// Whether the lead key was confirmed within
   /// `CellOptions::lead_confirmed_for`.
   bool IsLeadConfirmed() const;
@@ -862,6 +877,11 @@
   std::function<void()> on_shut_down_;
   /// Since when a planned shutdown is under way; zero: it is not.
   Instant shutdown_since_{};
+  /// Since when a planned shutdown extends no leases, because the store has
+  /// answered since it began; zero: there is none, or the store is away.
+  Instant releasing_since_{};
+  /// When the store last confirmed the lead key, by the arrival of its answer.
+  Instant store_answered_at_{};
   /// Since when a planned shutdown orders no starts and no lease extensions any
   /// more; zero: it still does, or there is none.
   Instant orders_ended_{};
--- a/src/libdoorwood/cell/cell_calls.cpp
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -142,7 +142,7 @@
 }
 
 void CellLeader::Cancel(const std::string& id, CancelCallback done) {
-  const bool takes_calls = leading() && !IsInLastShutdownPhase();
+  const bool takes_calls = leading() && orders_ended_ == Instant{};
   Job* job = takes_calls ? jobs_.Find(id) : nullptr;
   if (!takes_calls) {
     done(CoreErrc::kNoOwner);
