feat(ingress): one decision for refusals, times of return and short holds

Cause: while no leader accepts jobs, every instance refused with the same Retry-After of one second, so callers of 3 s used up their retries before anyone could serve them, and returned all at once.

Change: return_schedule decides from the signs of the leader, the forecast of the takeover and the caller's time limit whether a submission waits in the instance, when its caller should return, or that no return can be served. Instances learn by one waiting probe that a leader accepts. Logs of refusals are bounded. max_held_submissions: 0 holds nothing.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -79,7 +79,7 @@
                live_,
                log_,
                {&cell_},
-               IngressOptions{}),
+               MakeIngressOptions(settings_)),
       front_(
           ingress_,
           log_,
@@ -120,7 +120,10 @@
               {"front", settings_.client_address},
               {"store", settings_.store_address},
               {"cpu_share", settings_.cpu_share}});
-  live_.Start([this] { cell_.OnLiveChange(); });
+  live_.Start([this] {
+    cell_.OnLiveChange();
+    ingress_.OnLiveChange();
+  });
   config_.Start([this](const std::shared_ptr<const QueueTable>& table) {
     ApplyTable(table);
   });
@@ -142,6 +145,7 @@
   limits.idle_timeout = table->limits().idle_timeout;
   front_server_.SetLimits(limits);
   cell_.OnQueueTable(table);
+  ingress_.OnQueueTable(*table);
 }
 
 bool EntryDaemon::IsReady() const {
@@ -218,6 +222,7 @@
   stopping_ = true;
   stopping_since_ = executor_.Now();
   front_server_.Drain();
+  ingress_.StopHolding();
   live_.AnnounceLeaving();
   cell_.ShutDown([this] { lead_released_ = true; });
   FinishWhenIdle();
@@ -253,6 +258,7 @@
 
 HttpResponse EntryDaemon::EncodeMetrics() const {
   const CellCounters& counters = cell_.counters();
+  const ReturnCounters& returns = ingress_.return_counters();
   const std::pair<const char*, uint64_t> rows[] = {
       {"doorwood_jobs_accepted_total", counters.accepted},
       {"doorwood_starts_total", counters.starts},
@@ -272,6 +278,13 @@
        counters.directory_reads_failed},
       {"doorwood_takeovers_total", counters.takeovers},
       {"doorwood_step_downs_total", counters.step_downs},
+      {"doorwood_submissions_held", ingress_.held()},
+      {"doorwood_submissions_held_total", returns.held},
+      {"doorwood_held_submissions_accepted_total", returns.accepted_after_hold},
+      {"doorwood_callers_told_to_return_total", returns.told_to_return},
+      {"doorwood_callers_refused_for_good_total", returns.refused_for_good},
+      {"doorwood_longest_hold_ms",
+       static_cast<uint64_t>(returns.longest_hold.count())},
       {"doorwood_commits_total", cell_.journal().commits()},
       {"doorwood_records_waiting", cell_.journal().waiting()},
       {"doorwood_batches_under_way", cell_.journal().flow().in_flight()},
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -120,6 +120,9 @@
   void OnLeadHandedOver(int64_t epoch);
 
   bool leading() const { return stage_ == Stage::kLeading; }
+  /// True while this instance holds the lead and reads the records of earlier
+  /// leaders; it accepts no jobs yet.
+  bool reading() const { return stage_ == Stage::kReading; }
   /// Time since the store last answered this instance. Instances that cannot
   /// reach the store query this time from the others: without the store, a
   /// leader may continue only while no other instance can take the lead. Empty
--- a/src/include/doorwood/entry_settings.h
+++ b/src/include/doorwood/entry_settings.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "doorwood/cell_leader.h"
+#include "doorwood/ingress.h"
 #include "doorwood/live_directory.h"
 #include "doorwood/yaml_reader.h"
 
@@ -57,6 +58,9 @@
   /// Minimum time before another leader may take over the handling of a
   /// machine, so that two leaders do not alternate on it.
   Millis machine_holder_lease{3000};
+  /// Maximum number of submissions that wait in this instance while no leader
+  /// accepts jobs; 0: none does.
+  int max_held_submissions = 0;
 };
 
 /// Parses and validates the settings. Returns nothing if there is any problem.
@@ -65,6 +69,8 @@
 
 /// Returns the cell options that follow from the settings.
 CellOptions MakeCellOptions(const EntrySettings& settings);
+/// Returns the ingress options that follow from the settings.
+IngressOptions MakeIngressOptions(const EntrySettings& settings);
 
 }  // namespace doorwood
 
--- a/src/include/doorwood/ingress.h
+++ b/src/include/doorwood/ingress.h
@@ -3,7 +3,9 @@
 /// \file
 /// Routes calls about jobs from any entry instance: calls about an existing
 /// job are sent to the cell that has the job, a new job to the cell with the
-/// least load, where the local cell's load is reduced by a bonus.
+/// least load, where the local cell's load is reduced by a bonus. While no cell
+/// accepts jobs, a submission waits in this instance or is refused with a time
+/// of return (see return_schedule.h).
 
 #ifndef DOORWOOD_INGRESS_H_
 #define DOORWOOD_INGRESS_H_
@@ -14,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -22,8 +25,11 @@
 #include "doorwood/cell_leader.h"
 #include "doorwood/event_log.h"
 #include "doorwood/executor.h"
+#include "doorwood/line_limiter.h"
 #include "doorwood/live_directory.h"
+#include "doorwood/queue_table.h"
 #include "doorwood/record_store.h"
+#include "doorwood/return_schedule.h"
 
 namespace doorwood {
 
@@ -49,6 +55,36 @@
                              const std::string& job,
                              StateCallback done) = 0;
   virtual void FetchCellSummary(const CellLead& lead, SummaryCallback done) = 0;
+  /// As FetchCellSummary, but a leader that still reads its records answers
+  /// once it accepts jobs, or with CoreErrc::kNoOwner after `wait`.
+  virtual void AwaitAcceptance(const CellLead& lead,
+                               Millis wait,
+                               SummaryCallback done) = 0;
+};
+
+/// What is known about the caller of a submission.
+struct Caller {
+  /// How long the caller waits for the answer; empty if not known.
+  std::optional<Millis> time_left;
+  /// Returns true once the caller has closed the connection; may be empty.
+  std::function<bool()> is_gone;
+};
+
+struct SubmitResult {
+  std::error_code error;
+  AcceptOutcome outcome{};
+  /// If the submission is refused: when the caller should return; 0: no return
+  /// within the caller's time limit can be served.
+  Seconds return_after{0};
+};
+
+/// Counters of submissions that no leader accepted at once.
+struct ReturnCounters {
+  uint64_t held = 0;
+  uint64_t accepted_after_hold = 0;
+  uint64_t told_to_return = 0;
+  uint64_t refused_for_good = 0;
+  Millis longest_hold{0};
 };
 
 struct IngressOptions {
@@ -66,12 +102,20 @@
   Millis leader_answer_timeout{1500};
   /// Maximum number of jobs whose cell is cached.
   size_t max_cached_jobs = 20'000;
+  ReturnScheduleOptions returns;
+  ServiceForecastOptions forecast;
+  /// While submissions wait, how often they and the leads are checked, and how
+  /// soon a leader that did not answer or refused is probed again.
+  Millis hold_check_interval{50};
+  Millis probe_interval{200};
+  /// How long a leader that reads its records may take to answer a probe.
+  Millis probe_wait{800};
 };
 
 /// All calls on the control thread.
 class Ingress {
  public:
-  using SubmitCallback = CellPeers::SubmitCallback;
+  using SubmitCallback = std::function<void(const SubmitResult&)>;
   using CancelCallback = CellPeers::CancelCallback;
   using StateCallback = CellPeers::StateCallback;
 
@@ -89,9 +133,10 @@
   /// Submits a job to the cell with the least load, or to the next one while a
   /// cell has no reachable leader or no capacity. A job whose cell is cached is
   /// submitted to that cell only. Failure: CoreErrc::kNoOwner,
-  /// kStoreUnavailable or kNoCapacity (definitely not accepted), or
+  /// kStoreUnavailable or kNoCapacity (definitely not accepted), kNotFound (not
+  /// accepted; the queue was removed while the submission waited), or
   /// kOutcomeUnknown (the caller may submit the same job again).
-  void Submit(JobPlan plan, SubmitCallback done);
+  void Submit(JobPlan plan, const Caller& caller, SubmitCallback done);
   /// Cancel and FetchJobState fail with kNotFound only if the store has no such
   /// job.
   void Cancel(const std::string& job, CancelCallback done);
@@ -101,6 +146,19 @@
   int PendingJobCount(const std::string& queue) const;
   /// True if at least one cell has a leader that this instance can reach.
   bool HasReachableLeader() const;
+  /// When a call that failed with kNoOwner or kStoreUnavailable should be made
+  /// again.
+  Seconds time_to_retry() const;
+
+  /// Called when leads may have changed. Optional: submissions that wait check
+  /// the leads themselves.
+  void OnLiveChange() { ObserveLeads(); }
+  /// Refuses the waiting submissions whose queue is not in the table.
+  void OnQueueTable(const QueueTable& table);
+  /// Refuses the waiting submissions; from now on none waits.
+  void StopHolding();
+  size_t held() const { return held_.size(); }
+  const ReturnCounters& return_counters() const { return return_counters_; }
 
  private:
   struct KnownCell {
@@ -113,7 +171,36 @@
     Instant polled_since{};
     /// When the cell's last summary arrived.
     Instant answered_at{};
+    /// Epoch of the newest lead in the directory, and when it was first seen.
+    int64_t seen_epoch = 0;
+    Instant seen_at{};
+    /// When the lead was first seen to be vacant; zero while it is not.
+    Instant vacant_since{};
+    /// Newest epoch whose leader is known to have accepted jobs.
+    int64_t serving_epoch = 0;
+    /// Newest epoch whose leader refused a connection, or does not lead any
+    /// more; cleared by the next summary.
+    int64_t lost_epoch = 0;
+    /// When a leader of the cell last answered a call, and last failed to.
+    Instant last_sign_at{};
+    Instant failed_at{};
+    /// When the AwaitAcceptance call under way was made; zero if there is none.
+    Instant probed_since{};
+    int64_t probed_epoch = 0;
+  };
+  /// A submission on its way to a leader or waiting for one.
+  struct Submission {
+    JobPlan plan;
+    std::optional<Instant> deadline;
+    std::function<bool()> is_gone;
+    SubmitCallback done;
+    Instant arrived_at{};
+    bool was_held = false;
+    /// It was sent again at once, since a leader accepts jobs now.
+    bool sent_again = false;
   };
+  using SubmissionPtr = std::shared_ptr<Submission>;
+  using HeldSubmissions = std::multimap<Instant, SubmissionPtr>;
   using CellCallback = std::function<void(std::error_code, std::string)>;
 
   /// This instance's leader of the cell; null: it does not lead the cell.
@@ -126,14 +213,54 @@
   std::vector<std::string> CellsByLoad() const;
   /// Unfinished work per processor core, in seconds; also 0 if not known.
   double Load(const std::string& cell) const;
-  /// Tries `cells` in turn until one has a reachable leader and capacity. If
-  /// none has, or on any other error, passes the last error to `done`.
-  void SubmitToFirstAvailableCell(std::shared_ptr<JobPlan> plan,
-                                  std::vector<std::string> cells,
-                                  SubmitCallback done);
+  void Forward(const SubmissionPtr& submission);
+  /// Tries `cells` in turn until one has a reachable leader and capacity.
+  void SubmitToFirstAvailableCell(const SubmissionPtr& submission,
+                                  std::vector<std::string> cells);
   void SubmitToCell(const std::string& cell,
                     const JobPlan& plan,
-                    SubmitCallback done);
+                    CellPeers::SubmitCallback done);
+  void OnSubmitAnswer(const SubmissionPtr& submission,
+                      const std::string& cell,
+                      std::error_code error,
+                      AcceptOutcome outcome);
+
+  // Signs of leaders.
+  void ObserveLeads();
+  void OnLeaderServes(const std::string& cell, int64_t epoch);
+  void OnLeaderFails(const std::string& cell,
+                     int64_t epoch,
+                     std::error_code error);
+  LeaderSigns SignsOf(const std::string& cell) const;
+  /// When the first of the cells accepts jobs, see ServiceForecast::ServiceAt.
+  std::optional<Instant> ServiceAt() const;
+  /// True if a call about a new job would most likely be refused: a probe of
+  /// the leader is under way, or has just failed.
+  bool IsKnownNotToServe(const std::string& cell) const;
+  void ProbeLeader(const std::string& cell, const CellLead& lead);
+  void ProbeLostLeaders();
+
+  // Submissions that no leader accepted.
+  ReturnQuestion QuestionAbout(const Submission& submission) const;
+  void HoldOrRefuse(const SubmissionPtr& submission);
+  void Hold(const SubmissionPtr& submission);
+  /// Refuses a submission that a reachable leader did not accept.
+  void RefuseByLeader(const Submission& submission, std::error_code error);
+  void Refuse(const Submission& submission,
+              std::error_code error,
+              const ReturnDecision& decision);
+  /// An earlier call for the job may have been accepted, so the job must not be
+  /// reported as not accepted while no leader can tell.
+  bool MayBeAccepted(const std::string& job) const;
+  void RememberUnknownOutcome(const std::string& job);
+  void CheckHeld();
+  void ScheduleCheck(Millis delay);
+  void RefuseHeldThatCannotWait(std::optional<Instant> service_at);
+  void ReleaseHeld();
+  HeldSubmissions::iterator EndHold(HeldSubmissions::iterator place);
+  /// Number of instances that take submissions.
+  size_t CountInstances() const;
+
   /// The leader to ask about a job before its cell is looked up: the only known
   /// leader, if it is reachable on another instance and the job's cell is not
   /// cached. It most likely has the job, and it answers even if the store is
@@ -161,6 +288,20 @@
   std::map<std::string, KnownCell> cells_;
   std::unordered_map<std::string, std::string> cell_of_job_;
   std::deque<std::string> cached_jobs_;
+
+  ServiceForecast forecast_;
+  ReturnSchedule returns_;
+  /// By deadline, so that those with the least time left are released first.
+  HeldSubmissions held_;
+  bool stopping_ = false;
+  Executor::TimerId check_timer_ = 0;
+  Instant next_release_at_{};
+  /// Jobs of which a submission through this instance had an unknown outcome;
+  /// the oldest are forgotten.
+  std::set<std::string> unknown_outcomes_;
+  std::deque<std::string> unknown_outcome_order_;
+  ReturnCounters return_counters_;
+  LineLimiter refusal_lines_;
 };
 
 }  // namespace doorwood
--- a/src/include/doorwood/types.h
+++ b/src/include/doorwood/types.h
@@ -30,6 +30,7 @@
 /// and lifetimes are sent instead.
 using Instant = BootClock::time_point;
 using Millis = std::chrono::milliseconds;
+using Seconds = std::chrono::seconds;
 
 /// Labels of a task or an instance, from key to value.
 using Labels = std::map<std::string, std::string>;
--- a/src/libdoorwood/config/entry_settings.cpp
+++ b/src/libdoorwood/config/entry_settings.cpp
@@ -10,6 +10,7 @@
 constexpr Range kGraceMillis{500, 600'000};
 constexpr Range kLeaseMillis{1000, 600'000};
 constexpr Range kRetentionMillis{1000, 86'400'000};
+constexpr Range kHeldSubmissions{0, 1000};
 constexpr double kSmallestShare = 0.001;
 constexpr double kLargestShare = 1024;
 // A run continues for this long without contact from a leader. The lease
@@ -62,6 +63,8 @@
               &settings.finished_job_retention);
   reader.Read("machine_holder_lease_ms", kLeaseMillis,
               &settings.machine_holder_lease);
+  reader.Read("max_held_submissions", kHeldSubmissions,
+              &settings.max_held_submissions);
   reader.ReportUnknownKeys();
   if (!problems->empty()) {
     return std::nullopt;
@@ -85,4 +88,11 @@
   return options;
 }
 
+IngressOptions MakeIngressOptions(const EntrySettings& settings) {
+  IngressOptions options;
+  options.returns.max_held = static_cast<size_t>(settings.max_held_submissions);
+  options.forecast.lease_ttl = LiveOptions{}.lease_ttl;
+  return options;
+}
+
 }  // namespace doorwood
--- a/src/libdoorwood/config/parse_test.cpp
+++ b/src/libdoorwood/config/parse_test.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "doorwood/config.h"
+#include "doorwood/entry_settings.h"
 #include "doorwood/manifest.h"
 #include "doorwood/selector.h"
 #include "doorwood/settings.h"
@@ -174,6 +175,33 @@
       ParseSettings);
 }
 
+constexpr const char* kEntrySettings =
+    "instance: a\ndata_centre: d\nfront: 127.0.0.1:1\nready: 127.0.0.1:2\n"
+    "peer: 127.0.0.1:3\nmetrics: 127.0.0.1:4\nstore: 127.0.0.1:5\n";
+
+BOOST_AUTO_TEST_CASE(
+    ParseEntrySettings_InvalidHeldCount_IsRejectedWithLocation) {
+  const std::string good = kEntrySettings;
+  const std::string negative = good + "max_held_submissions: -1\n";
+  const std::string many = good + "max_held_submissions: 1001\n";
+  const std::string text = good + "max_held_submissions: some\n";
+  CheckRejected({{negative.c_str(), "f:8:23: max_held_submissions: must be"},
+                 {many.c_str(), "f:8:23: max_held_submissions: must be"},
+                 {text.c_str(), "f:8:23: max_held_submissions: must be"}},
+                ParseEntrySettings);
+}
+
+BOOST_AUTO_TEST_CASE(MakeIngressOptions_ValidSettings_TakesTheirValues) {
+  Problems problems("f");
+  const std::string good = kEntrySettings;
+  auto settings = ParseEntrySettings(good, &problems);
+  BOOST_REQUIRE_MESSAGE(settings, problems.text());
+  BOOST_TEST(MakeIngressOptions(*settings).returns.max_held == 0u);
+  settings = ParseEntrySettings(good + "max_held_submissions: 7\n", &problems);
+  BOOST_REQUIRE_MESSAGE(settings, problems.text());
+  BOOST_TEST(MakeIngressOptions(*settings).returns.max_held == 7u);
+}
+
 BOOST_AUTO_TEST_CASE(MakeInstanceOptions_ValidSettings_TakesTheirValues) {
   Problems problems("f");
   const auto settings = ParseSettings(
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -20,7 +20,9 @@
       live_(live),
       log_(log),
       local_(std::move(local)),
-      options_(options) {}
+      options_(options),
+      forecast_(options.forecast),
+      returns_(options.returns) {}
 
 void Ingress::Start() {
   PollSummaries();
@@ -129,71 +131,104 @@
 
 // --- Submitting ---
 
-void Ingress::Submit(JobPlan plan, SubmitCallback done) {
+void Ingress::Submit(JobPlan plan, const Caller& caller, SubmitCallback done) {
+  ObserveLeads();
+  auto submission = std::make_shared<Submission>();
+  submission->plan = std::move(plan);
+  submission->arrived_at = executor_.Now();
+  if (caller.time_left) {
+    submission->deadline = submission->arrived_at + *caller.time_left;
+  }
+  submission->is_gone = caller.is_gone;
+  submission->done = std::move(done);
+  Forward(submission);
+}
+
+void Ingress::Forward(const SubmissionPtr& submission) {
   std::vector<std::string> cells = CellsByLoad();
   // A repeated submission is sent to the cell that has the job.
-  const auto known = cell_of_job_.find(plan.id);
+  const auto known = cell_of_job_.find(submission->plan.id);
   if (known != cell_of_job_.end()) {
     cells = {known->second};
   }
-  SubmitToFirstAvailableCell(std::make_shared<JobPlan>(std::move(plan)),
-                             std::move(cells), std::move(done));
+  SubmitToFirstAvailableCell(submission, std::move(cells));
 }
 
-void Ingress::SubmitToFirstAvailableCell(std::shared_ptr<JobPlan> plan,
-                                         std::vector<std::string> cells,
-                                         SubmitCallback done) {
+void Ingress::SubmitToFirstAvailableCell(const SubmissionPtr& submission,
+                                         std::vector<std::string> cells) {
   if (cells.empty()) {
-    done(CoreErrc::kNoOwner, {});
+    HoldOrRefuse(submission);
     return;
   }
   const std::string cell = cells.front();
   cells.erase(cells.begin());
   SubmitToCell(
-      cell, *plan,
-      [this, plan, cell, cells = std::move(cells), done = std::move(done)](
+      cell, submission->plan,
+      [this, submission, cell, cells = std::move(cells)](
           std::error_code error, AcceptOutcome outcome) mutable {
         const bool not_submitted =
             error == make_error_code(PeerErrc::kNotSent) ||
             error == make_error_code(CoreErrc::kNoOwner);
         if (not_submitted) {
-          log_.Write(
-              "info", "ingress",
-              "job not submitted to this cell: no reachable leader accepts "
-              "jobs",
-              {{"job", plan->id}, {"cell", cell}, {"error", error.message()}});
           live_.Refresh();
-          SubmitToFirstAvailableCell(plan, std::move(cells), std::move(done));
+          SubmitToFirstAvailableCell(submission, std::move(cells));
           return;
         }
         if (error == make_error_code(CoreErrc::kNoCapacity) && !cells.empty()) {
-          SubmitToFirstAvailableCell(plan, std::move(cells), std::move(done));
+          SubmitToFirstAvailableCell(submission, std::move(cells));
           return;
         }
-        if (error == make_error_code(PeerErrc::kNoAnswer)) {
-          error = CoreErrc::kOutcomeUnknown;
-        }
-        if (!error && outcome == AcceptOutcome::kAccepted) {
-          CacheCell(plan->id, cell);
-          cells_[cell].work_sent_since += EstimatedWork(*plan);
-        }
-        done(error, outcome);
+        OnSubmitAnswer(submission, cell, error, outcome);
       });
 }
 
 void Ingress::SubmitToCell(const std::string& cell,
                            const JobPlan& plan,
-                           SubmitCallback done) {
+                           CellPeers::SubmitCallback done) {
   if (CellLeader* leader = LocalLeader(cell)) {
     leader->Submit(plan, std::move(done));
     return;
   }
   const CellLead* lead = ReachableLead(cell);
-  if (lead == nullptr) {
+  if (lead == nullptr || IsKnownNotToServe(cell)) {
     done(CoreErrc::kNoOwner, {});
     return;
   }
-  peers_.Submit(*lead, plan, std::move(done));
+  peers_.Submit(*lead, plan,
+                [this, cell, epoch = lead->epoch, done = std::move(done)](
+                    std::error_code error, AcceptOutcome outcome) {
+                  if (error) {
+                    OnLeaderFails(cell, epoch, error);
+                  } else {
+                    OnLeaderServes(cell, epoch);
+                  }
+                  done(error, outcome);
+                });
+}
+
+void Ingress::OnSubmitAnswer(const SubmissionPtr& submission,
+                             const std::string& cell,
+                             std::error_code error,
+                             AcceptOutcome outcome) {
+  const JobPlan& plan = submission->plan;
+  if (error == make_error_code(CoreErrc::kStoreUnavailable) ||
+      error == make_error_code(CoreErrc::kNoCapacity)) {
+    RefuseByLeader(*submission, error);
+    return;
+  }
+  if (error == make_error_code(PeerErrc::kNoAnswer)) {
+    error = CoreErrc::kOutcomeUnknown;
+  }
+  if (error == make_error_code(CoreErrc::kOutcomeUnknown)) {
+    RememberUnknownOutcome(plan.id);
+  }
+  if (!error && outcome == AcceptOutcome::kAccepted) {
+    CacheCell(plan.id, cell);
+    cells_[cell].work_sent_since += EstimatedWork(plan);
+  }
+  return_counters_.accepted_after_hold +=
+      !error && submission->was_held ? 1 : 0;
+  submission->done({error, outcome, Seconds(0)});
 }
 
 // --- Calls about existing jobs ---
@@ -329,6 +364,7 @@
 }
 
 void Ingress::PollSummaries() {
+  ObserveLeads();
   for (const auto& [cell, lead] : live_.leads()) {
     if (CellLeader* leader = LocalLeader(cell)) {
       OnSummary(cell, leader->summary());
@@ -347,8 +383,11 @@
                   std::error_code error, const CellSummary& summary) {
           // A late answer of an earlier leader is ignored, because it does not
           // show that the current one answers.
-          if (!error && cells_[cell].polled_epoch == epoch) {
+          if (error) {
+            OnLeaderFails(cell, epoch, error);
+          } else if (cells_[cell].polled_epoch == epoch) {
             OnSummary(cell, summary);
+            OnLeaderServes(cell, epoch);
           }
         });
   }
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -28,6 +28,11 @@
 constexpr char kStoreAnswerPath[] = "/store-heard";
 constexpr char kUnrecordedStartsPath[] = "/unrecorded-starts";
 constexpr std::string_view kHandOverPath = "/hand-over/";
+// Query of a call for a summary that waits while the leader reads its records,
+// followed by the longest wait in milliseconds.
+constexpr std::string_view kWaitQuery = "wait_ms=";
+constexpr Millis kMaxWait{5000};
+constexpr Millis kWaitCheckInterval{20};
 constexpr int kBadRequest = 400;
 
 constexpr std::array<JobPhase, 5> kJobPhases = {
@@ -128,6 +133,18 @@
   });
 }
 
+HttpClient::Callback DecodeSummaryReply(CellPeers::SummaryCallback done) {
+  return
+      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
+        const auto summary = DecodeSummary(reply.body);
+        if (!error && (reply.status != kOk || !summary)) {
+          error = reply.status == kOk ? make_error_code(CoreErrc::kInvalid)
+                                      : ErrorOf(reply.status);
+        }
+        done(error, summary.value_or(CellSummary{}));
+      };
+}
+
 // Upper bound of the reported time. An instance that has no cells reports this
 // value.
 constexpr Millis kMaxAge{86'400'000};
@@ -191,16 +208,16 @@
 
 void HttpCellPeers::FetchCellSummary(const CellLead& lead,
                                      SummaryCallback done) {
-  client_.Send(
-      Call(lead, "GET", "", kSummaryTimeout),
-      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
-        const auto summary = DecodeSummary(reply.body);
-        if (!error && (reply.status != kOk || !summary)) {
-          error = reply.status == kOk ? make_error_code(CoreErrc::kInvalid)
-                                      : ErrorOf(reply.status);
-        }
-        done(error, summary.value_or(CellSummary{}));
-      });
+  client_.Send(Call(lead, "GET", "", kSummaryTimeout),
+               DecodeSummaryReply(std::move(done)));
+}
+
+void HttpCellPeers::AwaitAcceptance(const CellLead& lead,
+                                    Millis wait,
+                                    SummaryCallback done) {
+  HttpCall call = Call(lead, "GET", "", kSummaryTimeout + wait);
+  call.target += "?" + std::string(kWaitQuery) + std::to_string(wait.count());
+  client_.Send(std::move(call), DecodeSummaryReply(std::move(done)));
 }
 
 void HttpCellPeers::QueryTimeSinceStoreAnswer(const LiveInstance& instance,
@@ -291,6 +308,40 @@
   return nullptr;
 }
 
+bool CellPeerService::IsReading(const std::string& cell) const {
+  return std::any_of(cells_.begin(), cells_.end(),
+                     [&cell](const CellLeader* leader) {
+                       return leader->cell() == cell && leader->reading();
+                     });
+}
+
+void CellPeerService::AnswerWhenAccepting(const std::string& cell,
+                                          Millis wait,
+                                          Answer answer) {
+  if (waiting_.empty()) {
+    executor_.Schedule(kWaitCheckInterval, [this] { AnswerWaiting(); });
+  }
+  waiting_.push_back({cell, executor_.Now() + wait, std::move(answer)});
+}
+
+void CellPeerService::AnswerWaiting() {
+  const Instant now = executor_.Now();
+  auto waiting = std::move(waiting_);
+  waiting_.clear();
+  for (WaitingCall& call : waiting) {
+    if (const CellLeader* leader = FindLeader(call.cell)) {
+      call.answer({}, EncodeSummary(leader->summary()).dump());
+    } else if (now >= call.until || !IsReading(call.cell)) {
+      call.answer(CoreErrc::kNoOwner, "");
+    } else {
+      waiting_.push_back(std::move(call));
+    }
+  }
+  if (!waiting_.empty()) {
+    executor_.Schedule(kWaitCheckInterval, [this] { AnswerWaiting(); });
+  }
+}
+
 void CellPeerService::Handle(const HttpRequest& request,
                              HttpServer::Respond respond) {
   constexpr std::string_view kPrefix = "/cell/";
@@ -326,7 +377,16 @@
   const size_t slash = rest.find('/');
   const std::string job =
       slash == std::string::npos ? "" : rest.substr(slash + 1);
-  CellLeader* leader = FindLeader(rest.substr(0, slash));
+  const std::string cell = rest.substr(0, slash);
+  CellLeader* leader = FindLeader(cell);
+  if (leader == nullptr && job.empty() && IsReading(cell) &&
+      request.query.starts_with(kWaitQuery)) {
+    const auto wait =
+        DecodeAge(std::string_view(request.query).substr(kWaitQuery.size()));
+    AnswerWhenAccepting(cell, std::min(wait.value_or(Millis(0)), kMaxWait),
+                        std::move(answer));
+    return;
+  }
   if (leader == nullptr) {
     answer(CoreErrc::kNoOwner, "");
     return;
--- a/src/loop.adapter/http_peers.h
+++ b/src/loop.adapter/http_peers.h
@@ -30,6 +30,9 @@
                      const std::string& job,
                      StateCallback done) override;
   void FetchCellSummary(const CellLead& lead, SummaryCallback done) override;
+  void AwaitAcceptance(const CellLead& lead,
+                       Millis wait,
+                       SummaryCallback done) override;
   void QueryTimeSinceStoreAnswer(const LiveInstance& instance,
                                  Callback done) override;
   void RequestUnrecordedStartsAgreement(
@@ -53,14 +56,29 @@
   void Handle(const HttpRequest& request, HttpServer::Respond respond);
 
  private:
+  using Answer = std::function<void(std::error_code, std::string)>;
+
   CellLeader* FindLeader(const std::string& cell) const;
   std::optional<Millis> TimeSinceStoreAnswer() const;
   bool AgreeToUnrecordedStarts();
   /// `rest` has the form "CELL/EPOCH"; returns false if it cannot be parsed.
   bool HandleHandOver(std::string_view rest);
+  bool IsReading(const std::string& cell) const;
+  /// Answers with the summary once the cell's leader, which reads its records,
+  /// accepts jobs; with CoreErrc::kNoOwner after `wait` or if it stops leading.
+  void AnswerWhenAccepting(const std::string& cell, Millis wait, Answer answer);
+  void AnswerWaiting();
+
+  /// A call that waits for the end of reading.
+  struct WaitingCall {
+    std::string cell;
+    Instant until{};
+    Answer answer;
+  };
 
   Executor& executor_;
   std::vector<CellLeader*> cells_;
+  std::vector<WaitingCall> waiting_;
 };
 
 }  // namespace doorwood
--- a/src/loop.adapter/http_server.cpp
+++ b/src/loop.adapter/http_server.cpp
@@ -2,12 +2,15 @@
 
 #include "loop.adapter/http_server.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <optional>
 #include <utility>
 
@@ -45,6 +48,15 @@
   size_t connections = 0;
 };
 
+std::string_view HttpRequest::header(std::string_view name) const {
+  for (const auto& [key, value] : headers) {
+    if (beast::iequals(key, beast::string_view(name.data(), name.size()))) {
+      return value;
+    }
+  }
+  return {};
+}
+
 // One connection. Its pending asynchronous operations and the responses that
 // are still outstanding keep the object alive.
 class HttpServer::Session : public std::enable_shared_from_this<Session> {
@@ -117,6 +129,13 @@
     }
     const std::string_view host = ToView(message[http::field::host]);
     request.host = std::string(host.substr(0, host.find(':')));
+    for (const auto& field : message) {
+      request.headers.emplace_back(ToView(field.name_string()),
+                                   ToView(field.value()));
+    }
+    request.is_client_gone = [self = shared_from_this()] {
+      return self->IsClientGone();
+    };
     close_after_ = !message.keep_alive();
     request.body = std::move(parser_->get().body());
     stream_.expires_never();
@@ -133,6 +152,16 @@
     });
   }
 
+  // Nothing is read while a request is handled, so the end of the connection
+  // is found by looking at the next byte.
+  bool IsClientGone() {
+    char next = 0;
+    const ssize_t count = ::recv(stream_.socket().native_handle(), &next,
+                                 sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    const bool no_data_yet = count < 0 && (errno == EAGAIN || errno == EINTR);
+    return count <= 0 && !no_data_yet;
+  }
+
   void Write(HttpResponse response) {
     response_ = {};
     response_.version(11);
--- a/src/loop.adapter/http_server.h
+++ b/src/loop.adapter/http_server.h
@@ -11,6 +11,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "doorwood/types.h"
 
@@ -24,6 +26,14 @@
   /// Value of the Host header without the port.
   std::string host;
   std::string body;
+  std::vector<std::pair<std::string, std::string>> headers;
+  /// Returns true once the client has closed the connection; may be called
+  /// until the response is passed on. Empty in requests made by tests.
+  std::function<bool()> is_client_gone;
+
+  /// Returns the value of the header, whose name has any case; empty if the
+  /// request has none.
+  std::string_view header(std::string_view name) const;
 };
 
 struct HttpResponse {
