fix(ingress): hold through a long reading of the records; always name a time

Cause: with no takeover observed, a reading of 1 s was taken for one without a known end after 0.8 s, and the submissions held were refused 0.2 s before the leader accepted. A refusal without a time was returned to after 0.1 to 0.4 s.

Change: a step has no known end once it is overdue by 1 s and by its forecast. Refusals for good carry the first time at which anyone can serve. Tests of the waiting call between instances and of the caller's connection and header.

--- a/src/include/doorwood/ingress.h
+++ b/src/include/doorwood/ingress.h
@@ -73,8 +73,8 @@
 struct SubmitResult {
   std::error_code error;
   AcceptOutcome outcome{};
-  /// If the submission is refused: when the caller should return; 0: no return
-  /// within the caller's time limit can be served.
+  /// If the submission is refused: when the caller should return, see
+  /// ReturnDecision.
   Seconds return_after{0};
 };
 
--- a/src/include/doorwood/return_schedule.h
+++ b/src/include/doorwood/return_schedule.h
@@ -43,7 +43,10 @@
   /// Until this instance has observed takeovers: how long a lead stays vacant,
   /// and how long a new leader reads its records.
   Millis initial_vacancy{200};
-  Millis initial_reading{400};
+  Millis initial_reading{600};
+  /// A step that is overdue by more than this, and by more than its forecast,
+  /// has no known end.
+  Millis max_overdue{1000};
   /// Added to the end of a lease, for the store to remove the key and this
   /// instance to notice it.
   Millis lease_end_margin{500};
@@ -62,9 +65,9 @@
 
   /// Returns when the cell's leader accepts jobs, `now` if it does already.
   /// Empty if that is not known: the store does not answer, so that nobody can
-  /// take the lead; or the step under way took more than twice as long as
-  /// forecast; or a lost leader's key outlasts its lease, so that the leader is
-  /// alive and only this instance does not reach it.
+  /// take the lead; or the step under way is overdue by more than
+  /// `max_overdue` and its forecast; or a lost leader's key outlasts its lease,
+  /// so that the leader is alive and only this instance does not reach it.
   std::optional<Instant> ServiceAt(const LeaderSigns& signs,
                                    bool store_responsive,
                                    Instant now) const;
@@ -118,7 +121,9 @@
     kHold,
     /// The caller should return after `retry_after`.
     kReturnLater,
-    /// No return within the caller's time limit can be served.
+    /// No return within the caller's time limit can be served. `retry_after`
+    /// is the first time at which a return can be, so beyond that limit if it
+    /// is known, and else a second.
     kRefuse,
   };
   Kind kind = Kind::kRefuse;
--- a/src/libdoorwood/policy/return_schedule.cpp
+++ b/src/libdoorwood/policy/return_schedule.cpp
@@ -12,17 +12,19 @@
   return std::chrono::floor<Seconds>(time.time_since_epoch()).count();
 }
 
-// A step that ends at `expected` as forecast. Once that has passed, as much
-// time again is expected, at most until the step took twice its forecast.
+// A step of a takeover that ends at `expected` as forecast. Once that has
+// passed, the step is expected to last as much longer as it is overdue.
 std::optional<Instant> ExtendOverdue(Instant since,
                                      Instant expected,
+                                     Millis max_overdue,
                                      Instant now) {
   if (now <= expected) {
     return expected;
   }
   const auto overdue = now - expected;
-  return overdue > expected - since ? std::nullopt
-                                    : std::optional(now + overdue);
+  const bool known =
+      overdue <= std::max<Instant::duration>(expected - since, max_overdue);
+  return known ? std::optional(now + overdue) : std::nullopt;
 }
 
 }  // namespace
@@ -66,9 +68,11 @@
   std::optional<Instant> lead_taken;
   switch (signs.stage) {
     case LeaderSigns::Stage::kReading:
-      return ExtendOverdue(signs.since, signs.since + reading, now);
+      return ExtendOverdue(signs.since, signs.since + reading,
+                           options_.max_overdue, now);
     case LeaderSigns::Stage::kVacant:
-      lead_taken = ExtendOverdue(signs.since, signs.since + vacancy, now);
+      lead_taken = ExtendOverdue(signs.since, signs.since + vacancy,
+                                 options_.max_overdue, now);
       break;
     default: {
       const Instant lease_end = signs.since + options_.lease_ttl;
@@ -122,7 +126,7 @@
                                         options_.accept_time - question.now)
           : first + Seconds(options_.spread_seconds - 1);
   if (first > last) {
-    return {ReturnDecision::Kind::kRefuse, {}};
+    return {ReturnDecision::Kind::kRefuse, first};
   }
   const double instances =
       static_cast<double>(std::max<size_t>(question.instances, 1));
--- a/src/loop.adapter/http_client_test.cpp
+++ b/src/loop.adapter/http_client_test.cpp
@@ -126,6 +126,39 @@
   BOOST_TEST(client.connect_attempts() == 1U);
 }
 
+// A submission that waits in an instance must not outlive its caller's
+// connection, and its caller's time limit arrives in a header.
+BOOST_AUTO_TEST_CASE(Handle_ClientCloses_IsSeenWhileRequestIsOpen) {
+  boost::asio::io_context context;
+  std::optional<HttpRequest> request;
+  HttpServer::Respond respond;
+  HttpServer server(context, [&](HttpRequest received, HttpServer::Respond to) {
+    request = std::move(received);
+    respond = std::move(to);
+  });
+  tcp::acceptor probe(
+      context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const tcp::endpoint endpoint = probe.local_endpoint();
+  probe.close();
+  server.Listen("127.0.0.1:" + std::to_string(endpoint.port()));
+  tcp::socket client(context);
+  client.connect(endpoint);
+  boost::asio::write(
+      client, boost::asio::buffer(std::string(
+                  "GET / HTTP/1.1\r\nHost: a\r\ntime-limit: 17\r\n\r\n")));
+  while (!request) {
+    context.run_one();
+  }
+  BOOST_TEST(request->header("Time-Limit") == "17");
+  BOOST_TEST(request->header("Other").empty());
+  BOOST_TEST(!request->is_client_gone());
+  client.close();
+  BOOST_TEST(request->is_client_gone());
+  respond(HttpResponse{});
+  context.poll();
+  BOOST_TEST(server.open_requests() == 0u);
+}
+
 struct Outcome {
   std::error_code error;
   HttpReply reply;
--- a/src/loop.adapter/http_peers_test.cpp
+++ b/src/loop.adapter/http_peers_test.cpp
@@ -6,8 +6,12 @@
 #include "loop.adapter/http_peers.h"
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
+#include "fakes/cell_world.h"
 #include "loop.adapter/scripted_server.h"
 
 namespace doorwood {
@@ -98,5 +102,73 @@
   }
 }
 
+// A successor that reads its records and the calls that wait for the end of it.
+struct ReadingLeaderFixture {
+  ReadingLeaderFixture() : world(5) {
+    world.SetTable({fakes::MakeQueue("queue", 3)});
+    instance = &world.AddInstance("a1", "plaka");
+    instance->store_faults.answer_delay = Millis(600);
+    for (int step = 0; step < 200 && !instance->cell->reading(); ++step) {
+      world.Run(Millis(50));
+    }
+    service = std::make_unique<CellPeerService>(
+        *instance->executor, std::vector<CellLeader*>{instance->cell.get()});
+  }
+
+  void Ask(const std::string& query) {
+    status = 0;
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/cell/all";
+    request.query = query;
+    service->Handle(request, [this](const HttpResponse& response) {
+      status = response.status;
+      body = response.body;
+    });
+  }
+
+  fakes::CellWorld world;
+  fakes::WorldInstance* instance = nullptr;
+  std::unique_ptr<CellPeerService> service;
+  int status = 0;
+  std::string body;
+};
+
+// Instances that hold submissions must learn the end of reading by one call.
+BOOST_FIXTURE_TEST_CASE(Wait_LeaderReads_IsAnsweredOnceItAccepts,
+                        ReadingLeaderFixture) {
+  BOOST_REQUIRE(instance->cell->reading());
+  Ask("");
+  BOOST_TEST(status == 409);
+  Ask("wait_ms=5000");
+  BOOST_TEST(status == 0);
+  for (int step = 0; step < 80 && !instance->cell->leading(); ++step) {
+    BOOST_TEST(status == 0);
+    world.Run(Millis(50));
+  }
+  world.Run(Millis(50));
+  BOOST_TEST(status == 200);
+  BOOST_TEST(body.find("\"cell\":\"all\"") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(Wait_ReadingLastsLonger_IsRefusedAfterTheWait,
+                        ReadingLeaderFixture) {
+  BOOST_REQUIRE(instance->cell->reading());
+  Ask("wait_ms=100");
+  BOOST_TEST(status == 0);
+  world.Run(Millis(150));
+  BOOST_TEST(instance->cell->reading());
+  BOOST_TEST(status == 409);
+}
+
+// A value that cannot be read must not keep a call waiting.
+BOOST_FIXTURE_TEST_CASE(Wait_InvalidValue_IsRefusedSoon, ReadingLeaderFixture) {
+  for (const char* query : {"wait_ms=", "wait_ms=-1", "wait_ms=x"}) {
+    Ask(query);
+    world.Run(Millis(50));
+    BOOST_TEST(status == 409, query);
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
