feat(policy): workers that fail or slow their runs are set aside

The quarantine needs failures of three jobs without a success in between, which such a worker rarely shows.

Change: WorkerReliability keeps evidence for each worker (failures, run times, decayed), and sets a worker aside once its failure rate or slowdown is beyond chance and beyond that of the service's other workers. A failure whose task then fails elsewhere counts as the task's own. A worker that is set aside gets two runs at a time, those with checkpoints first, and returns as its evidence changes. At most set_aside_share of a service's workers (default 0, off). Rows under the workers' key carry the evidence to a successor.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -266,6 +266,8 @@
       {"doorwood_runs_overdue_total", counters.overdue},
       {"doorwood_worker_crashes_total", counters.worker_crashes},
       {"doorwood_jobs_given_up_total", counters.jobs_given_up},
+      {"doorwood_workers_set_aside", cell_.reliability().set_aside()},
+      {"doorwood_workers_set_aside_total", counters.workers_set_aside},
       {"doorwood_stops_total", counters.stops},
       {"doorwood_paces_total", counters.paces},
       {"doorwood_directory_reads_failed_total",
--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -37,6 +37,7 @@
 #include "doorwood/job_plan.h"
 #include "doorwood/live_directory.h"
 #include "doorwood/record_store.h"
+#include "doorwood/worker_reliability.h"
 
 namespace doorwood {
 
@@ -77,6 +78,8 @@
   /// task there until a newer record has no such list. Empty optional: any task
   /// may run there.
   std::optional<std::vector<std::string>> tasks;
+  /// Set if the worker is set aside: see `WorkerReliability`.
+  std::optional<RunEvidence> evidence;
 };
 
 /// An incarnation of a worker: the session that the leader has had with it. A
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -145,6 +145,7 @@
   /// The summary as of its last periodic update.
   const CellSummary& summary() const { return summary_; }
   const CellCounters& counters() const { return counters_; }
+  const WorkerReliability& reliability() const { return reliability_; }
   const CellJournal& journal() const { return journal_; }
   const LeadProof& proof() const { return proof_; }
 
@@ -506,7 +507,7 @@
   void CountLateEnd(RunEnd end);
   /// Logs what is known of a run whose end the worker did not report.
   void LogLostRun(const WorkerSession& session, const Run& run) const;
-  void RecordRunTime(Task* task, const Run& run);
+  void RecordRunTime(Task* task, const Run& run, const std::string& worker);
   /// Expected run time of a task, for each step of the job.
   std::vector<Millis> ExpectedRunTimes(const Job& job, int repetition) const;
   void OnJobEnded(Job* job);
@@ -664,6 +665,12 @@
   /// then rely on the recorded placements as well.
   void PublishRecordedPlacements();
 
+  // cell_reliability.cpp: workers that fail or slow their runs.
+  /// Decides which workers are set aside, logs the changes and requests a
+  /// record of them for a successor.
+  void UpdateReliability();
+  /// Takes over what an earlier leader recorded of workers that were set aside.
+  void RestoreReliability(const std::vector<KnownWorker>& known);
   // cell_overdue.cpp: runs that take far longer than expected.
   void LogOverdueRuns();
   /// Writes at most `*lines` log lines and subtracts their number.
@@ -849,6 +856,9 @@
   CellJournal journal_;
   LeadProof proof_;
   WorkerQuarantine quarantine_;
+  WorkerReliability reliability_;
+  /// Which workers are set aside has changed since they were last recorded.
+  bool reliability_unrecorded_ = false;
   /// Whether the recorded placements of long-running tasks were known to be
   /// complete when this instance took the lead.
   bool placements_valid_at_takeover_ = false;
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -113,6 +113,8 @@
   uint64_t paces = 0;
   /// Reads of the list of workers that failed.
   uint64_t directory_reads_failed = 0;
+  /// Times that a worker was set aside; see `WorkerReliability`.
+  uint64_t workers_set_aside = 0;
   uint64_t takeovers = 0;
   uint64_t step_downs = 0;
 };
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -22,6 +22,7 @@
 #include "doorwood/long_running_admission.h"
 #include "doorwood/queue_table.h"
 #include "doorwood/run_times.h"
+#include "doorwood/worker_reliability.h"
 
 namespace doorwood {
 
@@ -71,6 +72,7 @@
   LongRunningAdmissionOptions long_running_admission;
   InterferenceOptions interference;
   RunTimeOptions run_times;
+  WorkerReliabilityOptions reliability;
 };
 
 /// Processors that the long-running steps of a plan reserve, in thousandths;
@@ -146,6 +148,8 @@
   std::vector<ServingUtilization> serving_utilizations;
   /// Whether the worker accepts new work.
   bool accepts_work = true;
+  /// The worker fails or slows its runs; see `WorkerReliability`.
+  bool set_aside = false;
   /// The last scheduling pass that found the worker changed.
   uint64_t last_changed_pass = 0;
 };
--- a/src/include/doorwood/entry_settings.h
+++ b/src/include/doorwood/entry_settings.h
@@ -57,6 +57,9 @@
   /// Minimum time before another leader may take over the handling of a
   /// machine, so that two leaders do not alternate on it.
   Millis machine_holder_lease{3000};
+  /// Largest share of a service's workers that is set aside because they fail
+  /// or slow their runs; 0: none is.
+  double set_aside_share = 0;
 };
 
 /// Parses and validates the settings. Returns nothing if there is any problem.
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -343,6 +343,7 @@
               {"waited_ms", waited_since_term_end.count()},
               {"agreeing_since", live_.no_agreement_since()}});
   journal_.Open(epoch_, chains);
+  RestoreReliability(known);
   for (const KnownWorker& worker : known) {
     WorkerIncarnation incarnation;
     incarnation.id = worker.id;
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -3,7 +3,9 @@
 #include "doorwood/cell_journal.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 #include "doorwood/json_reader.h"
@@ -44,6 +46,36 @@
              : 0;
 }
 
+Json EncodeEvidence(const RunEvidence& evidence) {
+  return {evidence.runs, evidence.failures, evidence.timed, evidence.log_ratio,
+          evidence.log_ratio_squared};
+}
+
+// Returns nothing if the row has no evidence of the form that leaders write.
+std::optional<RunEvidence> DecodeEvidence(const Json& row) {
+  constexpr size_t kEvidence = 5;
+  constexpr size_t kNumbers = 5;
+  constexpr double kLargest = 1e6;
+  if (row.size() <= kEvidence || !row.at(kEvidence).is_array() ||
+      row.at(kEvidence).size() != kNumbers) {
+    return std::nullopt;
+  }
+  std::array<double, kNumbers> numbers{};
+  for (size_t i = 0; i < kNumbers; ++i) {
+    const Json& number = row.at(kEvidence).at(i);
+    if (!number.is_number() || std::abs(number.get<double>()) > kLargest) {
+      return std::nullopt;
+    }
+    numbers[i] = number.get<double>();
+  }
+  const auto [runs, failures, timed, log_ratio, log_ratio_squared] = numbers;
+  const bool valid =
+      failures >= 0 && runs >= failures && timed >= 0 && log_ratio_squared >= 0;
+  return valid ? std::optional(RunEvidence{runs, failures, timed, log_ratio,
+                                           log_ratio_squared})
+               : std::nullopt;
+}
+
 std::optional<KnownWorker> DecodeKnownWorker(const Json& row) {
   try {
     KnownWorker worker;
@@ -57,6 +89,7 @@
       worker.tasks = DecodeTasks(row.at(3));
     }
     worker.started_at = DecodeStarted(row);
+    worker.evidence = DecodeEvidence(row);
     const bool valid =
         IsVisibleAscii(worker.id) && IsVisibleAscii(worker.address);
     return valid ? std::optional(std::move(worker)) : std::nullopt;
@@ -164,12 +197,15 @@
     if (worker.tasks) {
       row.push_back(*worker.tasks);
     }
-    if (worker.started_at != 0) {
+    if (worker.started_at != 0 || worker.evidence) {
       if (!worker.tasks) {
         row.push_back(nullptr);
       }
       row.push_back(worker.started_at);
     }
+    if (worker.evidence) {
+      row.push_back(EncodeEvidence(*worker.evidence));
+    }
     rows.push_back(std::move(row));
   }
   return rows.dump();
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -54,6 +54,7 @@
       journal_(executor, store, log, *this, options.journal, options.cell),
       proof_(executor, store, *this, options.proof, LeadKey(options.cell)),
       quarantine_(options.policy),
+      reliability_(options.policy.reliability),
       trials_(options.policy.crashes),
       mass_crash_detector_(options.policy.crashes),
       interference_(options.policy.interference),
@@ -461,6 +462,7 @@
     summarized_ = now;
     summary_ = Summarize();
     ObserveLoads();
+    UpdateReliability();
   }
   RequestSchedulingPass();
   tick_timer_ = executor_.Schedule(options_.tick, [this] {
--- a/src/libdoorwood/cell/cell_places.cpp
+++ b/src/libdoorwood/cell/cell_places.cpp
@@ -68,7 +68,8 @@
   const Instant now = executor_.Now();
   return MayReceiveStarts(cell_worker) &&
          !cell_worker.session->has_unwanted_runs() &&
-         now >= cell_worker.backoff_until && quarantine_.AllowsStart(id, now);
+         now >= cell_worker.backoff_until && quarantine_.AllowsStart(id, now) &&
+         reliability_.AllowsStart(id, cell_worker.session->runs().size());
 }
 
 std::vector<CandidateWorker*> CellLeader::CollectCandidates() {
@@ -78,8 +79,11 @@
     RefreshCandidate(id, &cell_worker);
     const bool open =
         MayReceiveNewWork(id, cell_worker) && !trials_.IsReserved(id);
-    if (open != cell_worker.candidate.accepts_work) {
+    const bool set_aside = reliability_.IsSetAside(id);
+    if (open != cell_worker.candidate.accepts_work ||
+        set_aside != cell_worker.candidate.set_aside) {
       cell_worker.candidate.accepts_work = open;
+      cell_worker.candidate.set_aside = set_aside;
       cell_worker.candidate.last_changed_pass = pass_;
     }
     candidates.push_back(&cell_worker.candidate);
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -74,10 +74,14 @@
   if (end == RunEnd::kDone) {
     ++counters_.ends_done;
     quarantine_.OnSuccess(session.incarnation().id);
+    reliability_.OnDone(session.incarnation().id, task->name(),
+                        executor_.Now());
   } else if (end == RunEnd::kFailed) {
     ++counters_.ends_failed;
     quarantine_.OnFailure(session.incarnation().id, job->plan.id,
                           executor_.Now());
+    reliability_.OnFailed(session.incarnation().id, task->name(),
+                          executor_.Now());
     task->avoided_worker = session.incarnation().id;
   } else {
     ++counters_.ends_lost;
@@ -113,7 +117,7 @@
     LogLostRun(session, run);
   }
   if (end == RunEnd::kDone && !run.atypical_duration) {
-    RecordRunTime(task, run);
+    RecordRunTime(task, run, session.incarnation().id);
   }
   ApplyRunEnd(task, session, run.number, end, run.checkpoint);
   RequestSchedulingPass();
@@ -136,10 +140,15 @@
               {"seen_at_work_ms", session.ObservedRunTime(run).count()}});
 }
 
-void CellLeader::RecordRunTime(Task* task, const Run& run) {
+void CellLeader::RecordRunTime(Task* task,
+                               const Run& run,
+                               const std::string& worker) {
   const auto taken =
       std::chrono::duration_cast<Millis>(executor_.Now() - run.ordered);
   const StepPlan& plan = task->plan();
+  reliability_.OnRunTime(
+      worker, ExpectedRunTimes(*task->job, task->repetition)[task->step], taken,
+      executor_.Now());
   StepState& step = task->job->repetitions[task->repetition].steps[task->step];
   step.total_run_time += taken;
   ++step.run_time_samples;
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -382,7 +382,8 @@
   ++counters_.starts;
   quarantine_.OnStart(std::string(candidate->id), executor_.Now());
   candidate->accepts_work =
-      quarantine_.AllowsStart(std::string(candidate->id), executor_.Now());
+      quarantine_.AllowsStart(std::string(candidate->id), executor_.Now()) &&
+      reliability_.AllowsStart(candidate->id, session->runs().size() + 1);
   const auto waited =
       std::chrono::duration_cast<Millis>(executor_.Now() - task->ready_since);
   // Also written for a deferred start, whose order SendDeferredStarts sends
--- a/src/libdoorwood/cell/cell_worker_records.cpp
+++ b/src/libdoorwood/cell/cell_worker_records.cpp
@@ -65,6 +65,9 @@
     worker.started_at = cell_worker.session->started_at();
     worker.deductible_wait = DeductibleWaitToRecord(cell_worker);
     worker.tasks = TasksToRecord(cell_worker);
+    if (const RunEvidence* evidence = reliability_.EvidenceToRecord(id)) {
+      worker.evidence = *evidence;
+    }
     known.push_back(std::move(worker));
   }
   LimitNameBytes(options_.max_name_bytes, &known);
--- a/src/libdoorwood/cell/cell_workers.cpp
+++ b/src/libdoorwood/cell/cell_workers.cpp
@@ -340,6 +340,7 @@
   next.session->AddUnsettledRuns(ended->TakeUnsettledRuns());
   ended->Close();
   quarantine_.RemoveWorker(id);
+  reliability_.RemoveWorker(id);
   tickets_.Forget(id);
   *cell_worker = std::move(next);
   cell_worker->session->Open();
@@ -367,6 +368,7 @@
       }
       it->second.session->Close();
       quarantine_.RemoveWorker(it->first);
+      reliability_.RemoveWorker(it->first);
       it = cell_workers_.erase(it);
       removed_any = true;
     } else {
--- a/src/libdoorwood/cell/cell_workers_record_test.cpp
+++ b/src/libdoorwood/cell/cell_workers_record_test.cpp
@@ -96,6 +96,29 @@
   }
 }
 
+// Guards against evidence that a successor reads wrongly, or takes over from a
+// row that no leader wrote.
+BOOST_AUTO_TEST_CASE(Workers_WithEvidence_AreReadAsWritten) {
+  KnownWorker worker = MakeWorker("w1", Millis(0), std::nullopt);
+  worker.evidence = RunEvidence{20.5, 7, 12, -1.5, 3};
+  const auto read = DecodeWorkers(EncodeWorkers({worker}));
+  BOOST_REQUIRE(read.size() == 1U);
+  BOOST_TEST(ToText(read) == ToText({worker}));
+  BOOST_REQUIRE(read[0].evidence.has_value());
+  BOOST_TEST(read[0].evidence->runs == 20.5);
+  BOOST_TEST(read[0].evidence->failures == 7);
+  BOOST_TEST(read[0].evidence->log_ratio == -1.5);
+  for (const char* evidence :
+       {"null", "5", "[]", "[1,2,3]", "[5,7,0,0,0]", "[-1,-2,0,0,0]",
+        "[\"9\",1,0,0,0]", "[1e300,1,0,0,0]", "[9,1,-2,0,0]", "{}"}) {
+    const auto rows = DecodeWorkers(R"([["w","a",0,["x"],7,)" +
+                                    std::string(evidence) + "]]");
+    BOOST_REQUIRE(rows.size() == 1U);
+    BOOST_TEST(!rows[0].evidence.has_value());
+    BOOST_TEST(rows[0].started_at == 7);
+  }
+}
+
 // Task names that contain characters which must be escaped.
 BOOST_AUTO_TEST_CASE(Workers_NamesWithEscapes_AreReadAsWritten) {
   const std::vector<KnownWorker> workers = {MakeWorker(
--- a/src/libdoorwood/config/entry_settings.cpp
+++ b/src/libdoorwood/config/entry_settings.cpp
@@ -12,6 +12,7 @@
 constexpr Range kRetentionMillis{1000, 86'400'000};
 constexpr double kSmallestShare = 0.001;
 constexpr double kLargestShare = 1024;
+constexpr double kLargestSetAsideShare = 0.5;
 // A run continues for this long without contact from a leader. The lease
 // outlasts the detection of a leader's failure (2 s) plus its successor's
 // takeover and a short outage of all instances. It also outlasts a network
@@ -62,6 +63,8 @@
               &settings.finished_job_retention);
   reader.Read("machine_holder_lease_ms", kLeaseMillis,
               &settings.machine_holder_lease);
+  reader.Read("set_aside_share", 0, kLargestSetAsideShare,
+              &settings.set_aside_share);
   reader.ReportUnknownKeys();
   if (!problems->empty()) {
     return std::nullopt;
@@ -82,6 +85,7 @@
       settings.machine_holder_lease + kHolderLeaseSlack;
   options.finished_job_retention =
       settings.finished_job_retention + kRetentionSlack;
+  options.policy.reliability.max_set_aside_share = settings.set_aside_share;
   return options;
 }
 
--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -12,6 +12,8 @@
 // a term with a larger weight usually outweighs those with smaller weights.
 constexpr double kDecisiveWeight = 100.0;
 constexpr double kStrongWeight = 10.0;
+// Exceeds the sum of all other terms.
+constexpr double kForbiddingWeight = 1000.0;
 
 constexpr double kMillisPerCore = 1000.0;
 
@@ -218,6 +220,13 @@
     score -= kStrongWeight * best_effort_share;
     score += reserved;
   }
+  if (worker.set_aside) {
+    // A run with checkpoints loses little when it fails, and shows whether the
+    // worker works again. Any other task goes there only if no other worker
+    // can take it.
+    const bool saves = step.checkpoints && !step.long_running;
+    score += saves ? kDecisiveWeight : -kForbiddingWeight;
+  }
   return score;
 }
 
--- a/src/standin/run_worker_model.cpp
+++ b/src/standin/run_worker_model.cpp
@@ -166,8 +166,10 @@
   Active active;
   active.run = order.run;
   active.started = now_;
-  active.duration = NumberAfter(order.payload, "ms=");
-  active.fails = order.run <= NumberAfter(order.payload, "fails=");
+  active.duration = NumberAfter(order.payload, "ms=") * slowdown_;
+  ++starts_;
+  active.fails = order.run <= NumberAfter(order.payload, "fails=") ||
+                 (failure_interval_ > 0 && starts_ % failure_interval_ == 0);
   runs_[order.task] = active;
   if (observer_ != nullptr) {
     observer_->OnStarted(order);
--- a/src/standin/run_worker_model.h
+++ b/src/standin/run_worker_model.h
@@ -47,6 +47,10 @@
   void SetObserver(RunObserver* observer) { observer_ = observer; }
   /// Sets how long a run continues after a stop order.
   void SetStopDuration(Millis time) { stop_duration_ms_ = time.count(); }
+  /// Lets one of `interval` runs that start from now on fail; 0: none.
+  void FailOneRunOf(int interval) { failure_interval_ = interval; }
+  /// Factor on the duration of runs that start from now on.
+  void SetSlowdown(int64_t factor) { slowdown_ = factor; }
 
   /// Sets the worker's steady clock in milliseconds, and ends the runs that are
   /// finished or stopped, or all runs if the worker's lease has expired.
@@ -94,6 +98,9 @@
 
   RunObserver* observer_ = nullptr;
   int64_t stop_duration_ms_ = 0;
+  int failure_interval_ = 0;
+  int starts_ = 0;
+  int64_t slowdown_ = 1;
   int64_t now_ = 0;
   int64_t lease_until_ = 0;
   uint64_t token_ = 0;
--- a/testsuite/platform-bad-input/run.sh
+++ b/testsuite/platform-bad-input/run.sh
@@ -55,4 +55,6 @@
 
 sed 's/^instance:.*/instence: a1/' "$WORK/a1.yaml" >"$WORK/bad.yaml"
 "$BIN/doorwood-celld" --settings "$WORK/bad.yaml" 2>&1 | sed "s#$WORK/##"
+{ cat "$WORK/a1.yaml"; echo "set_aside_share: 0.7"; } >"$WORK/range.yaml"
+"$BIN/doorwood-celld" --settings "$WORK/range.yaml" 2>&1 | sed "s#$WORK/##; s#:[0-9]*:#:LINE:#"
 "$BIN/doorwood-celld" --settings "$WORK/a1.yaml" --check-settings | sed "s#$WORK/##"
