--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -122,6 +122,8 @@
   uint64_t jobs_archived = 0;
   /// Time that the newest takeover took to read the records, in ms.
   uint64_t takeover_read_ms = 0;
+  /// Times that a worker was set aside; see `WorkerReliability`.
+  uint64_t workers_set_aside = 0;
   uint64_t takeovers = 0;
   uint64_t step_downs = 0;
 };
--- a/src/include/doorwood/entry_settings.h
+++ b/src/include/doorwood/entry_settings.h
@@ -61,6 +61,9 @@
   /// Maximum number of submissions that wait in this instance while no leader
   /// accepts jobs; 0: none does.
   int max_held_submissions = 0;
+  /// Largest share of a service's workers that is set aside because they fail
+  /// or slow their runs; 0: none is.
+  double set_aside_share = 0;
 };
 
 /// Parses and validates the settings. Returns nothing if there is any problem.
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -396,6 +396,7 @@
       to_archive_.push_back(id);
     }
   }
+  RestoreReliability(known);
   for (const KnownWorker& worker : known) {
     WorkerIncarnation incarnation;
     incarnation.id = worker.id;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -63,6 +63,7 @@
       ended_jobs_(executor, store, log, EndedJobsOptions{}, options.cell),
       proof_(executor, store, *this, options.proof, LeadKey(options.cell)),
       quarantine_(options.policy),
+      reliability_(options.policy.reliability),
       trials_(options.policy.crashes),
       mass_crash_detector_(options.policy.crashes),
       interference_(options.policy.interference),
@@ -519,6 +520,7 @@
     summarized_ = now;
     summary_ = Summarize();
     ObserveLoads();
+    UpdateReliability();
   }
   RequestSchedulingPass();
   tick_timer_ = executor_.Schedule(options_.tick, [this] {
--- a/src/libdoorwood/config/entry_settings.cpp
+++ b/src/libdoorwood/config/entry_settings.cpp
@@ -13,6 +13,7 @@
 constexpr Range kHeldSubmissions{0, 1000};
 constexpr double kSmallestShare = 0.001;
 constexpr double kLargestShare = 1024;
+constexpr double kLargestSetAsideShare = 0.5;
 // A run continues for this long without contact from a leader. The lease
 // outlasts the detection of a leader's failure (2 s) plus its successor's
 // takeover and a short outage of all instances. It also outlasts a network
@@ -65,6 +66,8 @@
               &settings.machine_holder_lease);
   reader.Read("max_held_submissions", kHeldSubmissions,
               &settings.max_held_submissions);
+  reader.Read("set_aside_share", 0, kLargestSetAsideShare,
+              &settings.set_aside_share);
   reader.ReportUnknownKeys();
   if (!problems->empty()) {
     return std::nullopt;
@@ -85,6 +88,7 @@
       settings.machine_holder_lease + kHolderLeaseSlack;
   options.finished_job_retention =
       settings.finished_job_retention + kRetentionSlack;
+  options.policy.reliability.max_set_aside_share = settings.set_aside_share;
   return options;
 }
 
