--- a/src/include/doorwood/run_times.h
+++ b/src/include/doorwood/run_times.h
@@ -42,6 +42,9 @@
                Millis run_time);
   /// Expected run time of a task.
   Millis ExpectedRunTime(std::string_view queue, Millis estimate) const;
+  /// Standard deviation of the logarithm of the run time from that of the
+  /// expected one.
+  double LogSpread(std::string_view queue) const;
 
  private:
   /// Weighted sums over the observations; x: logarithm of the estimate, y: of
@@ -52,6 +55,8 @@
     double y = 0;
     double xx = 0;
     double xy = 0;
+    /// Squared distances of y from the value expected before the observation.
+    double errors = 0;
   };
 
   const RunTimeOptions options_;
--- a/src/libdoorwood/policy/run_times.cpp
+++ b/src/libdoorwood/policy/run_times.cpp
@@ -12,6 +12,9 @@
 // that run times equal their estimates. The estimates of one queue differ by
 // about half their size.
 constexpr double kPriorVariance = 0.25;
+// Variance of the logarithm of the run time around that of the estimate in the
+// prior; see the figures at RunTimeModel.
+constexpr double kPriorErrorVariance = 1.0;
 
 double LogOf(Millis time) {
   return std::log(static_cast<double>(std::max<int64_t>(1, time.count())));
@@ -33,11 +36,21 @@
   const double kept = 1.0 - weight / options_.decay_steps;
   const double x = LogOf(estimate);
   const double y = LogOf(run_time);
+  const double error = y - LogOf(ExpectedRunTime(queue, estimate));
   sums.weight = sums.weight * kept + weight;
   sums.x = sums.x * kept + weight * x;
   sums.y = sums.y * kept + weight * y;
   sums.xx = sums.xx * kept + weight * x * x;
   sums.xy = sums.xy * kept + weight * x * y;
+  sums.errors = sums.errors * kept + weight * error * error;
+}
+
+double RunTimeModel::LogSpread(std::string_view queue) const {
+  const auto found = queues_.find(queue);
+  const Sums sums = found == queues_.end() ? Sums{} : found->second;
+  return std::sqrt(
+      (sums.errors + options_.estimate_weight * kPriorErrorVariance) /
+      (sums.weight + options_.estimate_weight));
 }
 
 Millis RunTimeModel::ExpectedRunTime(std::string_view queue,
