feat(cell): backup copies of slow runs, where callers allow them

Cause: `StepPlan::duplicates` was stored but never acted on. A task whose run is slow, or whose worker has fallen silent, held its job back until that run ended or its lease expired.

A task may then have two placed runs: it stays placed until both have ended, the first `done` completes it and stops the other, and the end of either counts in full. A successor adopts both runs. Steps without the word, and all steps while the setting is 0, behave as before.

--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -204,6 +204,8 @@
   /// Descriptions of violated invariants.
   const std::vector<std::string>& violations() const { return violations_; }
   int starts(const std::string& task) const;
+  /// Number of workers that run the task.
+  int CountRuns(const std::string& task) const;
   /// Machines whose workers crash 10 ms after each start of a run.
   std::set<std::string>& crashing_machines() { return crashing_machines_; }
   /// Number of worker crashes while the task ran there.
@@ -245,6 +247,7 @@
 
  private:
   int64_t NextStartTime();
+  bool MayHaveCopy(const std::string& task) const;
   void CheckSingleRun(const std::string& task);
   void CheckWorkersRecord(const std::string& worker, const std::string& task);
   void CheckNotCompleted(const std::string& task);
@@ -266,6 +269,8 @@
   std::map<std::string, int> log_counts_;
   std::shared_ptr<const QueueTable> table_;
   std::map<std::string, int> starts_;
+  /// Steps of submitted jobs whose tasks may have two runs.
+  std::set<std::string> steps_with_copies_;
   std::map<std::string, std::string> tickets_;
   std::map<std::string, int> crashes_while_running_;
   std::map<std::string, int> starts_after_three_crashes_;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -495,12 +495,14 @@
   void LogWait();
 
   // cell_run_ends.cpp: processing the ends of runs.
-  /// Applies the end of a run to its task and its job.
+  /// Applies the end of a run to its task and its job. `active_run`: see
+  /// `JobTable::ApplyRunEnd`.
   void ApplyRunEnd(Task* task,
                    const WorkerSession& session,
                    uint32_t run,
                    RunEnd end,
-                   const std::string& checkpoint);
+                   const std::string& checkpoint,
+                   uint32_t active_run);
   /// Counts the end of a run that this leader did not know or had considered
   /// lost.
   void CountLateEnd(RunEnd end);
@@ -516,8 +518,8 @@
   /// done tasks.
   void StopRunsOfCompletedTask(const Task& task);
   int MaxAttempts(const Job& job) const;
-  /// Run number of the task's run that a worker's session knows; empty: none
-  /// knows one.
+  /// Lowest run number of the task's runs that workers' sessions know; empty:
+  /// none knows one.
   std::optional<uint32_t> NumberOfPlacedRun(const std::string& task) const;
   /// The job's queue as currently or last configured; null: not configured
   /// since this process started.
@@ -664,6 +666,72 @@
   /// then rely on the recorded placements as well.
   void PublishRecordedPlacements();
 
+  // cell_backup_runs.cpp: backup copies of slow runs.
+  /// A run, and the session that has it.
+  struct PlacedRun {
+    std::shared_ptr<WorkerSession> session;
+    const Run* run = nullptr;
+  };
+  /// A run that is to get a backup copy.
+  struct SlowRun {
+    Task* task = nullptr;
+    std::shared_ptr<WorkerSession> session;
+    uint32_t number = 0;
+    BackupCandidate candidate;
+    BackupDecision decision;
+  };
+  /// Whether this leader starts copies, and treats tasks of steps that allow
+  /// copies as having up to two runs.
+  bool AreCopiesEnabled() const {
+    return options_.policy.backups.free_share > 0;
+  }
+  /// Starts backup copies of slow runs, those with the largest gain first.
+  void StartCopies();
+  /// Runs of steps that allow copies, by step. Adds the copies at work to the
+  /// rooms of their services.
+  std::map<std::string, std::vector<PlacedRun>> CollectRunsWithCopies(
+      std::map<std::string, BackupRoom>* rooms) const;
+  /// `runs` are of one step. Polls workers whose reports of a run's progress
+  /// are too old for a decision, `*progress_polls` at most.
+  void FindSlowRuns(const std::vector<PlacedRun>& runs,
+                    int* progress_polls,
+                    std::vector<SlowRun>* slow);
+  bool MayGetCopy(const Task& task) const;
+  JobOutlook OutlookOf(const Job& job,
+                       const Queue& queue,
+                       int repetition,
+                       int step) const;
+  /// For a task that runs in `session`; `runs` are those of the task's step.
+  RunTimeEstimate EstimateRunTime(const Task& task,
+                                  const WorkerSession& session,
+                                  const std::vector<PlacedRun>& runs) const;
+  /// Returns null if no worker can take the copy.
+  CandidateWorker* ChoosePlaceOfCopy(
+      const SlowRun& slow,
+      const std::vector<SlowRun>& all_slow,
+      const std::vector<CandidateWorker*>& candidates);
+  void StartCopy(const SlowRun& slow,
+                 const std::vector<SlowRun>& all_slow,
+                 const std::vector<CandidateWorker*>& candidates,
+                 BackupRoom* room);
+  Run* FindPlacedRun(const std::string& task, uint32_t number) const;
+  /// The checkpoint of an ended run, unless the other run `remaining` of its
+  /// task has made at least as much progress, or an earlier ended one had made
+  /// more; then empty.
+  std::string CheckpointToKeep(Task* task,
+                               const Run& run,
+                               uint32_t remaining) const;
+  /// `run` has ended while the run `remaining` of the task was active. Stops
+  /// that run if the task is done.
+  void OnOneOfTwoRunsEnded(Task* task,
+                           const Run& run,
+                           RunEnd end,
+                           uint32_t remaining);
+  /// Whether an unknown run of a task that is placed is adopted beside the
+  /// placed one, as an earlier leader may have started one as the other's copy.
+  bool MayAdoptSecondRun(const Task& task, const ActiveRun& active_run) const;
+  void NoteSecondAdoptedRun(Task* task, uint32_t run);
+
   // cell_overdue.cpp: runs that take far longer than expected.
   void LogOverdueRuns();
   /// Writes at most `*lines` log lines and subtracts their number.
@@ -868,11 +936,17 @@
   FailedPlacements failed_placements_;
   /// By service.
   std::map<std::string, LongRunningAdmission> long_running_admission_;
-  /// Number of scheduling passes so far in which a step was ready.
+  /// Number of scheduling passes so far in which a step was ready, and of
+  /// searches for places of backup copies.
   uint64_t pass_ = 0;
   /// Steps of this pass that found no placement; more urgent steps are counted
   /// first.
   int waiting_steps_ = 0;
+  /// Services in which a step found no placement in the newest pass, apart from
+  /// best-effort steps, whose room copies do not use.
+  std::set<std::string> services_with_waiting_steps_;
+  /// When slow runs were last searched for.
+  Instant copies_searched_{};
   /// When a step that found no placement was last logged.
   Instant waiting_logged_{};
   TicketBook tickets_;
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -109,6 +109,13 @@
   uint64_t late_other = 0;
   /// Log lines about runs that take far longer than expected.
   uint64_t overdue = 0;
+  /// Backup copies that were started; that ended `done` before the run that
+  /// they backed up; that were stopped because that run was done first; and
+  /// runs that got none because copies had used up their budget.
+  uint64_t copies_started = 0;
+  uint64_t copies_won = 0;
+  uint64_t copies_stopped = 0;
+  uint64_t copies_over_budget = 0;
   uint64_t stops = 0;
   uint64_t paces = 0;
   /// Reads of the list of workers that failed.
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <vector>
 
+#include "doorwood/backup_runs.h"
 #include "doorwood/crash_policy.h"
 #include "doorwood/interference.h"
 #include "doorwood/job_table.h"
@@ -71,6 +72,7 @@
   LongRunningAdmissionOptions long_running_admission;
   InterferenceOptions interference;
   RunTimeOptions run_times;
+  BackupOptions backups;
 };
 
 /// Processors that the long-running steps of a plan reserve, in thousandths;
--- a/src/include/doorwood/entry_settings.h
+++ b/src/include/doorwood/entry_settings.h
@@ -57,6 +57,9 @@
   /// Minimum time before another leader may take over the handling of a
   /// machine, so that two leaders do not alternate on it.
   Millis machine_holder_lease{3000};
+  /// Share of a service's free processors that backup copies of slow runs may
+  /// use, for steps that allow copies; 0: no copies.
+  double backup_share = 0;
 };
 
 /// Parses and validates the settings. Returns nothing if there is any problem.
--- a/src/include/doorwood/job_plan.h
+++ b/src/include/doorwood/job_plan.h
@@ -46,8 +46,7 @@
   /// Best-effort: the processors of these tasks are not reserved; the tasks use
   /// processors that the other work of a worker is expected to leave unused.
   bool best_effort = false;
-  /// Copies of a task may run at the same time. Stored, but the scheduler does
-  /// not use this field.
+  /// Two runs of a task may be active at the same time; see `AllowsCopies`.
   bool duplicates = false;
   /// Label that a worker must have; empty: any worker.
   std::string required_label;
@@ -85,6 +84,11 @@
   int repetitions() const { return repeat_count > 0 ? repeat_count : 1; }
 };
 
+/// Whether a slow run of a task of the step may get a backup copy. A gang works
+/// only as a whole, a long-running task has no end that a copy could reach
+/// first, and best-effort work is not waited for.
+bool AllowsCopies(const StepPlan& step);
+
 /// Returns a sentence that names the invalid field, or nothing if the plan is
 /// valid.
 std::optional<std::string> FindProblem(const JobPlan& plan);
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -90,7 +90,8 @@
   /// takeover, and after a worker rejected a number as too old.
   uint32_t last_run = 0;
   /// Highest run whose end was applied, even if the run was given up without a
-  /// report. Adopting a run lowers this number below that run. A later report
+  /// report. Adopting a run lowers this number below that run. While another
+  /// run of the task is active, the number stays below that run. A later report
   /// of the end of this run or a lower one counts only if that run completed
   /// the task, or failed and is not in `failed_runs` yet. The checkpoint in
   /// such a report is kept only if the report is of this run and the task is
@@ -122,11 +123,22 @@
   /// This leader deferred or ordered a start of the task that was not refused,
   /// or adopted a run of it, and the run is not known to have ended. Not set
   /// for a run of an earlier leader that is not adopted; see `may_still_run`.
-  /// Changed by JobTable::SetPlaced.
+  /// With two runs, true until both have ended. Changed by JobTable::SetPlaced.
   bool placed = false;
+  /// While two runs of the task are placed: the lower and the higher of their
+  /// numbers. The higher one is the backup copy. 0: at most one is placed.
+  uint32_t backed_up_run = 0;
+  uint32_t copy_run = 0;
+  /// No copy is started before this time, because the last one ended in vain.
+  Instant no_copy_before{};
+  /// After the first of two runs has ended: progress, in percent, at which that
+  /// run left `checkpoint`. The other run's checkpoint replaces it only at the
+  /// same progress or a higher one. 0: not known.
+  int checkpoint_progress = 0;
   /// Set at takeover for each task that is not done. Cleared once the task is
-  /// adopted, or once no worker that is still waited for may run the task or
-  /// may have an unlisted end of it (see CellLeader::ReleaseTasks).
+  /// adopted, unless its step may have two runs, or once no worker that is
+  /// still waited for may run the task or may have an unlisted end of it (see
+  /// CellLeader::ReleaseTasks).
   bool may_still_run = false;
   /// The run that was adopted last, if some runs of earlier leaders were still
   /// unaccounted for at that time; 0: none.
@@ -168,6 +180,8 @@
   /// `Run::atypical_duration`, and the number of these runs.
   Millis total_run_time{0};
   int run_time_samples = 0;
+  /// These run times, one by one; only if the step allows copies.
+  std::vector<Millis> run_times;
   /// When it was last logged that the step waits for a worker. Before the first
   /// such line, when the step was first noted as waiting (see
   /// CellLeader::NoteWaitingStep).
@@ -263,18 +277,25 @@
   const std::vector<Job*>& OpenJobs();
 
   static void SetPlaced(Task* task, bool placed);
+  /// Notes that two runs of a placed task are active.
+  static void BeginTwoRuns(Task* task, uint32_t run, uint32_t other_run);
+  /// `run` has ended or did not begin. Returns the number of the run that
+  /// remains placed, or 0 if there is none and the task is not placed any more.
+  static uint32_t EndPlacedRun(Task* task, uint32_t run);
   /// Whether all steps that `step` depends on are done in the given repetition.
   static bool IsUnblocked(const Job& job, int repetition, int step);
 
   /// Applies the end of a run to its task, even if the run was given up before
   /// its worker reported. `max_attempts` is the queue's limit; long-running
   /// tasks have none. Several tasks of a gang that fail in the same run count
-  /// as one failure.
+  /// as one failure. `active_run`: the lowest number of the task's other active
+  /// runs if it has two and `Task::counted_run` must stay below it; 0: none.
   EndEffect ApplyRunEnd(Task* task,
                         uint32_t run,
                         RunEnd end,
                         const std::string& checkpoint,
-                        int max_attempts);
+                        int max_attempts,
+                        uint32_t active_run = 0);
   /// Adds the note, or replaces the one of the same run. Returns false if that
   /// note is equal or final (kRestarted or kVanished), or if the task is done.
   static bool NoteCrash(Task* task, CrashNote crash);
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -79,8 +79,20 @@
   /// "JOB.REPETITION.STEP"; used to count the runs of a step on one worker.
   std::string step;
 
+  /// The run's step allows backup copies.
+  bool copies_allowed = false;
+  /// The run was started as the backup copy of another run or, if both were
+  /// adopted, has the higher number.
+  bool is_copy = false;
+  /// The budget has refused a copy of the run.
+  bool copy_refused = false;
+
   /// Last reported values; see `ActiveRun`.
   int progress = 0;
+  /// When `progress` was last reported; zero: not yet.
+  Instant progress_at{};
+  /// When `progress` was last asked for by a poll of its own; zero: not yet.
+  Instant progress_asked{};
   int64_t measurement = -1;
   /// For a serving task: its estimated utilization without best-effort work on
   /// the same worker; negative: not known yet.
--- a/src/libdoorwood/cell/cell_places.cpp
+++ b/src/libdoorwood/cell/cell_places.cpp
@@ -134,6 +134,9 @@
 
 bool CellLeader::NoteWaitingStep(const ReadyStep& ready) {
   ++waiting_steps_;
+  if (!ready.job->plan.steps[ready.step].best_effort) {
+    services_with_waiting_steps_.insert(QueueOf(*ready.job)->service);
+  }
   const Instant now = executor_.Now();
   StepState& step = ready.job->repetitions[ready.repetition].steps[ready.step];
   if (now - step.waiting_logged_at < kWaitLogInterval ||
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -42,11 +42,12 @@
                              const WorkerSession& session,
                              uint32_t run,
                              RunEnd end,
-                             const std::string& checkpoint) {
+                             const std::string& checkpoint,
+                             uint32_t active_run) {
   Job* job = task->job;
   const bool was_open = job->outcome == JobOutcome::kOpen;
-  const EndEffect effect =
-      jobs_.ApplyRunEnd(task, run, end, checkpoint, MaxAttempts(*job));
+  const EndEffect effect = jobs_.ApplyRunEnd(task, run, end, checkpoint,
+                                             MaxAttempts(*job), active_run);
   if (effect == EndEffect::kIgnored) {
     // A failure may have been counted nevertheless. A checkpoint that was kept
     // is recorded with the job's next change.
@@ -99,12 +100,14 @@
   if (task == nullptr) {
     return;
   }
-  JobTable::SetPlaced(task, false);
+  const uint32_t remaining = JobTable::EndPlacedRun(task, run.number);
   JobTable::RemoveTrialNote(task);
   starts_awaiting_record_.erase(run.task);
   unrecorded_placements_.erase(run.task);
-  if (!run.checkpoint.empty() && !task->done) {
-    task->checkpoint = run.checkpoint;
+  const bool was_done = task->done;
+  const std::string checkpoint = CheckpointToKeep(task, run, remaining);
+  if (!checkpoint.empty() && !was_done) {
+    task->checkpoint = checkpoint;
   }
   if (run.refused_as_stale) {
     task->last_run = std::max(task->last_run, run.number + kRunNumberIncrease);
@@ -115,7 +118,10 @@
   if (end == RunEnd::kDone && !run.atypical_duration) {
     RecordRunTime(task, run);
   }
-  ApplyRunEnd(task, session, run.number, end, run.checkpoint);
+  ApplyRunEnd(task, session, run.number, end, checkpoint, remaining);
+  if (remaining != 0 && !was_done) {
+    OnOneOfTwoRunsEnded(task, run, end, remaining);
+  }
   RequestSchedulingPass();
 }
 
@@ -143,6 +149,9 @@
   StepState& step = task->job->repetitions[task->repetition].steps[task->step];
   step.total_run_time += taken;
   ++step.run_time_samples;
+  if (AllowsCopies(plan)) {
+    step.run_times.push_back(taken);
+  }
   run_times_.Observe(task->job->plan.queue, plan.count, plan.estimate, taken);
 }
 
@@ -169,11 +178,19 @@
   // so this may be the end of a different run than the one that is placed now.
   // It is therefore counted under a lower number than that of the placed run.
   const auto placed = task->placed ? NumberOfPlacedRun(end.task) : std::nullopt;
-  const uint32_t number = placed && end.run >= *placed ? *placed - 1 : end.run;
+  uint32_t number = placed && end.run >= *placed ? *placed - 1 : end.run;
+  uint32_t active_run = 0;
+  if (placed && AreCopiesEnabled() && AllowsCopies(task->plan()) &&
+      FindPlacedRun(end.task, end.run) == nullptr) {
+    // May be the end of a copy that was considered lost. If it failed, it
+    // counts under its own number, as any other failure.
+    number = end.run;
+    active_run = *placed;
+  }
   CountLateEnd(end.end);
   task->may_have_unconfirmed_crash = false;
   JobTable::RemoveUnconfirmedCrash(task, end.run);
-  ApplyRunEnd(task, session, number, end.end, end.checkpoint);
+  ApplyRunEnd(task, session, number, end.end, end.checkpoint, active_run);
   auto& reported_runs = task->reported_runs;
   if (!all_runs_accounted_ &&
       std::find(reported_runs.begin(), reported_runs.end(), end.run) ==
@@ -201,13 +218,14 @@
 
 std::optional<uint32_t> CellLeader::NumberOfPlacedRun(
     const std::string& task) const {
+  std::optional<uint32_t> lowest;
   for (const auto& [id, cell_worker] : cell_workers_) {
     const Run* run = cell_worker.session->FindRun(task);
-    if (run != nullptr) {
-      return run->number;
+    if (run != nullptr && (!lowest || run->number < *lowest)) {
+      lowest = run->number;
     }
   }
-  return std::nullopt;
+  return lowest;
 }
 
 std::optional<Run> CellLeader::OnUnknownRun(WorkerSession& session,
@@ -215,7 +233,10 @@
   Task* task = jobs_.FindTask(active_run.task);
   // A run is adopted even if one of the same number has ended elsewhere: the
   // task must not be started again while this run is active.
-  const bool wanted = task != nullptr && !task->done && !task->placed &&
+  const bool is_second =
+      task != nullptr && MayAdoptSecondRun(*task, active_run);
+  const bool wanted = task != nullptr && !task->done &&
+                      (!task->placed || is_second) &&
                       task->job->outcome == JobOutcome::kOpen;
   log_.Write("info", "cell",
              wanted ? "adopting a run" : "stopping an unwanted run",
@@ -231,8 +252,15 @@
   if (task->plan().long_running) {
     RecordAdoptedPlacement(task, session.incarnation().id);
   }
-  task->may_still_run = false;
-  task->adopted_run = all_runs_accounted_ ? 0 : active_run.run;
+  // With copies, another run of the task may be active on an unaccounted
+  // worker.
+  task->may_still_run =
+      task->may_still_run && AreCopiesEnabled() && AllowsCopies(task->plan());
+  if (is_second) {
+    NoteSecondAdoptedRun(task, active_run.run);
+  } else {
+    task->adopted_run = all_runs_accounted_ ? 0 : active_run.run;
+  }
   task->may_have_unconfirmed_crash = false;
   JobTable::RemoveUnconfirmedCrash(task, active_run.run);
   task->last_run = std::max(task->last_run, active_run.run);
@@ -250,6 +278,7 @@
   run.ordered = executor_.Now();
   run.atypical_duration = true;
   run.adopted = true;
+  run.is_copy = is_second && task->copy_run == active_run.run;
   run.checkpoint = active_run.checkpoint;
   // An earlier leader may have slowed it down, so the pace is sent again.
   run.pace = kUnknownPace;
@@ -275,7 +304,9 @@
   if (task == nullptr) {
     return;
   }
-  JobTable::SetPlaced(task, false);
+  if (JobTable::EndPlacedRun(task, run.number) != 0) {
+    task->no_copy_before = executor_.Now() + kRefusalPause;
+  }
   unrecorded_placements_.erase(run.task);
   task->avoided_worker = session.incarnation().id;
   RequestSchedulingPass();
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -55,6 +55,7 @@
     }
     const Instant begin = executor_.Now();
     RunSchedulingPass();
+    StartCopies();
     const Instant end = executor_.Now();
     next_pass_ = end + std::min<Instant::duration>(
                            (end - begin) * kPauseToPassRatio, kLongestPause);
@@ -147,6 +148,7 @@
 }
 
 void CellLeader::RunSchedulingPass() {
+  services_with_waiting_steps_.clear();
   std::vector<ReadyStep> ready = CollectReadySteps();
   if (ready.empty()) {
     return;
@@ -374,6 +376,7 @@
   run.image_id = interference_.Intern(task->plan().image);
   run.checkpoint = task->checkpoint;
   run.atypical_duration = !task->checkpoint.empty();
+  run.is_copy = number == task->copy_run;
   run.start_deferred =
       run.long_running && !RequestPlacementRecord(task, cell_worker->first);
   task->last_run = number;
@@ -397,6 +400,7 @@
                                candidate->best_effort_cpu},
               {"serving", candidate->serving},
               {"held", run.start_deferred},
+              {"copy", run.is_copy},
               {"waited_ms", waited.count()}});
   session->Start(std::move(run), task->job->plan.payload, ticket);
   candidate->reserved = session->reserved();
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -43,6 +43,7 @@
   run.long_running = plan.long_running;
   run.latency_target = plan.latency_target;
   run.estimate = plan.estimate;
+  run.copies_allowed = AllowsCopies(plan);
   run.step = StepName(*task.job, task.repetition, task.step);
   return run;
 }
@@ -493,6 +494,7 @@
       run->confirmed = executor_.Now();
     }
     run->progress = row.progress;
+    run->progress_at = executor_.Now();
     if (!row.checkpoint.empty()) {
       run->checkpoint = row.checkpoint;
     }
--- a/src/libdoorwood/config/entry_settings.cpp
+++ b/src/libdoorwood/config/entry_settings.cpp
@@ -12,6 +12,8 @@
 constexpr Range kRetentionMillis{1000, 86'400'000};
 constexpr double kSmallestShare = 0.001;
 constexpr double kLargestShare = 1024;
+// Copies leave at least half of the free room for work that arrives meanwhile.
+constexpr double kLargestBackupShare = 0.5;
 // A run continues for this long without contact from a leader. The lease
 // outlasts the detection of a leader's failure (2 s) plus its successor's
 // takeover and a short outage of all instances. It also outlasts a network
@@ -62,6 +64,7 @@
               &settings.finished_job_retention);
   reader.Read("machine_holder_lease_ms", kLeaseMillis,
               &settings.machine_holder_lease);
+  reader.Read("backup_share", 0, kLargestBackupShare, &settings.backup_share);
   reader.ReportUnknownKeys();
   if (!problems->empty()) {
     return std::nullopt;
@@ -80,6 +83,7 @@
   options.sessions.run_lease = std::min(kRunLease, settings.max_run_lease);
   options.waves.holder_lease =
       settings.machine_holder_lease + kHolderLeaseSlack;
+  options.policy.backups.free_share = settings.backup_share;
   options.finished_job_retention =
       settings.finished_job_retention + kRetentionSlack;
   return options;
--- a/src/libdoorwood/config/parse_test.cpp
+++ b/src/libdoorwood/config/parse_test.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "doorwood/config.h"
+#include "doorwood/entry_settings.h"
 #include "doorwood/manifest.h"
 #include "doorwood/selector.h"
 #include "doorwood/settings.h"
@@ -237,5 +238,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(entry_settings)
+
+// Guards against copies that are on although no setting asks for them, and
+// against a share that leaves no room for work that arrives.
+BOOST_AUTO_TEST_CASE(BackupShare_EachValue_IsAcceptedOrLocated) {
+  const std::string needed =
+      "{instance: a, data_centre: b, front: c, ready: d, peer: e, metrics: f, "
+      "store: g";
+  const std::vector<std::pair<const char*, double>> accepted = {
+      {"", 0}, {", backup_share: 0", 0}, {", backup_share: 0.5", 0.5}};
+  for (const auto& [text, share] : accepted) {
+    Problems problems("s.yaml");
+    const auto settings = ParseEntrySettings(needed + text + "}", &problems);
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(MakeCellOptions(*settings).policy.backups.free_share == share);
+  }
+  for (const char* value : {"0.6", "-0.1", "half", ".nan"}) {
+    Problems problems("s.yaml");
+    const auto settings = ParseEntrySettings(
+        needed + ",\n backup_share: " + value + "}", &problems);
+    BOOST_TEST(!settings.has_value());
+    BOOST_REQUIRE(problems.lines().size() == 1U);
+    BOOST_TEST(problems.lines()[0].starts_with(
+                   "s.yaml:2:16: backup_share: must be a number from 0.0"),
+               problems.lines()[0]);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/job/job_plan.cpp
+++ b/src/libdoorwood/job/job_plan.cpp
@@ -55,6 +55,11 @@
 
 }  // namespace
 
+bool AllowsCopies(const StepPlan& step) {
+  return step.duplicates && !step.gang && !step.long_running &&
+         !step.best_effort;
+}
+
 std::optional<std::string> FindProblem(const JobPlan& plan) {
   if (!IsHexId(plan.id)) {
     return "id must be 16 hexadecimal digits";
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -181,6 +181,23 @@
   }
 }
 
+void JobTable::BeginTwoRuns(Task* task, uint32_t run, uint32_t other_run) {
+  task->backed_up_run = std::min(run, other_run);
+  task->copy_run = std::max(run, other_run);
+}
+
+uint32_t JobTable::EndPlacedRun(Task* task, uint32_t run) {
+  if (task->copy_run == 0) {
+    SetPlaced(task, false);
+    return 0;
+  }
+  const uint32_t remaining =
+      run == task->copy_run ? task->backed_up_run : task->copy_run;
+  task->backed_up_run = 0;
+  task->copy_run = 0;
+  return remaining;
+}
+
 Job* JobTable::Find(std::string_view id) {
   const auto found = jobs_.find(std::string(id));
   return found == jobs_.end() ? nullptr : found->second.get();
@@ -280,7 +297,8 @@
                                 uint32_t run,
                                 RunEnd end,
                                 const std::string& checkpoint,
-                                int max_attempts) {
+                                int max_attempts,
+                                uint32_t active_run) {
   task->last_run = std::max(task->last_run, run);
   Job* job = task->job;
   const bool counts_as_failure =
@@ -297,7 +315,9 @@
     return EndEffect::kIgnored;
   }
   const bool given_up = run <= task->counted_run;
-  task->counted_run = std::max(task->counted_run, run);
+  const uint32_t counted =
+      active_run == 0 ? run : std::min(run, active_run - 1);
+  task->counted_run = std::max(task->counted_run, counted);
   // A run that was given up without a report also completes the task: the
   // worker completed the run within the lease, so the result is valid even if
   // further runs were ordered since. Without this rule 3,400 to 4,681 tasks
--- a/src/libdoorwood/job/job_table_test.cpp
+++ b/src/libdoorwood/job/job_table_test.cpp
@@ -111,6 +111,69 @@
   }
 }
 
+struct TwoRunsRow {
+  const char* name;
+  /// The ends of runs 1 and 2, which are both active, in this order.
+  std::vector<End> ends;
+  bool done;
+  size_t failures;
+  EndEffect last_effect;
+};
+
+// Guards against an end of the first run that counts for nothing because the
+// copy, which has a higher number, ended before.
+BOOST_AUTO_TEST_CASE(ApplyRunEnd_TwoActiveRuns_BothEndsCountInFull) {
+  const TwoRunsRow rows[] = {
+      {"the copy fails, the first run is done",
+       {{2, RunEnd::kFailed}, {1, RunEnd::kDone}},
+       true,
+       1,
+       EndEffect::kDone},
+      {"the copy fails, the first run is lost",
+       {{2, RunEnd::kFailed}, {1, RunEnd::kLeaseExpired}},
+       false,
+       1,
+       EndEffect::kRetry},
+      {"the copy is lost, the first run fails",
+       {{2, RunEnd::kLeaseExpired}, {1, RunEnd::kFailed}},
+       false,
+       1,
+       EndEffect::kRetry},
+      {"both fail",
+       {{1, RunEnd::kFailed}, {2, RunEnd::kFailed}},
+       false,
+       2,
+       EndEffect::kRetry},
+      {"the copy is done, the first run is stopped",
+       {{2, RunEnd::kDone}, {1, RunEnd::kStopped}},
+       true,
+       0,
+       EndEffect::kIgnored},
+  };
+  for (const TwoRunsRow& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      JobTable table;
+      const Job* job = table.Add(fakes::MakePlan(kId, 1, 1, ""));
+      Task* task = table.FindTask(std::string(kId) + ".0.0.0");
+      JobTable::SetPlaced(task, true);
+      JobTable::BeginTwoRuns(task, 1, 2);
+      EndEffect effect = EndEffect::kIgnored;
+      for (const End& end : row.ends) {
+        BOOST_TEST(task->placed);
+        const uint32_t other = JobTable::EndPlacedRun(task, end.run);
+        BOOST_TEST(other == (&end == &row.ends[0] ? 3 - end.run : 0));
+        effect =
+            table.ApplyRunEnd(task, end.run, end.end, "", kAttempts, other);
+      }
+      BOOST_TEST(!task->placed);
+      BOOST_TEST(task->done == row.done);
+      BOOST_TEST(task->failed_runs.size() == row.failures);
+      BOOST_TEST(static_cast<int>(effect) == static_cast<int>(row.last_effect));
+      BOOST_TEST(job->repetitions[0].steps[0].idle == (row.done ? 0 : 1));
+    }
+  }
+}
+
 struct CheckpointRow {
   const char* name;
   /// Runs that were given up before, with the checkpoint "earlier".
--- a/src/standin/run_worker_model.h
+++ b/src/standin/run_worker_model.h
@@ -47,6 +47,10 @@
   void SetObserver(RunObserver* observer) { observer_ = observer; }
   /// Sets how long a run continues after a stop order.
   void SetStopDuration(Millis time) { stop_duration_ms_ = time.count(); }
+  /// Runs that start from now on take `factor` times as long.
+  void SetSlowdown(int factor) { slowdown_ = factor; }
+  /// Runs that start from now on fail at their end.
+  void SetFailing(bool failing) { failing_ = failing; }
 
   /// Sets the worker's steady clock in milliseconds, and ends the runs that are
   /// finished or stopped, or all runs if the worker's lease has expired.
@@ -94,6 +98,8 @@
 
   RunObserver* observer_ = nullptr;
   int64_t stop_duration_ms_ = 0;
+  int slowdown_ = 1;
+  bool failing_ = false;
   int64_t now_ = 0;
   int64_t lease_until_ = 0;
   uint64_t token_ = 0;
