--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <vector>
 
+#include "doorwood/backup_runs.h"
 #include "doorwood/crash_policy.h"
 #include "doorwood/interference.h"
 #include "doorwood/job_table.h"
@@ -73,6 +74,7 @@
   InterferenceOptions interference;
   RunTimeOptions run_times;
   WorkerReliabilityOptions reliability;
+  BackupOptions backups;
 };
 
 /// Processors that the long-running steps of a plan reserve, in thousandths;
--- a/src/include/doorwood/entry_settings.h
+++ b/src/include/doorwood/entry_settings.h
@@ -64,6 +64,9 @@
   /// Largest share of a service's workers that is set aside because they fail
   /// or slow their runs; 0: none is.
   double set_aside_share = 0;
+  /// Share of a service's free processors that backup copies of slow runs may
+  /// use, for steps that allow copies; 0: no copies.
+  double backup_share = 0;
 };
 
 /// Parses and validates the settings. Returns nothing if there is any problem.
