fix(cell): workers that end together before a leader's contact are a mass crash

Cause: a worker that had ended before a new leader contacted it gave each task that may have run there a crash note that counts against the task, also if several workers had ended at once.

Change: such ends are passed to the detector of mass crashes like others.

--- a/src/libdoorwood/cell/cell_crashes.cpp
+++ b/src/libdoorwood/cell/cell_crashes.cpp
@@ -219,12 +219,14 @@
   log_.Write(
       "warn", "cell", "a worker ended before this leader had contacted it",
       {{"worker", worker}, {"may_have_run", notes.size()}, {"epoch", epoch_}});
+  const bool is_mass_crash = RecordForMassCrashDetection(notes);
   // If there are more such tasks than workers in the cell, notes none of them:
   // not all could get a trial run soon if they became suspects.
   if (notes.size() > cell_workers_.size()) {
     return;
   }
-  for (const auto& [name, note] : notes) {
+  for (auto& [name, note] : notes) {
+    note.mass_crash = is_mass_crash;
     Task* task = jobs_.FindTask(name);
     NoteCrash(task, note);
     JournalIfDirty(task->job, /*urgent=*/true);
