--- a/src/include/doorwood/ingress.h
+++ b/src/include/doorwood/ingress.h
@@ -276,6 +276,9 @@
   /// has no such job, and with kStoreUnavailable if the store cannot be read.
   void FindCell(const std::string& job, CellCallback done);
   void CacheCell(const std::string& job, const std::string& cell);
+  /// Passes the result of a query of the leader to this instance's own leader
+  /// of the cell, which may find that the other's process is gone.
+  void ReportCall(const CellLead& lead, Instant sent, std::error_code error);
   void PollSummaries();
 
   Executor& executor_;
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -364,6 +364,16 @@
   known.answered_at = executor_.Now();
 }
 
+void Ingress::ReportCall(const CellLead& lead,
+                         Instant sent,
+                         std::error_code error) {
+  for (CellLeader* leader : local_) {
+    if (leader->cell() == lead.cell) {
+      leader->OnLeaderCalled(lead, sent, error);
+    }
+  }
+}
+
 void Ingress::PollSummaries() {
   ObserveLeads();
   for (const auto& [cell, lead] : live_.leads()) {
@@ -380,8 +390,10 @@
       known.polled_since = executor_.Now();
     }
     peers_.FetchCellSummary(
-        lead, [this, cell = cell, epoch = lead.epoch](
-                  std::error_code error, const CellSummary& summary) {
+        lead, [this, lead = lead, cell = cell, epoch = lead.epoch,
+               sent = executor_.Now()](std::error_code error,
+                                       const CellSummary& summary) {
+          ReportCall(lead, sent, error);
           // A late answer of an earlier leader is ignored, because it does not
           // show that the current one answers.
           if (error) {
--- a/src/libdoorwood/ingress/ingress_returns.cpp
+++ b/src/libdoorwood/ingress/ingress_returns.cpp
@@ -82,7 +82,9 @@
     return;
   }
   const Instant now = executor_.Now();
-  const bool refused_connection = error == make_error_code(PeerErrc::kNotSent);
+  const bool refused_connection =
+      error == make_error_code(PeerErrc::kNotSent) ||
+      error == make_error_code(PeerErrc::kRefused);
   const bool leads_no_more = error == make_error_code(CoreErrc::kNoOwner) &&
                              known.serving_epoch == epoch;
   if (refused_connection || leads_no_more) {
@@ -164,8 +166,9 @@
   known.probed_epoch = lead.epoch;
   peers_.AwaitAcceptance(
       lead, options_.probe_wait,
-      [this, cell, epoch = lead.epoch](std::error_code error,
-                                       const CellSummary& summary) {
+      [this, lead, cell, epoch = lead.epoch, sent = executor_.Now()](
+          std::error_code error, const CellSummary& summary) {
+        ReportCall(lead, sent, error);
         KnownCell& probed = cells_[cell];
         if (probed.probed_epoch != epoch) {
           return;
