perf(membership): reads and queries no longer grow with the square

Cause: each registration ends the watch of every instance, so a restart of 300 instances sent the store some 90,000 watch calls; it takes 6,000 reads a second, and refused the leader's among them. A refused watch was followed by a full read of two pages. In an outage every instance asked every other one whether it reaches the store; only a leader acts on the answers.

Change: watch calls and full reads of all instances have a common rate (`LiveOptions::max_reads_per_second`); a refused watch is sent again without a full read; only an instance that leads queries the others. Counters: doorwood_directory_watches_refused_total, doorwood_instance_queries_total.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -278,6 +278,8 @@
       {"doorwood_store_answer_ms",
        static_cast<uint64_t>(cell_.journal().flow().answer_time().count())},
       {"doorwood_store_calls_total", store_.calls()},
+      {"doorwood_directory_watches_refused_total", live_.watches_over_budget()},
+      {"doorwood_instance_queries_total", live_.queries()},
       {"doorwood_connects_total", client_.connect_attempts()},
       {"doorwood_polls_failed_total{reason=\"not_sent\"}",
        workers_.failed_polls(PollFailure::kNotSent)},
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -106,6 +106,12 @@
   /// which finds changes that watches have missed.
   Millis min_watch_before_full_read{2500};
   Millis retry_pause{150};
+  /// Limit of the watch calls and of the full reads that all instances together
+  /// begin, per second each. A registration ends the watch of every instance,
+  /// so when all register at once the calls grow with the square of their
+  /// number. The store refuses calls beyond its rate, and among them those by
+  /// which the leader keeps its lead.
+  int max_reads_per_second = 2000;
   /// Once the store has not answered for `store_unresponsive_threshold`, or as
   /// soon as a renewal of the lease has failed, the other instances are queried
   /// every `query_interval` whether they reach it.
@@ -230,8 +236,13 @@
   const std::map<std::string, CellLead>& leads() const { return leads_; }
   /// True once the directory has been read.
   bool loaded() const { return loaded_; }
-  /// Starts a full read of the directory unless one is running.
+  /// Starts a full read of the directory unless one is running or due.
   void Refresh();
+  /// Calls to other instances that asked whether they reach the store.
+  uint64_t queries() const { return queries_; }
+  /// Refused watch calls, because all instances together exceeded the rate that
+  /// the store accepts.
+  uint64_t watches_over_budget() const { return watches_over_budget_; }
   /// Adds a lead that this process has just taken.
   void SetLead(const CellLead& lead);
   /// Removes a lead that this process has just released.
@@ -252,7 +263,15 @@
   void OnRegistered(int64_t revision);
   void OnLeaseLost(std::string_view reason);
   void List();
+  void BeginList();
   void Watch();
+  void OnWatchFailed(std::error_code error);
+  /// Minimum time between two watch calls, or two full reads, of this instance;
+  /// see `LiveOptions::max_reads_per_second`.
+  Millis MinReadInterval() const;
+  /// Watches again, `MinReadInterval` after the last watch began at the
+  /// earliest.
+  void WatchAgain(Instant last_began);
   void Apply(const StoreItem& item);
   void Replace(const StoreItems& items);
   void ReregisterIfMissing();
@@ -292,7 +311,11 @@
   Instant last_store_answer_at_{};
   std::optional<Instant> registered_since_;
   bool loaded_ = false;
+  /// A full read is running, or due once `MinReadInterval` has passed.
   bool listing_ = false;
+  Instant list_began_{};
+  uint64_t queries_ = 0;
+  uint64_t watches_over_budget_ = 0;
   int64_t revision_ = 0;
   /// Store revisions, each with the time at which this process learned that the
   /// store had reached it; both in ascending order.
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -355,6 +355,20 @@
     return;
   }
   listing_ = true;
+  const Millis pause = std::chrono::ceil<Millis>(
+      list_began_ + MinReadInterval() - executor_.Now());
+  if (list_began_ == Instant{} || pause <= Millis(0)) {
+    BeginList();
+  } else {
+    executor_.Schedule(pause, [this] { BeginList(); });
+  }
+}
+
+void LiveDirectory::BeginList() {
+  if (stopped_) {
+    return;
+  }
+  list_began_ = executor_.Now();
   store_.List(std::string(kLivePrefix),
               [this](std::error_code error, const StoreItems& items) {
                 listing_ = false;
@@ -385,8 +399,7 @@
           return;
         }
         if (error) {
-          List();
-          executor_.Schedule(options_.retry_pause, [this] { Watch(); });
+          OnWatchFailed(error);
           return;
         }
         last_store_answer_at_ = executor_.Now();
@@ -404,10 +417,39 @@
         if (executor_.Now() - sent >= options_.min_watch_before_full_read) {
           List();
         }
-        Watch();
+        WatchAgain(sent);
       });
 }
 
+// A refused watch misses nothing, since the next one continues from the same
+// revision, and a full read would cost the store further calls.
+void LiveDirectory::OnWatchFailed(std::error_code error) {
+  if (error == make_error_code(KvErrc::kOverBudget)) {
+    ++watches_over_budget_;
+  } else {
+    List();
+  }
+  executor_.Schedule(std::max(options_.retry_pause, MinReadInterval()),
+                     [this] { Watch(); });
+}
+
+Millis LiveDirectory::MinReadInterval() const {
+  constexpr int64_t kMillisPerSecond = 1000;
+  const size_t instances = std::max(instances_.size(), known_instances_.size());
+  return Millis(static_cast<int64_t>(instances) * kMillisPerSecond /
+                options_.max_reads_per_second);
+}
+
+void LiveDirectory::WatchAgain(Instant last_began) {
+  const Millis pause = std::chrono::ceil<Millis>(
+      last_began + MinReadInterval() - executor_.Now());
+  if (pause <= Millis(0)) {
+    Watch();
+  } else {
+    executor_.Schedule(pause, [this] { Watch(); });
+  }
+}
+
 void LiveDirectory::Apply(const StoreItem& item) {
   if (!item.key.starts_with(kLivePrefix)) {
     return;
--- a/src/libdoorwood/membership/live_outage.cpp
+++ b/src/libdoorwood/membership/live_outage.cpp
@@ -78,8 +78,12 @@
   executor_.Schedule(options_.query_interval, [this] { QueryOthers(); });
   const Instant now = executor_.Now();
   RemoveOneStaleKnownInstanceKey();
-  if (failing_since_ == Instant{} &&
-      now - last_store_answer_at_ < options_.store_unresponsive_threshold) {
+  // Only a leader acts on the answers. If every instance asked all others, the
+  // messages of an outage would grow with the square of their number.
+  const bool is_store_silent =
+      failing_since_ != Instant{} ||
+      now - last_store_answer_at_ >= options_.store_unresponsive_threshold;
+  if (CountOwnLeads() == 0 || !is_store_silent) {
     return;
   }
   for (const auto& [name, instance] : instances_) {
@@ -148,6 +152,7 @@
   if (needs_agreement_ && IsStoreUnresponsive(executor_.Now())) {
     RequestAgreement(instance);
   }
+  ++queries_;
   const Instant sent = executor_.Now();
   store_answer_port_.QueryTimeSinceStoreAnswer(
       instance,
