perf(cell): a leader contacts its workers by and by

Cause: a leader opened the sessions with all workers in one go. With 3,000 workers it handles the first answers after the 500 ms for a connection, so most contacts fail and begin again together. Workers not contacted 250 ms after the takeover are recorded as such; each one's first answer then built and wrote the record of all workers once more, and polled the worker anew.

Change: at most 128 first contacts at a time, not counting workers that have been silent for 200 ms. While workers wait for their contact, none is recorded as uncontacted (for 3 s at most; a successor then waits longer, never shorter). Workers in contact again are recorded together.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -10,6 +10,7 @@
 #define DOORWOOD_CELL_LEADER_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <limits>
 #include <map>
@@ -266,6 +267,11 @@
   /// Name of a task, and a note of a worker crash to be added to the task.
   using TaskCrashNote = std::pair<std::string, CrashNote>;
   /// A caller that waits for a cancellation to be recorded.
+  /// A worker that was asked for its first report of this leader's term.
+  struct Contact {
+    std::shared_ptr<WorkerSession> session;
+    Instant began{};
+  };
   struct PendingCancel {
     CancelCallback done;
     /// When `done` gets kOutcomeUnknown if the cancellation is not recorded.
@@ -345,6 +351,10 @@
   /// Sets `CellWorker::unlisted_since` for workers without a directory entry.
   void MarkUnlistedWorkers();
   void AddWorker(const WorkerIncarnation& incarnation, bool from_takeover);
+  /// Opens the sessions that are waiting, as far as `CellOptions::max_contacts`
+  /// allows, and schedules itself while further ones are waiting.
+  void ContactWaitingWorkers();
+  void StopContacting();
   /// Opens sessions with the next incarnations of workers that have started
   /// again under their ids. What concerns the worker's row in the store stays;
   /// what concerns the incarnation begins anew.
@@ -382,6 +392,8 @@
   std::vector<KnownWorker> BuildWorkerRecords() const;
   /// Passes the current records of all workers to the journal.
   void RecordWorkers();
+  /// Does so soon: once for all workers that are contacted until then.
+  void RequestWorkersRecord();
   /// Tasks that may run on the worker, or whose end there is not recorded.
   /// Empty optional: any task may run there or be started there.
   std::optional<std::vector<std::string>> TasksToRecord(
@@ -878,6 +890,12 @@
   TicketBook tickets_;
   UpkeepWaveController upkeep_waves_;
   std::map<std::string, CellWorker> cell_workers_;
+  /// Sessions of added workers that are not opened yet, in order.
+  std::deque<std::shared_ptr<WorkerSession>> contacts_waiting_;
+  /// Opened sessions that count towards `CellOptions::max_contacts`.
+  std::vector<Contact> contacts_;
+  Executor::TimerId contact_timer_ = 0;
+  bool workers_record_requested_ = false;
   /// Number of sessions opened so far; see `CellWorker::session_number`.
   uint64_t session_count_ = 0;
   /// Removed workers in whose place another incarnation has answered, by id.
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -81,6 +81,12 @@
   /// is limited to `WorkerSessionOptions::long_poll_wait`, so a very large cell
   /// exceeds the rate. A poll costs a leader about 60 us.
   int max_interference_polls = 700;
+  /// Maximum number of workers at a time that are contacted for the first time,
+  /// without those that have not answered for `contact_patience`. A leader that
+  /// contacts thousands of workers at once handles their answers only after the
+  /// time-outs of the connections, and would have to begin again.
+  size_t max_contacts = 128;
+  Millis contact_patience{200};
   /// A worker that was not listed for this long is treated as leaving. Entries
   /// that were lost in an outage of the store are back within 2 s.
   Millis unlisted_grace{2200};
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -346,6 +346,8 @@
   /// or a pace. If later: when the session was opened, or when a run was added
   /// while the worker had none.
   Instant last_response_at() const { return last_response_at_; }
+  /// `Close` was called.
+  bool closed() const { return closed_; }
   /// The poll that completed last failed. Until one succeeds, polls extend no
   /// lease there.
   bool last_poll_failed() const { return last_poll_failed_; }
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -317,6 +317,7 @@
   unreachable_recorded_ = led_since_ + options_.first_unreachable_record -
                           options_.unreachable_record_interval;
   next_tasks_record_ = Instant{};
+  workers_record_requested_ = false;
   wait_logged_ = Instant{};
   unconfirmed_after_pause_ = false;
   order_deadline_ = Instant{};
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -120,6 +120,7 @@
   for (auto& [id, cell_worker] : cell_workers_) {
     cell_worker.session->Close();
   }
+  StopContacting();
   // Sessions may be on the call stack, so they are destroyed later.
   executor_.Post([members = std::move(cell_workers_)] {});
   cell_workers_.clear();
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -288,7 +288,7 @@
       cell_worker->second.renewals_blocked &&
       !cell_worker->second.contact_record_pending) {
     cell_worker->second.contact_record_pending = true;
-    RecordWorkers();
+    RequestWorkersRecord();
   } else if (cell_worker != cell_workers_.end() &&
              cell_worker->second.starts_blocked &&
              HasUnrecordedTaskChanges(cell_worker->second)) {
--- a/src/libdoorwood/cell/cell_worker_records.cpp
+++ b/src/libdoorwood/cell/cell_worker_records.cpp
@@ -18,6 +18,14 @@
 // again. All workers are always recorded together, under one key; the pause
 // bounds the load on a small machine's network link.
 constexpr std::chrono::microseconds kWriteDelayPerEntry{250};
+// Delay of the record that says that workers are in contact again, for each
+// worker of the cell. Each record names all workers, and after a takeover or an
+// outage all of them may report within a second.
+constexpr std::chrono::microseconds kContactRecordDelayPerWorker{50};
+// While workers are still being contacted for the first time, those that have
+// not answered are not recorded as uncontacted for this long: each one recorded
+// needs a further record, and a further poll, once it answers.
+constexpr Millis kMaxContactingTime{3000};
 
 size_t CountTasks(const KnownWorker& worker) {
   return worker.tasks ? worker.tasks->size() : 0;
@@ -96,6 +104,21 @@
   journal_.SetWorkers(std::move(known));
 }
 
+void CellLeader::RequestWorkersRecord() {
+  if (workers_record_requested_) {
+    return;
+  }
+  workers_record_requested_ = true;
+  const auto delay = std::chrono::duration_cast<Millis>(
+      cell_workers_.size() * kContactRecordDelayPerWorker);
+  executor_.Schedule(delay, [this, epoch = epoch_] {
+    if (leading() && epoch == epoch_ &&
+        std::exchange(workers_record_requested_, false)) {
+      RecordWorkers();
+    }
+  });
+}
+
 // A successor that cannot reach a worker holds back every task that may run
 // there. For a worker that gets no new work, those tasks are known and can only
 // become fewer: a task whose end there is recorded need not be held back.
@@ -227,6 +250,9 @@
       now - unreachable_recorded_ < options_.unreachable_record_interval) {
     return;
   }
+  if (!contacts_waiting_.empty() && TimeLeading() < kMaxContactingTime) {
+    return;
+  }
   unreachable_recorded_ = now;
   // For an unresponsive worker without runs, the time makes no difference to a
   // successor.
