perf(cell): a report and a job's end no longer visit all workers

Cause: each report that arrived while nothing waited to be recorded visited all workers for ends that need no record, and each end of a job searched the runs of all workers for runs to stop. Both grow with the square of the number of workers.

Change: a report settles the ends of its own worker; those of the others are settled once a tick. Runs are searched only if a task of the job has one.

--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -219,6 +219,8 @@
 
 /// Calls `each` with every task of every repetition of the job.
 void ForEachTask(Job* job, const std::function<void(Task*)>& each);
+/// Whether a run of one of the job's tasks has not ended, as far as is known.
+bool HasPlacedTask(const Job& job);
 
 /// The parts of "JOB.REPETITION.STEP.INDEX".
 struct TaskName {
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -442,6 +442,9 @@
     return;
   }
   interference_.Decay(options_.tick);
+  if (journal_.idle()) {
+    OnEndsRecorded(HighestUnrecordedEnds());
+  }
   HandleDeadWorkers();
   ReplaceRestartedWorkers();
   RecordChangedIncarnations();
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -295,9 +295,11 @@
     RecordTasksOfClosedWorkers();
   }
   // If the journal is idle, all changes of state are stored. The remaining ends
-  // changed no state, so they need no record.
+  // changed no state, so they need no record. Those of other workers follow
+  // with their reports or in `Tick`: visiting all workers for each report would
+  // make the cost of reports grow with the square of the number of workers.
   if (journal_.idle()) {
-    OnEndsRecorded(HighestUnrecordedEnds());
+    session.MarkRecorded(session.last_end());
   }
 }
 
@@ -310,6 +312,11 @@
 }
 
 void CellLeader::StopRunsOfJob(const Job& job) {
+  // The last task of most jobs ends where all others have ended before. Such a
+  // job has no run, so the runs of all workers need not be searched for it.
+  if (!HasPlacedTask(job)) {
+    return;
+  }
   const std::string prefix = job.plan.id + ".";
   for (const auto& [id, cell_worker] : cell_workers_) {
     const auto session = cell_worker.session;
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -68,6 +68,18 @@
   return cpu;
 }
 
+bool HasPlacedTask(const Job& job) {
+  for (const RepetitionState& repetition : job.repetitions) {
+    for (const StepState& step : repetition.steps) {
+      if (std::any_of(step.tasks.begin(), step.tasks.end(),
+                      [](const Task& task) { return task.placed; })) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void ForEachTask(Job* job, const std::function<void(Task*)>& each) {
   for (RepetitionState& repetition : job->repetitions) {
     for (StepState& step : repetition.steps) {
