perf(cell): a step is compared on the first 512 suitable workers

Cause: each step was evaluated on every worker, and the whole list of workers was read every 450 ms, whatever their number.

Change: the scan of a step ends once 512 workers, or twice its tasks, are suitable; the rest is visited if none of them takes the task. Steps on one rack are compared on all. The list of workers is read every 0.3 ms a worker, 450 ms at least and 1 s at most. Cells of up to 512 workers see no change.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -722,6 +722,15 @@
                      size_t place,
                      int planned,
                      StepCandidates* places) const;
+  /// Evaluates workers that have changed after the scheduling pass `pass`, from
+  /// the one with the index `visited` on until `enough` of them are suitable.
+  void EvaluatePlaces(const ReadyStep& ready,
+                      const TaskRequirements& need,
+                      const std::vector<CandidateWorker*>& candidates,
+                      uint64_t pass,
+                      size_t enough,
+                      size_t* visited,
+                      StepCandidates* places) const;
   /// Evaluates all workers that have changed after the scheduling pass `pass`.
   void EvaluateChangedPlaces(const ReadyStep& ready,
                              const TaskRequirements& need,
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -29,6 +29,18 @@
 // and each request took 4% of a leader's processor time.
 constexpr Millis kOldJobRemovalInterval{1000};
 constexpr Millis kSummaryInterval{300};
+// In a large cell the list of workers is read less often, so that reading it
+// takes a bounded share of the processor. The platform's shortest bound after
+// which a leaving worker may get no new work is 2 s.
+constexpr std::chrono::microseconds kListIntervalPerWorker{300};
+constexpr Millis kLongestListInterval{1000};
+
+Millis ListInterval(const CellOptions& options, size_t workers) {
+  const auto for_size =
+      std::chrono::duration_cast<Millis>(workers * kListIntervalPerWorker);
+  return std::max(options.list_interval,
+                  std::min(for_size, kLongestListInterval));
+}
 
 }  // namespace
 
@@ -408,7 +420,7 @@
     HandOverLead(*other);
     return;
   }
-  if (now - workers_read_ >= options_.list_interval) {
+  if (now - workers_read_ >= ListInterval(options_, cell_workers_.size())) {
     ReadWorkers();
   }
   if (now - closed_read_ >= options_.closed_interval) {
--- a/src/libdoorwood/cell/cell_places.cpp
+++ b/src/libdoorwood/cell/cell_places.cpp
@@ -124,10 +124,25 @@
     const std::vector<CandidateWorker*>& candidates,
     uint64_t pass,
     StepCandidates* places) const {
-  for (size_t place = 0; place < candidates.size(); ++place) {
+  size_t visited = 0;
+  EvaluatePlaces(ready, need, candidates, pass, candidates.size(), &visited,
+                 places);
+}
+
+void CellLeader::EvaluatePlaces(const ReadyStep& ready,
+                                const TaskRequirements& need,
+                                const std::vector<CandidateWorker*>& candidates,
+                                uint64_t pass,
+                                size_t enough,
+                                size_t* visited,
+                                StepCandidates* places) const {
+  size_t suitable = 0;
+  for (; *visited < candidates.size() && suitable < enough; ++*visited) {
+    const size_t place = *visited;
     if (candidates[place]->last_changed_pass > pass) {
       EvaluatePlace(ready, need, *candidates[place], place, /*planned=*/0,
                     places);
+      suitable += places->IsSuitable(place) ? 1 : 0;
     }
   }
 }
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -18,6 +18,11 @@
 // than a fifth of the processor.
 constexpr int kPauseToPassRatio = 4;
 constexpr Millis kLongestPause{80};
+// A step's tasks are placed on the best of the first suitable workers, at least
+// this many. In a larger cell, evaluating the others costs more than a better
+// place gains. The scan always begins with the same workers: work that is
+// spread over all of them needs a connection to each.
+constexpr size_t kMinComparedPlaces = 512;
 
 std::vector<CandidateWorker> CopyCandidates(
     const std::vector<CandidateWorker*>& candidates) {
@@ -208,8 +213,12 @@
   TaskRequirements need{queue->service, interference_.Intern(plan.image), rack};
   StepCandidates places(plan, usable_candidates, interference_,
                         options_.policy);
-  EvaluateChangedPlaces(ready, need, usable_candidates, last_failed_pass,
-                        &places);
+  const size_t enough = plan.same_rack
+                            ? usable_candidates.size()
+                            : std::max(kMinComparedPlaces, 2 * tasks.size());
+  size_t visited = 0;
+  EvaluatePlaces(ready, need, usable_candidates, last_failed_pass, enough,
+                 &visited, &places);
   const std::string step = StepName(*ready.job, ready.repetition, ready.step);
   for (Task& task : tasks) {
     if (!IsReady(task)) {
@@ -223,8 +232,12 @@
     if (suspect && !trial_place) {
       continue;
     }
-    const int place =
-        trial_place ? *trial_place : places.Best(task.avoided_worker);
+    int place = trial_place ? *trial_place : places.Best(task.avoided_worker);
+    if (place == kNoWorker && visited < usable_candidates.size()) {
+      EvaluatePlaces(ready, need, usable_candidates, last_failed_pass,
+                     usable_candidates.size(), &visited, &places);
+      place = places.Best(task.avoided_worker);
+    }
     if (place == kNoWorker) {
       if (!advised) {
         failed_placements_.Add(plan, queue->service, pass_);
