fix(loop): connections that are not reused are closed

Cause: an idle connection is not reused after 8 s, but was kept open until the next call to its address.

Change: they are closed once a second.

No test: it would take the 8 s of real time.

--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -27,6 +27,9 @@
 // Connections that were idle for longer are not reused, because the server may
 // be about to close them.
 constexpr std::chrono::seconds kIdleLifetime{8};
+// Interval at which these are closed. To thousands of servers they would
+// otherwise use up the descriptors of the process.
+constexpr std::chrono::seconds kIdleCheckInterval{1};
 constexpr uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
 // Room for reading a body, at most. The body is read in pieces of this size;
 // the loop handles everything else that is due between two of them.
@@ -101,12 +104,28 @@
       connection->idle_since = BootClock::now();
       idle.push_back(std::move(connection));
     }
+    CloseUnused();
   }
 
   asio::io_context& context;
   uint64_t connects = 0;
 
  private:
+  void CloseUnused() {
+    const Instant now = BootClock::now();
+    if (now - closed_unused_at_ < kIdleCheckInterval) {
+      return;
+    }
+    closed_unused_at_ = now;
+    for (auto it = idle_.begin(); it != idle_.end();) {
+      std::erase_if(it->second, [now](const auto& connection) {
+        return now - connection->idle_since >= kIdleLifetime;
+      });
+      it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+  }
+
+  Instant closed_unused_at_{};
   /// By address and `HttpCall::group`.
   std::map<std::pair<std::string, std::string>,
            std::vector<std::shared_ptr<Connection>>>
