fix(cell): a step with its data on a rack is compared on all workers

Cause: the scan that ends after 512 suitable workers may not reach the rack that holds the step's data, and elsewhere its tasks take longer.

Change: such a step is compared on all workers, as one that needs one rack. No test of its own.

--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -213,7 +213,9 @@
   TaskRequirements need{queue->service, interference_.Intern(plan.image), rack};
   StepCandidates places(plan, usable_candidates, interference_,
                         options_.policy);
-  const size_t enough = plan.same_rack
+  // Where the rack matters, the best workers may be anywhere.
+  const bool compares_all = plan.same_rack || !plan.data_rack.empty();
+  const size_t enough = compares_all
                             ? usable_candidates.size()
                             : std::max(kMinComparedPlaces, 2 * tasks.size());
   size_t visited = 0;
