--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -37,6 +37,18 @@
 // and each request took 4% of a leader's processor time.
 constexpr Millis kOldJobRemovalInterval{1000};
 constexpr Millis kSummaryInterval{300};
+// In a large cell the list of workers is read less often, so that reading it
+// takes a bounded share of the processor. The platform's shortest bound after
+// which a leaving worker may get no new work is 2 s.
+constexpr std::chrono::microseconds kListIntervalPerWorker{300};
+constexpr Millis kLongestListInterval{1000};
+
+Millis ListInterval(const CellOptions& options, size_t workers) {
+  const auto for_size =
+      std::chrono::duration_cast<Millis>(workers * kListIntervalPerWorker);
+  return std::max(options.list_interval,
+                  std::min(for_size, kLongestListInterval));
+}
 
 }  // namespace
 
@@ -132,6 +144,7 @@
   for (auto& [id, cell_worker] : cell_workers_) {
     cell_worker.session->Close();
   }
+  StopContacting();
   // Sessions may be on the call stack, so they are destroyed later.
   executor_.Post([members = std::move(cell_workers_)] {});
   cell_workers_.clear();
@@ -447,7 +460,7 @@
     HandOverLead(*other);
     return;
   }
-  if (now - workers_read_ >= options_.list_interval) {
+  if (now - workers_read_ >= ListInterval(options_, cell_workers_.size())) {
     ReadWorkers();
   }
   if (now - closed_read_ >= options_.closed_interval) {
@@ -481,6 +494,9 @@
     return;
   }
   interference_.Decay(options_.tick);
+  if (journal_.idle()) {
+    OnEndsRecorded(HighestUnrecordedEnds());
+  }
   HandleDeadWorkers();
   ReplaceRestartedWorkers();
   RecordChangedIncarnations();
