fix(ingress): release held submissions on a clock that advances between calls

Cause: the forecast that a leader accepts now was computed from a later reading of the clock than the time it was compared with, so nothing held was ever released; each waited until its caller's time was over.

Change: one reading of the clock a check. The tests use a clock that advances between calls; with the fault six checks of ingress_test fail.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -280,6 +280,7 @@
       {"doorwood_step_downs_total", counters.step_downs},
       {"doorwood_submissions_held", ingress_.held()},
       {"doorwood_submissions_held_total", returns.held},
+      {"doorwood_held_submissions_released_total", returns.released},
       {"doorwood_held_submissions_accepted_total", returns.accepted_after_hold},
       {"doorwood_callers_told_to_return_total", returns.told_to_return},
       {"doorwood_callers_refused_for_good_total", returns.refused_for_good},
--- a/src/include/doorwood/ingress.h
+++ b/src/include/doorwood/ingress.h
@@ -81,6 +81,9 @@
 /// Counters of submissions that no leader accepted at once.
 struct ReturnCounters {
   uint64_t held = 0;
+  /// Held ones that were sent to a leader; one that the leader could not take
+  /// may wait again and count once more.
+  uint64_t released = 0;
   uint64_t accepted_after_hold = 0;
   uint64_t told_to_return = 0;
   uint64_t refused_for_good = 0;
@@ -233,7 +236,7 @@
                      std::error_code error);
   LeaderSigns SignsOf(const std::string& cell) const;
   /// When the first of the cells accepts jobs, see ServiceForecast::ServiceAt.
-  std::optional<Instant> ServiceAt() const;
+  std::optional<Instant> ServiceAt(Instant now) const;
   /// True if a call about a new job would most likely be refused: a probe of
   /// the leader is under way, or has just failed.
   bool IsKnownNotToServe(const std::string& cell) const;
--- a/src/libdoorwood/ingress/ingress_returns.cpp
+++ b/src/libdoorwood/ingress/ingress_returns.cpp
@@ -117,8 +117,7 @@
   return {serves ? Stage::kServing : Stage::kReading, known.seen_at};
 }
 
-std::optional<Instant> Ingress::ServiceAt() const {
-  const Instant now = executor_.Now();
+std::optional<Instant> Ingress::ServiceAt(Instant now) const {
   const bool store_responsive = !live_.IsStoreUnresponsive(now);
   std::optional<Instant> first;
   for (const auto& [cell, known] : cells_) {
@@ -132,7 +131,7 @@
 
 Seconds Ingress::time_to_retry() const {
   const Instant now = executor_.Now();
-  const Instant at = ServiceAt().value_or(now);
+  const Instant at = ServiceAt(now).value_or(now);
   return std::max(Seconds(1), std::chrono::ceil<Seconds>(at - now));
 }
 
@@ -214,7 +213,7 @@
 
 void Ingress::HoldOrRefuse(const SubmissionPtr& submission) {
   ReturnQuestion question = QuestionAbout(*submission);
-  question.service_at = ServiceAt();
+  question.service_at = ServiceAt(question.now);
   ReturnDecision decision = returns_.Decide(question);
   if (decision.kind == ReturnDecision::Kind::kHold) {
     Hold(submission);
@@ -258,7 +257,7 @@
     if (submission.deadline) {
       fields["time_left_ms"] = Age(*submission.deadline, now).count();
     }
-    if (const auto service_at = ServiceAt()) {
+    if (const auto service_at = ServiceAt(now)) {
       fields["service_in_ms"] = Age(*service_at, now).count();
     }
     if (submission.was_held) {
@@ -294,7 +293,7 @@
   if (held_.empty()) {
     const Instant now = executor_.Now();
     Json fields = Json::object();
-    if (const auto service_at = ServiceAt()) {
+    if (const auto service_at = ServiceAt(now)) {
       fields["service_in_ms"] = Age(*service_at, now).count();
     }
     log_.Write("info", "ingress", "submissions wait for a leader", fields);
@@ -329,7 +328,7 @@
 void Ingress::CheckHeld() {
   ObserveLeads();
   const Instant now = executor_.Now();
-  const auto service_at = ServiceAt();
+  const auto service_at = ServiceAt(now);
   const bool serving = service_at && *service_at <= now;
   RefuseHeldThatCannotWait(service_at);
   if (serving) {
@@ -340,7 +339,7 @@
   if (held_.empty()) {
     log_.Write("info", "ingress", "no submission waits for a leader any more",
                {{"held_total", return_counters_.held},
-                {"accepted_total", return_counters_.accepted_after_hold}});
+                {"released_total", return_counters_.released}});
     return;
   }
   ScheduleCheck(serving
@@ -378,6 +377,7 @@
     const SubmissionPtr submission = held_.begin()->second;
     EndHold(held_.begin());
     next_release_at_ += interval;
+    ++return_counters_.released;
     Forward(submission);
   }
 }
@@ -399,7 +399,8 @@
 
 void Ingress::StopHolding() {
   stopping_ = true;
-  const auto service_at = ServiceAt();
+  const Instant now = executor_.Now();
+  const auto service_at = ServiceAt(now);
   while (!held_.empty()) {
     const SubmissionPtr submission = held_.begin()->second;
     EndHold(held_.begin());
--- a/src/libdoorwood/ingress/ingress_test.cpp
+++ b/src/libdoorwood/ingress/ingress_test.cpp
@@ -17,6 +17,28 @@
 
 constexpr char kJob[] = "00112233aabbccdd";
 
+// Time passes between any two calls of `Now`, as on a real clock.
+class TickingExecutor : public Executor {
+ public:
+  explicit TickingExecutor(Executor& executor) : executor_(executor) {}
+
+  Instant Now() const override {
+    return executor_.Now() + std::chrono::nanoseconds(++calls_);
+  }
+  void Post(std::function<void()> function) override {
+    executor_.Post(std::move(function));
+  }
+  TimerId Schedule(Millis delay, std::function<void()> function) override {
+    return executor_.Schedule(delay, std::move(function));
+  }
+  void Cancel(TimerId timer) override { executor_.Cancel(timer); }
+  uint64_t Random() override { return executor_.Random(); }
+
+ private:
+  Executor& executor_;
+  mutable int64_t calls_ = 0;
+};
+
 // Peers that answer after 2 ms, or fail after 1 s if unreachable.
 class FakePeers : public CellPeers {
  public:
@@ -115,8 +137,9 @@
     peers = std::make_unique<FakePeers>(*self->executor);
     IngressOptions options;
     options.returns.max_held = max_held;
+    executor = std::make_unique<TickingExecutor>(*self->executor);
     ingress = std::make_unique<Ingress>(
-        *self->executor, *self->store, *peers, *self->live, *self->log,
+        *executor, *self->store, *peers, *self->live, *self->log,
         std::vector<CellLeader*>{self->cell.get()}, options);
     ingress->Start();
     world.Run(Millis(2000));
@@ -156,6 +179,7 @@
 
   fakes::CellWorld world;
   fakes::WorldInstance* self = nullptr;
+  std::unique_ptr<TickingExecutor> executor;
   std::unique_ptr<FakePeers> peers;
   std::unique_ptr<Ingress> ingress;
   bool answered = false;
