--- a/src/libdoorwood/cell/cell_backup_runs_test.cpp
+++ b/src/libdoorwood/cell/cell_backup_runs_test.cpp
@@ -258,6 +258,26 @@
   }
 }
 
+// The workers of the copies have seen higher run numbers of the tasks.
+BOOST_FIXTURE_TEST_CASE(Copy_StartRefusedAsStale_FirstRunGoesOnAndCompletes,
+                        BackupFixture) {
+  constexpr uint32_t kHigherRun = 1000;
+  world.workers().at("w1")->model.SetSlowdown(10);
+  BOOST_REQUIRE(Submit());
+  world.Run(Millis(300));
+  const auto token = static_cast<uint64_t>(world.Leader()->cell->epoch());
+  for (const char* id : {"w2", "w3"}) {
+    for (int index = 0; index < kTasks; ++index) {
+      world.workers().at(id)->model.Stop({token, TaskOf(index), kHigherRun});
+    }
+  }
+  world.Run(Millis(1500));
+  BOOST_TEST(counters().copies_started > 0U);
+  world.Run(Millis(8000));
+  BOOST_TEST(State() == "completed");
+  ExpectNothingRuns();
+}
+
 // A worker falls silent before the ends of its runs are heard: their tasks need
 // not wait until its lease of 6 s has expired.
 BOOST_FIXTURE_TEST_CASE(Run_WorkerIsSilent_CopyCompletesTaskSooner,
