--- a/src/libdoorwood/cell/cell_ended_jobs.cpp
+++ b/src/libdoorwood/cell/cell_ended_jobs.cpp
@@ -23,12 +23,6 @@
   return JobPhase::kRunning;
 }
 
-bool HasPlacedTask(Job* job) {
-  bool any = false;
-  ForEachTask(job, [&any](const Task* task) { any |= task->placed; });
-  return any;
-}
-
 }  // namespace
 
 EndedJob CellLeader::ToEndedJob(const Job& job) {
@@ -37,8 +31,8 @@
 
 void CellLeader::ArchiveEndedJobs() {
   std::erase_if(to_archive_, [this](const std::string& id) {
-    Job* job = jobs_.Find(id);
-    if (job != nullptr && HasPlacedTask(job)) {
+    const Job* job = jobs_.Find(id);
+    if (job != nullptr && HasPlacedTask(*job)) {
       return false;
     }
     if (job != nullptr) {
