fix(membership): a restarted instance removes its earlier key once it may campaign

Change: it removes the key when its wait for other registrations is over.

Measured: cell_restarted_leader_test and cell_vacancy_test pass.

--- a/src/libdoorwood/cell/cell_vacancy.cpp
+++ b/src/libdoorwood/cell/cell_vacancy.cpp
@@ -138,7 +138,19 @@
          lead.address == live_.self().address && lead.nonce != nonce_;
 }
 
+// Only once this instance may campaign: it may be the strongest one, and the
+// others would take the lead before it.
 void CellLeader::RemoveLeadOfEarlierProcess(const CellLead& lead) {
+  if (!live_.registered_since()) {
+    return;
+  }
+  const Instant now = executor_.Now();
+  const Instant may_campaign_at = EndOfRegistrations();
+  if (may_campaign_at > now) {
+    executor_.Schedule(std::chrono::ceil<Millis>(may_campaign_at - now),
+                       [this] { OnLiveChange(); });
+    return;
+  }
   if (!removing_lead_) {
     RemoveLeadKeyOf(lead.epoch, {},
                     "tried to remove the lead key of an earlier process of "
