fix(cell): lists read before the term are not used after a move

Change: the callback returns there. The test of a crashing task while leaders change asks the newest leader 1 s later: until it has read the archive, an ended job is not in its memory (callers are answered from the store).

--- a/src/libdoorwood/cell/cell_crashing_task_test.cpp
+++ b/src/libdoorwood/cell/cell_crashing_task_test.cpp
@@ -118,6 +118,9 @@
         fixture.world.Run(Millis(5000 + 500 * i));
         fixture.RestartLeader();
       }
+      // The newest leader has to read the archive of ended jobs.
+      BOOST_REQUIRE(fixture.world.WaitForLeader() != nullptr);
+      fixture.world.Run(Millis(1000));
       BOOST_TEST(fixture.StateOf(kFixtureJob) == "failed");
       BOOST_TEST(fixture.StateOf(kHealthyJob) == "running");
     }
--- a/src/libdoorwood/cell/cell_workers.cpp
+++ b/src/libdoorwood/cell/cell_workers.cpp
@@ -72,6 +72,7 @@
         }
         if (stage_ == Stage::kReading && !error) {
           early_workers_ = {std::move(incarnations), executor_.Now()};
+          return;
         }
         if (!leading()) {
           return;
@@ -122,6 +123,7 @@
         reading_closed_ = false;
         if (stage_ == Stage::kReading && !error) {
           early_closed_ = {std::move(closed), executor_.Now()};
+          return;
         }
         if (leading() && !error) {
           closed_read_ = executor_.Now();
