--- a/src/libdoorwood/cell/cell_workers_record_test.cpp
+++ b/src/libdoorwood/cell/cell_workers_record_test.cpp
@@ -111,8 +111,8 @@
   for (const char* evidence :
        {"null", "5", "[]", "[1,2,3]", "[5,7,0,0,0]", "[-1,-2,0,0,0]",
         "[\"9\",1,0,0,0]", "[1e300,1,0,0,0]", "[9,1,-2,0,0]", "{}"}) {
-    const auto rows = DecodeWorkers(R"([["w","a",0,["x"],7,)" +
-                                    std::string(evidence) + "]]");
+    const auto rows =
+        DecodeWorkers(R"([["w","a",0,["x"],7,)" + std::string(evidence) + "]]");
     BOOST_REQUIRE(rows.size() == 1U);
     BOOST_TEST(!rows[0].evidence.has_value());
     BOOST_TEST(rows[0].started_at == 7);
