--- a/src/loop.adapter/http_peers_test.cpp
+++ b/src/loop.adapter/http_peers_test.cpp
@@ -169,32 +169,34 @@
     world.Run(Millis(50));
     BOOST_TEST(status == 409, query);
   }
-  // Guards against a machine that says nothing, and is taken for one on which
-  // the leader's process has ended.
-  BOOST_AUTO_TEST_CASE(Summary_NoProcessListens_FailsAsRefused) {
-    PeersFixture fixture(
-        [](int) { return ScriptedServer::Answer("200 OK", "{}"); });
-    const auto fetch = [&fixture] {
-      std::optional<std::error_code> result;
-      fixture.peers.FetchCellSummary(
-          fixture.lead,
-          [&](std::error_code error, const CellSummary&) { result = error; });
-      return WaitFor(fixture.context, result);
-    };
-    BOOST_TEST(fetch() == std::error_code());
-    {
-      // A port that was just free; binding it without listening keeps it so.
-      boost::asio::ip::tcp::socket socket(fixture.context);
-      socket.open(boost::asio::ip::tcp::v4());
-      socket.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
-      fixture.lead.address =
-          "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
-      BOOST_TEST(fetch() == make_error_code(PeerErrc::kRefused));
-      BOOST_TEST(fixture.Submit() == make_error_code(PeerErrc::kNotSent));
-    }
-    fixture.lead.address = "no address";
-    BOOST_TEST(fetch() == make_error_code(PeerErrc::kNotSent));
+}
+
+// Guards against a machine that says nothing, and is taken for one on which
+// the leader's process has ended.
+BOOST_AUTO_TEST_CASE(Summary_NoProcessListens_FailsAsRefused) {
+  PeersFixture fixture(
+      [](int) { return ScriptedServer::Answer("200 OK", "{}"); });
+  const auto fetch = [&fixture] {
+    std::optional<std::error_code> result;
+    fixture.peers.FetchCellSummary(
+        fixture.lead,
+        [&](std::error_code error, const CellSummary&) { result = error; });
+    return WaitFor(fixture.context, result);
+  };
+  BOOST_TEST(fetch() == std::error_code());
+  {
+    // A port that was just free; binding it without listening keeps it so.
+    boost::asio::ip::tcp::socket socket(fixture.context);
+    socket.open(boost::asio::ip::tcp::v4());
+    socket.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    fixture.lead.address =
+        "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+    BOOST_TEST(fetch() == make_error_code(PeerErrc::kRefused));
+    BOOST_TEST(fixture.Submit() == make_error_code(PeerErrc::kNotSent));
   }
+  fixture.lead.address = "no address";
+  BOOST_TEST(fetch() == make_error_code(PeerErrc::kNotSent));
+}
 
 }  // namespace
 }  // namespace doorwood
