--- a/src/libdoorwood/membership/live_directory_test.cpp
+++ b/src/libdoorwood/membership/live_directory_test.cpp
@@ -44,6 +44,9 @@
     ++shared_.lists;
     Answer<StoreItems>({}, shared_.model.List(prefix), std::move(done));
   }
+  void ListPage(const std::string&,
+                const std::string&,
+                Callback<StoreItems>) override {}
   void Watch(const std::string& prefix,
              int64_t after,
              Millis wait,
