--- a/src/libdoorwood/cell/cell_leader_test.cpp
+++ b/src/libdoorwood/cell/cell_leader_test.cpp
@@ -313,6 +313,12 @@
   BOOST_TEST(leader->cell->counters().directory_reads_failed == 0U);
   constexpr int kOutages = 3;
   for (int outage = 0; outage < kOutages; ++outage) {
+    // Ends before the next renewal of the lease: if one fails, the leader may
+    // hand the lead over.
+    while (leader->executor->Now() - leader->live->last_store_answer_at() >
+           Millis(20)) {
+      world.RunExactly(Millis(5));
+    }
     leader->store_faults.unavailable = true;
     world.Run(Millis(250));
     leader->store_faults.unavailable = false;
--- a/src/libdoorwood/policy/worker_reliability.cpp
+++ b/src/libdoorwood/policy/worker_reliability.cpp
@@ -7,6 +7,13 @@
 #include <utility>
 
 namespace doorwood {
+namespace {
+
+// Fewer failures than this, on one worker within the evidence's lifetime, also
+// come by chance where all runs of an idle worker fail.
+constexpr double kMinFailures = 3;
+
+}  // namespace
 
 void RunEvidence::Decay(double factor) {
   runs *= factor;
@@ -122,7 +129,8 @@
       other_runs > 0 ? (service.failures - evidence.failures) / other_runs : 0;
   const double rate_limit = std::max(options_.min_failure_rate,
                                      options_.min_rate_factor * others_rate);
-  rating.severity = rating.failure_rate / rate_limit;
+  rating.severity = std::min(rating.failure_rate / rate_limit,
+                             evidence.failures / kMinFailures);
   if (evidence.timed > 0 && service.timed > evidence.timed) {
     const double others = service.timed - evidence.timed;
     const double mean = (service.log_ratio - evidence.log_ratio) / others;
--- a/src/libdoorwood/policy/worker_reliability_test.cpp
+++ b/src/libdoorwood/policy/worker_reliability_test.cpp
@@ -115,6 +115,22 @@
   BOOST_TEST(f.reliability.set_aside() == 4U);
 }
 
+// Load: a worker that gets little work, and whose only two runs fail.
+BOOST_AUTO_TEST_CASE(IdleWorker_ItsOnlyTwoRunsFail_IsNotSetAside) {
+  ReliabilityFixture f;
+  f.Play(4, 0, 1);
+  std::vector<ServiceWorker> workers = f.workers;
+  workers.push_back({"idle", "pool"});
+  for (const char* task : {"first", "second"}) {
+    f.reliability.OnFailed("idle", task, f.now);
+  }
+  f.reliability.Update(workers, f.now);
+  BOOST_TEST(!f.reliability.IsSetAside("idle"));
+  f.reliability.OnFailed("idle", "third", f.now);
+  f.reliability.Update(workers, f.now);
+  BOOST_TEST(f.reliability.IsSetAside("idle"));
+}
+
 BOOST_AUTO_TEST_CASE(ShareZero_WorkerFailsAllRuns_IsNotSetAside) {
   ReliabilityFixture f(0);
   f.Play(20, 2, 1);
