--- a/src/libdoorwood/membership/lead_vacancy_test.cpp
+++ b/src/libdoorwood/membership/lead_vacancy_test.cpp
@@ -11,7 +11,7 @@
 
 constexpr int64_t kEpoch = 7;
 constexpr char kAddress[] = "10.0.0.1:7000";
-const Instant kStart = Instant(Millis(1'000'000));
+constexpr Instant kStart{Millis(1'000'000)};
 
 /// A leader that has answered once.
 struct VacancyFixture {
