--- a/src/libdoorwood/policy/return_schedule_test.cpp
+++ b/src/libdoorwood/policy/return_schedule_test.cpp
@@ -20,7 +20,7 @@
 
 // Time limit of interactive callers.
 constexpr Millis kCallerLimit{3000};
-const Instant kStart{Seconds(1000)};
+constexpr Instant kStart{Seconds(1000)};
 
 Instant At(int millis) {
   return kStart + Millis(millis);
