feat(limits): a full network link is known and bounded

Cause: the leader sent all starts and polls at once, whatever its link transfers.

Change: link_mbps in the settings. LinkLoad estimates what is queued on the link; PacedWorkers lets calls to workers wait in the process, where their time limits have not begun, orders and polls by turns; calls to the store are counted and never wait. A start that waited 0.5 s is not sent. No start is ordered while an order would wait 0.2 s, so the most urgent one is chosen when there is room. A job is refused at once if the starts that go first take the link longer than the job's objective. The list of workers and the polls that observe interference take a fifth of the link each.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -22,6 +22,9 @@
 // The store is treated as unreachable after this time without an answer.
 constexpr Millis kStoreTimeout{6000};
 constexpr int kServiceUnavailable = 503;
+// Share of the network link for calls to the store and to workers. Callers and
+// other instances use the rest.
+constexpr double kCallsLinkShare = 0.95;
 
 int64_t UnixMillis() {
   return std::chrono::duration_cast<Millis>(
@@ -49,24 +52,27 @@
       executor_(context_),
       log_(settings_.instance),
       client_(context_),
+      link_(kCallsLinkShare * LinkRate(settings_)),
       store_(client_, settings_.store_address),
+      metered_store_(executor_, store_, link_),
       workers_(client_),
+      paced_workers_(executor_, workers_, link_, WorkerPacingOptions{}),
       adviser_(client_, settings_.adviser_address),
       machines_(client_, store_, settings_.machine_service_address),
-      directory_(store_, log_),
-      config_source_(store_),
+      directory_(metered_store_, log_),
+      config_source_(metered_store_),
       peers_(client_),
       live_(executor_,
-            store_,
+            metered_store_,
             peers_,
             log_,
             LiveOptions{},
             MakeOwnInstance(settings_)),
       config_(executor_, config_source_, log_, ConfigFollowerOptions{}),
       cell_(executor_,
-            store_,
+            metered_store_,
             directory_,
-            workers_,
+            paced_workers_,
             settings_.adviser_address.empty() ? nullptr : &adviser_,
             settings_.machine_service_address.empty() ? nullptr : &machines_,
             live_,
@@ -74,7 +80,7 @@
             UnixMillis,
             MakeCellOptions(settings_)),
       ingress_(executor_,
-               store_,
+               metered_store_,
                peers_,
                live_,
                log_,
@@ -264,6 +270,10 @@
       {"doorwood_jobs_accepted_total", counters.accepted},
       {"doorwood_starts_total", counters.starts},
       {"doorwood_starts_refused_total", counters.starts_refused},
+      {"doorwood_starts_not_sent_total", counters.starts_not_sent},
+      {"doorwood_worker_calls_waiting", paced_workers_.waiting()},
+      {"doorwood_order_delay_ms",
+       static_cast<uint64_t>(paced_workers_.OrderDelay().count())},
       {"doorwood_runs_done_total", counters.ends_done},
       {"doorwood_runs_failed_total", counters.ends_failed},
       {"doorwood_runs_lost_total", counters.ends_lost},
--- a/src/celld/entry_daemon.h
+++ b/src/celld/entry_daemon.h
@@ -15,7 +15,10 @@
 #include "doorwood/config_follower.h"
 #include "doorwood/entry_settings.h"
 #include "doorwood/ingress.h"
+#include "doorwood/link_load.h"
 #include "doorwood/live_directory.h"
+#include "doorwood/metered_store.h"
+#include "doorwood/paced_workers.h"
 #include "log.adapter/json_log.h"
 #include "loop.adapter/http_client.h"
 #include "loop.adapter/http_peers.h"
@@ -65,8 +68,12 @@
   LoopExecutor executor_;
   JsonLog log_;
   HttpClient client_;
+  LinkLoad link_;
   platform::Store store_;
+  /// The store as the components use it.
+  MeteredStore metered_store_;
   platform::Workers workers_;
+  PacedWorkers paced_workers_;
   platform::AdviserClient adviser_;
   platform::Machines machines_;
   platform::Directory directory_;
--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -63,13 +63,18 @@
   live.data_centre = data_centre;
   live.address = name;
   live.cpu_share = cpu_share;
-  self.live = std::make_unique<LiveDirectory>(*self.executor, *self.store,
-                                              *self.peer_calls, *self.log,
-                                              LiveOptions{}, live);
+  if (link_rate_ > 0) {
+    LimitLinkOf(&self);
+  }
+  RecordStore& store = self.metered_store ? *self.metered_store : *self.store;
+  RunWorkerClient& workers =
+      self.paced_workers ? *self.paced_workers : *self.workers;
+  self.live = std::make_unique<LiveDirectory>(
+      *self.executor, store, *self.peer_calls, *self.log, LiveOptions{}, live);
   options_.cell = "all";
   self.cell = std::make_unique<CellLeader>(
-      *self.executor, *self.store, *self.directory, *self.workers,
-      self.adviser.get(), self.machines.get(), *self.live, *self.log,
+      *self.executor, store, *self.directory, workers, self.adviser.get(),
+      self.machines.get(), *self.live, *self.log,
       [this] { return time_.now_ms(); }, options_);
   by_name_[name] = &self;
   instances_.push_back(std::move(instance));
@@ -81,6 +86,20 @@
   return self;
 }
 
+void CellWorld::LimitLinkOf(WorldInstance* self) {
+  self->link = std::make_unique<LimitedLink>(time_, link_rate_);
+  self->linked_store =
+      MakeLinkedStore(time_, *self->executor, *self->link, *self->store);
+  self->linked_workers =
+      MakeLinkedWorkers(time_, *self->executor, *self->link, *self->workers);
+  self->link_load = std::make_unique<LinkLoad>(link_rate_ * known_link_share_);
+  self->metered_store = std::make_unique<MeteredStore>(
+      *self->executor, *self->linked_store, *self->link_load);
+  self->paced_workers =
+      std::make_unique<PacedWorkers>(*self->executor, *self->linked_workers,
+                                     *self->link_load, WorkerPacingOptions{});
+}
+
 WorldWorker& CellWorld::AddWorker(const std::string& id, int64_t cpu_millis) {
   auto worker = std::make_unique<WorldWorker>();
   worker->incarnation.id = id;
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -17,8 +17,12 @@
 #include <vector>
 
 #include "doorwood/cell_leader.h"
+#include "doorwood/link_load.h"
 #include "doorwood/machine_platform.h"
+#include "doorwood/metered_store.h"
+#include "doorwood/paced_workers.h"
 #include "fakes/fakes.h"
+#include "fakes/limited_link.h"
 #include "standin/record_store_model.h"
 #include "standin/run_worker_model.h"
 
@@ -49,6 +53,14 @@
   std::unique_ptr<RecordStore> store;
   std::unique_ptr<WorkerDirectory> directory;
   std::unique_ptr<RunWorkerClient> workers;
+  /// Set if the instance's link is limited (see `CellWorld::LimitLinks`): the
+  /// link, the ports behind it, and the product's parts that pace the calls.
+  std::unique_ptr<LimitedLink> link;
+  std::unique_ptr<RecordStore> linked_store;
+  std::unique_ptr<RunWorkerClient> linked_workers;
+  std::unique_ptr<LinkLoad> link_load;
+  std::unique_ptr<MeteredStore> metered_store;
+  std::unique_ptr<PacedWorkers> paced_workers;
   std::unique_ptr<StoreAnswerPort> peer_calls;
   std::unique_ptr<Adviser> adviser;
   std::unique_ptr<MachinePlatform> machines;
@@ -174,6 +186,13 @@
   /// Adds one machine for each worker, named "m-" followed by the worker's id.
   void AddMachines();
   void SetTable(const std::vector<Queue>& queues);
+  /// Instances that are added later have a link of this rate in each direction.
+  /// `known_share`: the rate that the instance knows, as a share of the true
+  /// one; 0: it knows of no limit.
+  void LimitLinks(double bytes_per_second, double known_share) {
+    link_rate_ = bytes_per_second;
+    known_link_share_ = known_share;
+  }
 
   /// Advances time in steps of 50 ms; the last step is not shortened.
   void Run(Millis duration);
@@ -248,12 +267,16 @@
  private:
   int64_t NextStartTime();
   bool MayHaveCopy(const std::string& task) const;
+  /// Puts the instance's link between its ports and the world.
+  void LimitLinkOf(WorldInstance* self);
   void CheckSingleRun(const std::string& task);
   void CheckWorkersRecord(const std::string& worker, const std::string& task);
   void CheckNotCompleted(const std::string& task);
   void CheckCrashLimit(const std::string& task);
 
   CellOptions options_;
+  double link_rate_ = 0;
+  double known_link_share_ = 0;
   VirtualTime time_;
   std::mt19937_64 random_;
   standin::RecordStoreModel store_;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -523,7 +523,14 @@
   /// if there are none, or the queue or the workers are not known. Logs a
   /// refusal.
   bool HasLongRunningCapacity(const JobPlan& plan);
-  CellSummary Summarize() const;
+  /// Adds the starts of the job's tasks that are neither done nor placed to
+  /// `waiting_start_bytes_`.
+  void AddWaitingStarts(const Job& job);
+  /// Whether the network link of this machine needs longer than the job's
+  /// objective for the starts that are waiting and go first.
+  bool IsStartBacklogTooLong(const JobPlan& plan) const;
+  /// Also recounts `waiting_start_bytes_`.
+  CellSummary Summarize();
   LongRunningAdmission& LongRunningAdmissionOf(const std::string& service);
   /// Updates the model of each service's capacity for long-running tasks with
   /// the service's current `ServiceLoad`.
@@ -838,6 +845,9 @@
   // moving of best-effort runs.
   void RequestSchedulingPass();
   void RunSchedulingPass();
+  /// Whether an order that is given now would wait too long for the network
+  /// link of this machine.
+  bool IsLinkFull() const;
   std::vector<ReadyStep> CollectReadySteps();
   /// Sets the rank of each step whose queue is known, and sorts the steps.
   void SortReadySteps(std::vector<ReadyStep>* ready) const;
@@ -998,6 +1008,10 @@
   /// Reported to other instances; updated periodically.
   CellSummary summary_;
   Instant summarized_{};
+  /// Size of the starts that are waiting, by the priority of their queue: as of
+  /// the last summary, and of the jobs accepted since. Empty if the link is not
+  /// limited.
+  std::map<int, size_t> waiting_start_bytes_;
   /// When old jobs were last searched for and removed.
   Instant old_jobs_removed_{};
   /// When overdue runs were last searched for.
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -105,6 +105,8 @@
   uint64_t accepted = 0;
   uint64_t starts = 0;
   uint64_t starts_refused = 0;
+  /// Starts that were not sent because the network link was full.
+  uint64_t starts_not_sent = 0;
   uint64_t ends_done = 0;
   uint64_t ends_failed = 0;
   /// Counted ends of any other kind: stopped runs, expired leases, and runs of
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -81,6 +81,10 @@
 /// without best-effort steps.
 int64_t LongRunningCpu(const JobPlan& plan);
 
+/// Time from hand-in within which a job of the queue is to be done, by the
+/// caller's estimates.
+Millis ObjectiveOf(const JobPlan& plan, const Queue& queue);
+
 /// Urgency of a step. Lower sorts first, member by member.
 struct StepRank {
   /// 0: long-running; 1: on time; 2: late but still of value; 3: too late to be
--- a/src/include/doorwood/entry_settings.h
+++ b/src/include/doorwood/entry_settings.h
@@ -49,6 +49,9 @@
   /// CPU share available to this entry instance, in processors. Instances with
   /// a larger share campaign for a cell's lead earlier.
   double cpu_share = 1.0;
+  /// Rate of the network link of this machine in each direction, in megabits a
+  /// second; 0: not limited.
+  double link_mbps = 0;
   /// Time between the request to stop and forced termination.
   Millis shutdown_grace{6000};
   /// Longest lease that a worker grants to a run.
@@ -73,6 +76,8 @@
 std::optional<EntrySettings> ParseEntrySettings(std::string_view text,
                                                 Problems* problems);
 
+/// Rate of the machine's network link in bytes a second; 0: not limited.
+double LinkRate(const EntrySettings& settings);
 /// Returns the cell options that follow from the settings.
 CellOptions MakeCellOptions(const EntrySettings& settings);
 /// Returns the ingress options that follow from the settings.
--- a/src/include/doorwood/error.h
+++ b/src/include/doorwood/error.h
@@ -64,6 +64,8 @@
   kBusy,
   /// The receiver rejected the order as invalid.
   kRejected,
+  /// The order was not sent, because the network link of this machine is full.
+  kNotSent,
 };
 
 /// Errors of calls between entry instances.
--- a/src/include/doorwood/run_worker.h
+++ b/src/include/doorwood/run_worker.h
@@ -176,6 +176,9 @@
   int percent = 100;
 };
 
+/// Size of a start order on the network without its payload, in bytes.
+inline constexpr size_t kStartOverheadBytes = 360;
+
 /// Calls complete on the control thread, exactly once, with a RunErrc on
 /// failure. Starts, stops and pace orders return the worker's clock, or 0 if it
 /// was not reported.
@@ -198,6 +201,11 @@
   virtual void Pace(const WorkerIncarnation& worker,
                     const PaceOrder& order,
                     Callback<int64_t> done) = 0;
+  /// How long an order that is given now waits until the network link of this
+  /// machine has transferred it.
+  virtual Millis OrderDelay() const { return Millis(0); }
+  /// Rate of that link in bytes a second, in each direction; 0: not limited.
+  virtual double link_rate() const { return 0; }
 };
 
 }  // namespace doorwood
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -203,8 +203,8 @@
   /// the listed run.
   virtual std::optional<Run> OnUnknownRun(WorkerSession& session,
                                           const ActiveRun& run) = 0;
-  /// The start was refused; it is certain that the run did not begin. The run
-  /// is already removed from the session.
+  /// The start was refused or, with RunErrc::kNotSent, not sent; it is certain
+  /// that the run did not begin. The run is already removed from the session.
   virtual void OnStartRefused(WorkerSession& session,
                               const Run& run,
                               std::error_code error) = 0;
--- a/src/libdoorwood/cell/cell_calls.cpp
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -3,11 +3,20 @@
 // Submission and cancellation of a cell's jobs, admission of long-running jobs,
 // job states, and the cell's summary.
 
+#include <algorithm>
 #include <utility>
 
 #include "doorwood/cell_leader.h"
+#include "doorwood/link_load.h"
 
 namespace doorwood {
+namespace {
+
+// Share of the network link that starts can use beside polls and the list of
+// workers.
+constexpr double kStartLinkShare = 0.6;
+
+}  // namespace
 
 std::string_view ToString(JobPhase phase) {
   switch (phase) {
@@ -38,7 +47,7 @@
   // succeed, so this call is not refused for lack of capacity.
   if (!journal_.IsRecording(plan.id) &&
       (AreAllWorkersInClosedDataCentres(plan.queue) ||
-       !HasLongRunningCapacity(plan))) {
+       IsStartBacklogTooLong(plan) || !HasLongRunningCapacity(plan))) {
     // An ended job is known, and needs no capacity.
     ended_jobs_.Fetch(
         plan.id, [done = std::move(done)](std::error_code error,
@@ -52,6 +61,37 @@
   journal_.Accept(std::move(plan), std::move(done));
 }
 
+void CellLeader::AddWaitingStarts(const Job& job) {
+  const Queue* queue = QueueOf(job);
+  if (workers_.link_rate() <= 0 || queue == nullptr) {
+    return;
+  }
+  size_t waiting = 0;
+  for (const RepetitionState& repetition : job.repetitions) {
+    for (const StepState& step : repetition.steps) {
+      waiting += static_cast<size_t>(std::max(step.idle, 0));
+    }
+  }
+  waiting_start_bytes_[queue->priority] +=
+      waiting * (kStartOverheadBytes + job.plan.payload.size());
+}
+
+// Steps of a lower priority number go first, so only their starts and those of
+// the same priority are ahead of the job's.
+bool CellLeader::IsStartBacklogTooLong(const JobPlan& plan) const {
+  const auto found = known_queues_.find(plan.queue);
+  if (workers_.link_rate() <= 0 || found == known_queues_.end()) {
+    return false;
+  }
+  const Queue& queue = found->second;
+  size_t ahead = 0;
+  for (const auto& [priority, bytes] : waiting_start_bytes_) {
+    ahead += priority <= queue.priority ? bytes : 0;
+  }
+  return IntervalForShare(workers_.link_rate(), ahead, kStartLinkShare) >
+         ObjectiveOf(plan, queue);
+}
+
 bool CellLeader::HasLongRunningCapacity(const JobPlan& plan) {
   const int64_t requested = LongRunningCpu(plan);
   const auto queue = known_queues_.find(plan.queue);
@@ -133,6 +173,7 @@
     return;
   }
   ++counters_.accepted;
+  AddWaitingStarts(*job);
   log_.Write("info", "cell", "job accepted",
              {{"job", plan.id},
               {"queue", plan.queue},
@@ -182,14 +223,16 @@
   }
 }
 
-CellSummary CellLeader::Summarize() const {
+CellSummary CellLeader::Summarize() {
   CellSummary summary;
+  waiting_start_bytes_.clear();
   summary.cell = options_.cell;
   summary.epoch = epoch_;
   for (const auto& [id, job] : jobs_.jobs()) {
     if (job->outcome != JobOutcome::kOpen) {
       continue;
     }
+    AddWaitingStarts(*job);
     if (!job->started) {
       ++summary.pending[job->plan.queue];
     }
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "doorwood/link_load.h"
+
 namespace doorwood {
 namespace {
 
@@ -43,11 +45,24 @@
 constexpr std::chrono::microseconds kListIntervalPerWorker{300};
 constexpr Millis kLongestListInterval{1000};
 
-Millis ListInterval(const CellOptions& options, size_t workers) {
+// Size of a worker's entry in the list, and of a poll with its report.
+constexpr size_t kListBytesPerWorker = 420;
+constexpr size_t kPollBytes = 900;
+// Shares of the network link that the list of workers, and polls that observe
+// interference, may take. Most of the link is left for orders and for polls
+// that report ends.
+constexpr double kListLinkShare = 0.2;
+constexpr double kInterferenceLinkShare = 0.2;
+
+Millis ListInterval(const CellOptions& options,
+                    size_t workers,
+                    double link_rate) {
   const auto for_size =
       std::chrono::duration_cast<Millis>(workers * kListIntervalPerWorker);
+  const Millis for_link = IntervalForShare(
+      link_rate, workers * kListBytesPerWorker, kListLinkShare);
   return std::max(options.list_interval,
-                  std::min(for_size, kLongestListInterval));
+                  std::min(std::max(for_size, for_link), kLongestListInterval));
 }
 
 }  // namespace
@@ -435,7 +450,11 @@
   const auto workers = static_cast<int64_t>(cell_workers_.size());
   const Millis interval(workers * kMillisPerSecond /
                         options_.max_interference_polls);
-  return std::clamp(interval, options_.sessions.short_poll_wait,
+  const Millis for_link =
+      IntervalForShare(workers_.link_rate(), cell_workers_.size() * kPollBytes,
+                       kInterferenceLinkShare);
+  return std::clamp(std::max(interval, for_link),
+                    options_.sessions.short_poll_wait,
                     options_.sessions.long_poll_wait);
 }
 
@@ -460,7 +479,8 @@
     HandOverLead(*other);
     return;
   }
-  if (now - workers_read_ >= ListInterval(options_, cell_workers_.size())) {
+  if (now - workers_read_ >=
+      ListInterval(options_, cell_workers_.size(), workers_.link_rate())) {
     ReadWorkers();
   }
   if (now - closed_read_ >= options_.closed_interval) {
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -297,14 +297,15 @@
 void CellLeader::OnStartRefused(WorkerSession& session,
                                 const Run& run,
                                 std::error_code error) {
-  ++counters_.starts_refused;
-  log_.Write("warn", "cell", "start refused",
+  const bool not_sent = error == make_error_code(RunErrc::kNotSent);
+  ++(not_sent ? counters_.starts_not_sent : counters_.starts_refused);
+  log_.Write("warn", "cell", not_sent ? "start not sent" : "start refused",
              {{"task", run.task},
               {"run", run.number},
               {"worker", session.incarnation().id},
               {"error", error.message()}});
   const auto cell_worker = cell_workers_.find(session.incarnation().id);
-  if (cell_worker != cell_workers_.end()) {
+  if (cell_worker != cell_workers_.end() && !not_sent) {
     const bool busy = error == make_error_code(RunErrc::kBusy);
     cell_worker->second.backoff_until =
         executor_.Now() + (busy ? kBusyPause : kRefusalPause);
@@ -317,7 +318,9 @@
     task->no_copy_before = executor_.Now() + kRefusalPause;
   }
   unrecorded_placements_.erase(run.task);
-  task->avoided_worker = session.incarnation().id;
+  if (!not_sent) {
+    task->avoided_worker = session.incarnation().id;
+  }
   RequestSchedulingPass();
 }
 
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -23,6 +23,12 @@
 // place gains. The scan always begins with the same workers: work that is
 // spread over all of them needs a connection to each.
 constexpr size_t kMinComparedPlaces = 512;
+// No further start is ordered while an order would wait for longer than this
+// for the network link: the most urgent task is chosen when the link has room,
+// and the worker's room is not reserved meanwhile.
+constexpr Millis kMaxOrderDelay{200};
+// Pause until the next pass after one that ended for this reason.
+constexpr Millis kFullLinkPause{20};
 
 std::vector<CandidateWorker> CopyCandidates(
     const std::vector<CandidateWorker*>& candidates) {
@@ -163,6 +169,10 @@
   waiting_steps_ = 0;
   const std::vector<CandidateWorker*> candidates = CollectCandidates();
   for (const ReadyStep& step : ready) {
+    if (IsLinkFull()) {
+      executor_.Schedule(kFullLinkPause, [this] { RequestSchedulingPass(); });
+      return;
+    }
     if (step.job->plan.steps[step.step].gang) {
       PlaceGang(step, candidates);
     } else {
@@ -171,6 +181,10 @@
   }
 }
 
+bool CellLeader::IsLinkFull() const {
+  return workers_.OrderDelay() > kMaxOrderDelay;
+}
+
 std::vector<CandidateWorker> CellLeader::CandidatesWithTickets(
     const ReadyStep& ready,
     const std::vector<CandidateWorker*>& candidates) {
@@ -227,6 +241,9 @@
     if (!IsReady(task)) {
       continue;
     }
+    if (IsLinkFull()) {
+      return;
+    }
     const bool suspect = IsSuspect(task);
     const auto trial_place =
         suspect
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -121,7 +121,9 @@
     MarkDead();
     return;
   }
-  if (error != make_error_code(RunErrc::kNoAnswer)) {
+  const bool is_answer = error != make_error_code(RunErrc::kNoAnswer) &&
+                         error != make_error_code(RunErrc::kNotSent);
+  if (is_answer) {
     if (ShowsRestart(clock, clock_at_send)) {
       return;
     }
@@ -158,8 +160,8 @@
     Poll(Millis(0));
     return;
   }
-  // The worker refused the order, so the run did not begin. Remove it before
-  // notifying the leader.
+  // The worker refused the order, or it was not sent, so the run did not begin.
+  // Remove it before notifying the leader.
   const Run refused = *RemoveRun(task);
   listener_.OnStartRefused(*this, refused, error);
   if (error == make_error_code(RunErrc::kFenced) && !closed_ &&
--- a/src/libdoorwood/config/entry_settings.cpp
+++ b/src/libdoorwood/config/entry_settings.cpp
@@ -13,6 +13,8 @@
 constexpr Range kHeldSubmissions{0, 1000};
 constexpr double kSmallestShare = 0.001;
 constexpr double kLargestShare = 1024;
+constexpr double kLargestLinkMbps = 1e6;
+constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr double kLargestSetAsideShare = 0.5;
 // Copies leave at least half of the free room for work that arrives meanwhile.
 constexpr double kLargestBackupShare = 0.5;
@@ -60,6 +62,7 @@
   settings.cell_scope =
       scope == 0 ? CellScope::kEverywhere : CellScope::kDataCentre;
   reader.Read("cpu_share", kSmallestShare, kLargestShare, &settings.cpu_share);
+  reader.Read("link_mbps", 0, kLargestLinkMbps, &settings.link_mbps);
   reader.Read("grace_ms", kGraceMillis, &settings.shutdown_grace);
   reader.Read("longest_run_lease_ms", kLeaseMillis, &settings.max_run_lease);
   reader.Read("keep_finished_ms", kRetentionMillis,
@@ -78,6 +81,10 @@
   return settings;
 }
 
+double LinkRate(const EntrySettings& settings) {
+  return settings.link_mbps * kBytesPerMegabit;
+}
+
 CellOptions MakeCellOptions(const EntrySettings& settings) {
   CellOptions options;
   if (settings.cell_scope == CellScope::kDataCentre) {
--- a/src/libdoorwood/config/parse_test.cpp
+++ b/src/libdoorwood/config/parse_test.cpp
@@ -293,6 +293,32 @@
   }
 }
 
+// Guards against a leader that sends more than its link transfers because a
+// wrong rate was accepted.
+BOOST_AUTO_TEST_CASE(LinkRate_EachValue_IsAcceptedOrLocated) {
+  const std::string needed =
+      "{instance: a, data_centre: b, front: c, ready: d, peer: e, metrics: f, "
+      "store: g";
+  const std::vector<std::pair<const char*, double>> accepted = {
+      {"", 0}, {", link_mbps: 0", 0}, {", link_mbps: 2.0", 250'000}};
+  for (const auto& [text, rate] : accepted) {
+    Problems problems("s.yaml");
+    const auto settings = ParseEntrySettings(needed + text + "}", &problems);
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(LinkRate(*settings) == rate);
+  }
+  for (const char* value : {"-1", "1e7", "fast", ".nan"}) {
+    Problems problems("s.yaml");
+    const auto settings =
+        ParseEntrySettings(needed + ",\n link_mbps: " + value + "}", &problems);
+    BOOST_TEST(!settings.has_value());
+    BOOST_REQUIRE(problems.lines().size() == 1U);
+    BOOST_TEST(problems.lines()[0].starts_with(
+                   "s.yaml:2:13: link_mbps: must be a number from 0.0"),
+               problems.lines()[0]);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -97,6 +97,17 @@
   return work;
 }
 
+Millis ObjectiveOf(const JobPlan& plan, const Queue& queue) {
+  std::vector<Millis> estimates;
+  for (const StepPlan& step : plan.steps) {
+    estimates.push_back(step.estimate);
+  }
+  const double chain =
+      static_cast<double>(CriticalPathLength(plan, estimates).count());
+  return Millis(static_cast<int64_t>(queue.max_slowdown * chain)) +
+         queue.latency_target;
+}
+
 StepRank RankStep(const JobPlan& plan,
                   const Queue& queue,
                   int step,
