feat(cell): a takeover accounts for groups of workers, not for all

Cause: starts are not recorded, so a task that may have been started was held back until every worker of the cell had answered the next leader. The wait grows with the workers; the work does not.

The leader that accepts a job confines it to a group, in the plan that is written anyway. Nothing is started outside of it before the job's state says that any worker may run it, which is requested when the group has no place. A successor holds a task back only while workers of its group are unaccounted, and contacts first the workers that most tasks wait for. The chain key says that groups are kept; after a leader of a version that does not know them, the jobs count as anywhere until recorded. What is unaccounted moved from cell_leader.h to UnaccountedWorkers.

--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -37,6 +37,7 @@
 #include "doorwood/job_plan.h"
 #include "doorwood/live_directory.h"
 #include "doorwood/record_store.h"
+#include "doorwood/worker_groups.h"
 #include "doorwood/worker_reliability.h"
 
 namespace doorwood {
@@ -80,6 +81,8 @@
   std::optional<std::vector<std::string>> tasks;
   /// Set if the worker is set aside: see `WorkerReliability`.
   std::optional<RunEvidence> evidence;
+  /// Nothing is started on the worker before its group is recorded.
+  WorkerGroup group = 0;
 };
 
 /// An incarnation of a worker: the session that the leader has had with it. A
@@ -110,17 +113,23 @@
 };
 
 /// The value of a chain key: the sequence number of its lane's newest batch,
-/// JournalOwner::PlacementsValidTo, what `KeepsToTaskLists` reads, and
-/// `term_end` if it is set.
+/// JournalOwner::PlacementsValidTo, what `KeepsToTaskLists` and, unless
+/// `keeps_to_groups` is false, `KeepsToGroups` read, and `term_end` if it is
+/// set.
 std::string EncodeChainValue(uint64_t sequence,
                              int64_t placements_valid_to,
-                             const std::optional<TermEnd>& term_end);
+                             const std::optional<TermEnd>& term_end,
+                             bool keeps_to_groups = true);
 /// The sequence number in a chain key's value; 0 if there is no valid one.
 uint64_t DecodeSequence(std::string_view text);
 /// Whether the leader that wrote this chain key starts nothing on a worker
 /// whose record has a `KnownWorker::tasks` list. False for older versions of
 /// this program, which do not know these lists.
 bool KeepsToTaskLists(std::string_view text);
+/// Whether every run of a job that is confined to a group of workers
+/// (`JobPlan::worker_group`) is in that group. False for older versions of this
+/// program, which do not know groups.
+bool KeepsToGroups(std::string_view text);
 /// JournalOwner::PlacementsValidTo of the writer of this chain key; 0 if the
 /// text has no valid one.
 int64_t DecodePlacementsValidTo(std::string_view text);
@@ -161,6 +170,9 @@
   /// of long-running tasks if its `LiveDirectory::no_agreement_since` is at
   /// most this revision, and neither is 0.
   virtual int64_t PlacementsValidTo() = 0;
+  /// Whether the store has every job that may have runs outside of its group as
+  /// one that any worker may run.
+  virtual bool AreGroupsKept() = 0;
   /// Set once the leader orders nothing more and only waits for a batch that
   /// says so.
   virtual std::optional<TermEnd> PlannedTermEnd() = 0;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -40,6 +40,7 @@
 #include "doorwood/rejected_entry_log.h"
 #include "doorwood/run_worker.h"
 #include "doorwood/ticket_book.h"
+#include "doorwood/unaccounted_workers.h"
 #include "doorwood/upkeep_wave_controller.h"
 #include "doorwood/worker_session.h"
 
@@ -165,6 +166,9 @@
   /// CoreErrc::kNotFound if the cell has no such job, kNoOwner or
   /// kStoreUnavailable if that is not known.
   void FetchJobPhase(const std::string& job, PhaseCallback done);
+  /// Whether a task of the job that is not placed is held back, because a run
+  /// that an earlier leader ordered may be active.
+  bool IsHeldBack(const std::string& job);
   /// The summary as of its last periodic update.
   const CellSummary& summary() const { return summary_; }
   const CellCounters& counters() const { return counters_; }
@@ -192,6 +196,7 @@
   // JournalOwner
   std::string EncodeState(const std::string& job) override;
   int64_t PlacementsValidTo() override;
+  bool AreGroupsKept() override;
   std::optional<TermEnd> PlannedTermEnd() override;
   EndNumbers HighestUnrecordedEnds() override;
   void OnAccepted(const JobPlan& plan) override;
@@ -237,6 +242,10 @@
     std::optional<std::string> recorded_address;
     /// `KnownWorker::started_at` there.
     int64_t recorded_started_at = 0;
+    /// The worker's group, which it keeps as long as this entry exists, and its
+    /// group under the workers' key in the store.
+    WorkerGroup group = 0;
+    WorkerGroup recorded_group = 0;
     /// The directory, as last read, has an entry for the worker, and that entry
     /// is not rejected (see `entry_rejected`).
     bool listed = false;
@@ -536,6 +545,23 @@
   /// the service's current `ServiceLoad`.
   void ObserveLoads();
 
+  // cell_groups.cpp: the group of workers to which a job is confined.
+  /// Returns the group for a new job; 0 if any worker may run its tasks.
+  WorkerGroup ChooseGroup(const JobPlan& plan);
+  void UpdateGroupLoads();
+  /// Sorts the workers of an earlier leader's record by the number of tasks
+  /// that have to wait for them, most first, apart from workers whose record
+  /// lists their tasks.
+  void SortForContact(std::vector<KnownWorker>* known);
+  /// Allows the job's tasks on all workers, as soon as that is recorded.
+  void SpreadJob(Job* job);
+  /// The candidates on which the job's tasks may be placed. `by_group` holds
+  /// all of them under 0.
+  static const std::vector<CandidateWorker*>& CandidatesFor(
+      const Job& job,
+      const std::map<WorkerGroup, std::vector<CandidateWorker*>>& by_group);
+  std::map<WorkerGroup, std::vector<CandidateWorker*>> CandidatesByGroup();
+
   // cell_takeover.cpp: runs that earlier leaders may have left active.
   /// Releases tasks, and ends the takeover once no worker is unaccounted.
   void CheckTakeover();
@@ -557,19 +583,7 @@
   /// How much longer the takeover waits for the worker if it does not respond
   /// meanwhile; zero: the worker is accounted for.
   Millis RemainingWait(const CellWorker& cell_worker) const;
-  /// Workers for which the takeover still waits (see `RemainingWait`), and the
-  /// tasks that may run, or may have ended unreported, on them. Contacted
-  /// workers that have not listed all their ends are included. Uncontacted
-  /// workers (see `IsUncontacted`) are not included if they can run nothing:
-  /// their record has an empty task list, or all leases there have expired.
-  struct UnaccountedWorkers {
-    std::set<std::string_view> workers;
-    /// At least one of the workers has no recorded task list (see
-    /// `CellWorker::inherited_tasks`), so any task may run, or may have ended
-    /// unreported, there.
-    bool any_task = false;
-    std::set<std::string> tasks;
-  };
+  /// Workers for which the takeover still waits (see `RemainingWait`).
   UnaccountedWorkers FindUnaccountedWorkers() const;
   static void AddUnaccountedWorker(std::string_view worker,
                                    const CellWorker& cell_worker,
@@ -1090,6 +1104,14 @@
   TicketBook tickets_;
   UpkeepWaveController upkeep_waves_;
   std::map<std::string, CellWorker> cell_workers_;
+  WorkerGroups groups_;
+  /// Number of entries in the list of workers that was read last.
+  size_t listed_workers_ = 0;
+  /// The newest chain key at the takeover said that groups are kept.
+  bool groups_kept_at_takeover_ = false;
+  /// Jobs of earlier leaders whose runs may be outside of their groups, and
+  /// that the store does not have as open to all workers yet.
+  std::set<std::string> jobs_to_spread_;
   /// Sessions of added workers that are not opened yet, in order.
   std::deque<std::shared_ptr<WorkerSession>> contacts_waiting_;
   /// Opened sessions that count towards `CellOptions::max_contacts`.
@@ -1109,12 +1131,8 @@
   bool all_runs_accounted_ = true;
   /// `RequestProofIfWaitServed` has requested a proof.
   bool takeover_awaits_proof_ = false;
-  /// The tasks that may still be active on unaccounted workers are known, so
-  /// the takeover holds back no others than `tasks_held_back_`.
-  bool tasks_released_ = false;
-  /// Once `tasks_released_`: tasks that may still be active on an unaccounted
-  /// worker, or may have ended there without a report.
-  std::set<std::string> tasks_held_back_;
+  /// As of the last `ReleaseTasks` in this takeover; empty before the first.
+  std::optional<UnaccountedWorkers> unaccounted_;
   CellCounters counters_;
 };
 
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -15,6 +15,7 @@
 #include "doorwood/lead_proof.h"
 #include "doorwood/lead_vacancy.h"
 #include "doorwood/upkeep_wave_controller.h"
+#include "doorwood/worker_groups.h"
 #include "doorwood/worker_session.h"
 
 namespace doorwood {
@@ -28,6 +29,7 @@
   JournalOptions journal;
   LeadProofOptions proof;
   LeadVacancyOptions vacancy;
+  WorkerGroupOptions groups;
   PolicyOptions policy;
   WaveOptions waves;
   /// Interval between reads of the worker list while leading.
--- a/src/include/doorwood/job_plan.h
+++ b/src/include/doorwood/job_plan.h
@@ -15,6 +15,7 @@
 
 #include "doorwood/json_codec.h"
 #include "doorwood/types.h"
+#include "doorwood/worker_groups.h"
 
 namespace doorwood {
 
@@ -79,6 +80,10 @@
   Millis interval{0};
   /// When the job was accepted, in milliseconds since 1970.
   int64_t accepted_at = 0;
+  /// Set by the leader that accepts the job: the only group of workers on which
+  /// its tasks run, apart from long-running ones, until the job's record says
+  /// that any worker may run them (`Job::spread`); 0: any worker.
+  WorkerGroup worker_group = 0;
 
   /// How many times the steps run in total.
   int repetitions() const { return repeat_count > 0 ? repeat_count : 1; }
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -76,6 +76,17 @@
   kChanged,
 };
 
+/// Whether a job that was confined to one group of workers has been opened to
+/// all, and to what extent the store has that.
+enum class SpreadRecord {
+  kConfined,
+  /// The job is to be opened; the store does not have that.
+  kRequested,
+  /// A batch of records whose outcome is not known yet opens the job.
+  kInFlight,
+  kRecorded,
+};
+
 /// One task. The fields from `done` to `assigned_worker` are kept in the store;
 /// those after them are not.
 struct Task {
@@ -217,8 +228,19 @@
   /// A task of the job waits until its newest crash or trial note is recorded
   /// in the store.
   bool crash_unrecorded = false;
+  /// See `JobPlan::worker_group`. No task is started outside of the job's group
+  /// before the store has this as kRecorded.
+  SpreadRecord spread = SpreadRecord::kConfined;
+  /// Runs that earlier leaders ordered may be outside of the job's group.
+  bool was_spread = false;
 };
 
+/// The group to which the task's runs are confined as far as a successor of an
+/// earlier leader can tell; 0: they may be on any worker.
+WorkerGroup ConfinedTo(const Task& task);
+/// The group on whose workers the job's tasks may be started now; 0: any.
+WorkerGroup MayStartIn(const Job& job);
+
 /// "JOB.REPETITION.STEP"
 std::string StepName(const Job& job, int repetition, int step);
 
--- a/src/libdoorwood/cell/cell_backup_runs.cpp
+++ b/src/libdoorwood/cell/cell_backup_runs.cpp
@@ -202,8 +202,8 @@
   });
   slow.resize(std::min(slow.size(), kMaxStartsPerSearch));
   ++pass_;  // Candidates that have changed belong to a pass of their own.
-  const std::vector<CandidateWorker*> candidates = CollectCandidates();
-  for (const CandidateWorker* candidate : candidates) {
+  const auto by_group = CandidatesByGroup();
+  for (const CandidateWorker* candidate : by_group.at(0)) {
     if (candidate->accepts_work) {
       BackupRoom& room = rooms[std::string(candidate->service)];
       room.capacity += candidate->capacity.cpu_millis;
@@ -215,7 +215,8 @@
     room.steps_wait = services_with_waiting_steps_.contains(service);
   }
   for (const SlowRun& run : slow) {
-    StartCopy(run, slow, candidates, &rooms[QueueOf(*run.task->job)->service]);
+    StartCopy(run, slow, CandidatesFor(*run.task->job, by_group),
+              &rooms[QueueOf(*run.task->job)->service]);
   }
 }
 
--- a/src/libdoorwood/cell/cell_calls.cpp
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -58,6 +58,7 @@
         });
     return;
   }
+  plan.worker_group = ChooseGroup(plan);
   journal_.Accept(std::move(plan), std::move(done));
 }
 
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -369,12 +369,12 @@
     waited_since_term_end =
         DeductibleWaitAfter(*term_end, AgeOfRecord(newest->revision));
   }
+  groups_kept_at_takeover_ = newest == nullptr || KeepsToGroups(newest->value);
   const int open = RestoreJobs(items);
   stage_ = Stage::kLeading;
   all_runs_accounted_ = false;
   takeover_awaits_proof_ = false;
-  tasks_released_ = false;
-  tasks_held_back_.clear();
+  unaccounted_.reset();
   led_since_ = executor_.Now();
   last_tick_ = led_since_;
   unreachable_recorded_ = led_since_ + options_.first_unreachable_record -
@@ -417,6 +417,7 @@
     }
   }
   RestoreReliability(known);
+  SortForContact(&known);
   for (const KnownWorker& worker : known) {
     WorkerIncarnation incarnation;
     incarnation.id = worker.id;
@@ -426,6 +427,9 @@
     incarnation.draining = true;
     AddWorker(incarnation, /*from_takeover=*/true);
     CellWorker& cell_worker = cell_workers_.at(worker.id);
+    cell_worker.group = worker.group;
+    cell_worker.recorded_group = worker.group;
+    groups_.Restore(worker.group);
     // A worker with a recorded time may not have been contacted by the leader
     // that stopped, so leaders before it may have extended leases there.
     cell_worker.predecessors_waited = worker.deductible_wait > Millis(0)
@@ -437,6 +441,15 @@
     cell_worker.submitted_record = worker;
     cell_worker.submitted_as_closed = worker.tasks.has_value();
   }
+  jobs_to_spread_.clear();
+  for (Job* job : jobs_.OpenJobs()) {
+    if (!groups_kept_at_takeover_ && job->plan.worker_group != 0 &&
+        job->spread == SpreadRecord::kConfined) {
+      job->was_spread = true;
+      jobs_to_spread_.insert(job->plan.id);
+      SpreadJob(job);
+    }
+  }
   upkeep_waves_.Open(live_.self().name, epoch_);
   if (replaces_term_end_) {
     journal_.RequestCommit();
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view kJobKeyPrefix = "doorwood/job/";
 constexpr std::string_view kChainKeySuffix = "chain";
 constexpr const char* kKeepsToTaskListsField = "keeps_to_names";
+constexpr const char* kKeepsToGroupsField = "keeps_to_groups";
 constexpr const char* kPlacementsValidField = "places_hold_to";
 constexpr const char* kTermEndField = "term_end";
 
@@ -46,6 +47,23 @@
              : 0;
 }
 
+bool IsTrue(std::string_view chain_value, const char* field) {
+  const auto json = ParseJson(chain_value);
+  const bool is_object = json && json->is_object();
+  return is_object && json->contains(field) && json->at(field) == true;
+}
+
+// Returns 0, no group, if the row has none of the form that leaders write.
+WorkerGroup DecodeGroup(const Json& row) {
+  constexpr size_t kGroup = 6;
+  constexpr int64_t kLargest = 1'000'000;
+  if (row.size() <= kGroup || !row.at(kGroup).is_number_unsigned()) {
+    return 0;
+  }
+  const auto group = row.at(kGroup).get<uint64_t>();
+  return group <= kLargest ? static_cast<WorkerGroup>(group) : 0;
+}
+
 Json EncodeEvidence(const RunEvidence& evidence) {
   return {evidence.runs, evidence.failures, evidence.timed, evidence.log_ratio,
           evidence.log_ratio_squared};
@@ -90,6 +108,7 @@
     }
     worker.started_at = DecodeStarted(row);
     worker.evidence = DecodeEvidence(row);
+    worker.group = DecodeGroup(row);
     const bool valid =
         IsVisibleAscii(worker.id) && IsVisibleAscii(worker.address);
     return valid ? std::optional(std::move(worker)) : std::nullopt;
@@ -143,9 +162,11 @@
 
 std::string EncodeChainValue(uint64_t sequence,
                              int64_t placements_valid_to,
-                             const std::optional<TermEnd>& term_end) {
+                             const std::optional<TermEnd>& term_end,
+                             bool keeps_to_groups) {
   Json value{{"sequence", sequence},
              {kKeepsToTaskListsField, true},
+             {kKeepsToGroupsField, keeps_to_groups},
              {kPlacementsValidField, placements_valid_to}};
   if (term_end) {
     value[kTermEndField] = {
@@ -163,10 +184,11 @@
 }
 
 bool KeepsToTaskLists(std::string_view text) {
-  const auto json = ParseJson(text);
-  const bool is_object = json && json->is_object();
-  return is_object && json->contains(kKeepsToTaskListsField) &&
-         json->at(kKeepsToTaskListsField) == true;
+  return IsTrue(text, kKeepsToTaskListsField);
+}
+
+bool KeepsToGroups(std::string_view text) {
+  return IsTrue(text, kKeepsToGroupsField);
 }
 
 int64_t DecodePlacementsValidTo(std::string_view text) {
@@ -197,7 +219,7 @@
     if (worker.tasks) {
       row.push_back(*worker.tasks);
     }
-    if (worker.started_at != 0 || worker.evidence) {
+    if (worker.started_at != 0 || worker.evidence || worker.group != 0) {
       if (!worker.tasks) {
         row.push_back(nullptr);
       }
@@ -206,6 +228,12 @@
     if (worker.evidence) {
       row.push_back(EncodeEvidence(*worker.evidence));
     }
+    if (worker.group != 0) {
+      if (!worker.evidence) {
+        row.push_back(nullptr);
+      }
+      row.push_back(worker.group);
+    }
     rows.push_back(std::move(row));
   }
   return rows.dump();
--- a/src/libdoorwood/cell/cell_journal_load_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_load_test.cpp
@@ -86,6 +86,7 @@
     return {{{"w", 1}, highest_end}};
   }
   void OnAccepted(const JobPlan& plan) override { accepted.insert(plan.id); }
+  bool AreGroupsKept() override { return true; }
   int64_t PlacementsValidTo() override { return 0; }
   std::optional<TermEnd> PlannedTermEnd() override { return std::nullopt; }
   void OnEncodedStateStored(const std::string&) override {}
--- a/src/libdoorwood/cell/cell_journal_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_test.cpp
@@ -74,6 +74,7 @@
   std::string EncodeState(const std::string&) override { return state; }
   EndNumbers HighestUnrecordedEnds() override { return {{{"w", 1}, 7}}; }
   void OnAccepted(const JobPlan& plan) override { accepted.push_back(plan.id); }
+  bool AreGroupsKept() override { return true; }
   int64_t PlacementsValidTo() override { return 0; }
   std::optional<TermEnd> PlannedTermEnd() override { return term_end; }
   void OnEncodedStateStored(const std::string&) override {}
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -107,7 +107,8 @@
                     *this,
                     log,
                     options.waves,
-                    options.cell) {}
+                    options.cell),
+      groups_(options.groups) {}
 
 CellLeader::~CellLeader() = default;
 
@@ -163,6 +164,8 @@
   // Sessions may be on the call stack, so they are destroyed later.
   executor_.Post([members = std::move(cell_workers_)] {});
   cell_workers_.clear();
+  groups_.Clear();
+  jobs_to_spread_.clear();
   if (tick_timer_ != 0) {
     executor_.Cancel(tick_timer_);
     tick_timer_ = 0;
@@ -540,6 +543,7 @@
   if (now - summarized_ >= kSummaryInterval) {
     summarized_ = now;
     summary_ = Summarize();
+    UpdateGroupLoads();
     ObserveLoads();
     UpdateReliability();
   }
--- a/src/libdoorwood/cell/cell_placement_records.cpp
+++ b/src/libdoorwood/cell/cell_placement_records.cpp
@@ -99,6 +99,11 @@
   if (job == nullptr) {
     return;
   }
+  if (job->spread == SpreadRecord::kInFlight) {
+    job->spread = SpreadRecord::kRecorded;
+    jobs_to_spread_.erase(id);
+    RequestSchedulingPass();
+  }
   bool newly_recorded = false;
   ForEachTask(job, [&](Task* task) {
     if (task->assignment_record == AssignmentRecord::kInFlight) {
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -409,6 +409,9 @@
     return "";
   }
   job->dirty = false;
+  if (job->spread == SpreadRecord::kRequested) {
+    job->spread = SpreadRecord::kInFlight;
+  }
   ForEachTask(job, [](Task* task) {
     if (task->assignment_record == AssignmentRecord::kChanged) {
       task->assignment_record = AssignmentRecord::kInFlight;
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -167,8 +167,10 @@
   RecordReadySince(ready);
   SortReadySteps(&ready);
   waiting_steps_ = 0;
-  const std::vector<CandidateWorker*> candidates = CollectCandidates();
+  const auto by_group = CandidatesByGroup();
   for (const ReadyStep& step : ready) {
+    const std::vector<CandidateWorker*>& candidates =
+        CandidatesFor(*step.job, by_group);
     if (IsLinkFull()) {
       executor_.Schedule(kFullLinkPause, [this] { RequestSchedulingPass(); });
       return;
@@ -212,8 +214,13 @@
     return;
   }
   const bool advised = queue->advice.has_value();
+  const WorkerGroup group = MayStartIn(*ready.job);
+  // Failures in one group of workers say nothing of another.
+  const std::string pool = group == 0
+                               ? queue->service
+                               : queue->service + "#" + std::to_string(group);
   const uint64_t last_failed_pass =
-      advised ? 0 : failed_placements_.LastFailedPass(plan, queue->service);
+      advised ? 0 : failed_placements_.LastFailedPass(plan, pool);
   std::vector<CandidateWorker> permitted;
   if (advised) {
     permitted = CandidatesWithTickets(ready, candidates);
@@ -260,8 +267,9 @@
     }
     if (place == kNoWorker) {
       if (!advised) {
-        failed_placements_.Add(plan, queue->service, pass_);
+        failed_placements_.Add(plan, pool, pass_);
       }
+      SpreadJob(ready.job);
       if (NoteWaitingStep(ready)) {
         // Unchanged workers have not been evaluated in this pass, but the log
         // line counts the problems of all workers.
--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -77,7 +77,8 @@
 // - If the worker's record has a task list, only the listed tasks are held
 //   back. Only workers that were closed to new work have such a list, and only
 //   if the lists were not too long to record.
-// - If the record has no task list, all tasks are held back.
+// - If the record has no task list, all tasks are held back that are not
+//   confined to another group of workers.
 // - If the recorded placements were valid at the takeover, a long-running task
 //   is held back only for the worker that its placement names.
 void CellLeader::ReleaseTasks() {
@@ -92,7 +93,8 @@
       }
     });
   }
-  const bool first = !tasks_released_ && !unaccounted.any_task;
+  const bool first = (!unaccounted_ || unaccounted_->has_open_group()) &&
+                     !unaccounted.has_open_group();
   if (freed > 0 || first) {
     log_.Write("info", "cell",
                "released tasks that cannot be running on workers not yet "
@@ -104,13 +106,10 @@
                 {"held", held}});
     RequestSchedulingPass();
   }
-  if (!unaccounted.any_task) {
-    tasks_released_ = true;
-    tasks_held_back_ = std::move(unaccounted.tasks);
-  }
+  unaccounted_ = std::move(unaccounted);
 }
 
-CellLeader::UnaccountedWorkers CellLeader::FindUnaccountedWorkers() const {
+UnaccountedWorkers CellLeader::FindUnaccountedWorkers() const {
   UnaccountedWorkers unaccounted;
   for (const auto& [id, cell_worker] : cell_workers_) {
     if (RemainingWait(cell_worker) == Millis(0)) {
@@ -124,30 +123,34 @@
 void CellLeader::AddUnaccountedWorker(std::string_view worker,
                                       const CellWorker& cell_worker,
                                       UnaccountedWorkers* unaccounted) {
-  unaccounted->workers.insert(worker);
   if (cell_worker.inherited_tasks) {
-    unaccounted->tasks.insert(cell_worker.inherited_tasks->begin(),
-                              cell_worker.inherited_tasks->end());
+    unaccounted->Add(worker, *cell_worker.inherited_tasks);
   } else {
-    unaccounted->any_task = true;
+    unaccounted->Add(worker, cell_worker.group);
   }
 }
 
 bool CellLeader::MayRunOn(const Task& task,
                           const UnaccountedWorkers& unaccounted) const {
-  const bool may_be =
-      unaccounted.any_task || unaccounted.tasks.contains(task.name());
   const bool has_recorded_placement =
       placements_valid_at_takeover_ && task.plan().long_running;
-  return may_be && (!has_recorded_placement ||
-                    unaccounted.workers.contains(task.assigned_worker));
+  return unaccounted.MayHave(task) &&
+         (!has_recorded_placement ||
+          unaccounted.Contains(task.assigned_worker));
 }
 
 bool CellLeader::MayRunOnUnaccountedWorker(const Task& task) const {
-  if (all_runs_accounted_) {
-    return false;
+  return !all_runs_accounted_ && (!unaccounted_ || unaccounted_->MayHave(task));
+}
+
+bool CellLeader::IsHeldBack(const std::string& job) {
+  bool held = false;
+  if (Job* found = jobs_.Find(job)) {
+    ForEachTask(found, [&held](const Task* task) {
+      held = held || (task->may_still_run && !task->placed && !task->done);
+    });
   }
-  return !tasks_released_ || tasks_held_back_.contains(task.name());
+  return held;
 }
 
 void CellLeader::CheckTakeover() {
@@ -168,7 +171,7 @@
       cell_workers_.begin(), cell_workers_.end(),
       [this](const auto& entry) { return IsUncontacted(entry.second); });
   all_runs_accounted_ = true;
-  tasks_held_back_.clear();
+  unaccounted_.reset();
   log_.Write("info", "cell", "all runs of earlier leaders are accounted for",
              {{"cell", options_.cell},
               {"epoch", epoch_},
--- a/src/libdoorwood/cell/cell_worker_records.cpp
+++ b/src/libdoorwood/cell/cell_worker_records.cpp
@@ -73,6 +73,7 @@
     worker.started_at = cell_worker.session->started_at();
     worker.deductible_wait = DeductibleWaitToRecord(cell_worker);
     worker.tasks = TasksToRecord(cell_worker);
+    worker.group = cell_worker.group;
     if (const RunEvidence* evidence = reliability_.EvidenceToRecord(id)) {
       worker.evidence = *evidence;
     }
@@ -180,9 +181,12 @@
 // worker to be dead. Before a worker gets work, the recorded address therefore
 // has to be one at which this incarnation has answered. The same holds for the
 // start time: a successor takes an incarnation with a later one for the next.
+// It looks for a confined job's runs only on workers that the record has in the
+// job's group.
 bool CellLeader::IsIncarnationRecorded(const CellWorker& cell_worker) {
   const WorkerSession& session = *cell_worker.session;
   return cell_worker.recorded_address == session.incarnation().address &&
+         cell_worker.recorded_group == cell_worker.group &&
          (cell_worker.recorded_started_at == 0 ||
           cell_worker.recorded_started_at == session.started_at());
 }
@@ -301,7 +305,9 @@
       changed = true;
     }
     if (cell_worker.recorded_address != worker.address ||
-        cell_worker.recorded_started_at != worker.started_at) {
+        cell_worker.recorded_started_at != worker.started_at ||
+        cell_worker.recorded_group != worker.group) {
+      cell_worker.recorded_group = worker.group;
       cell_worker.recorded_address = worker.address;
       cell_worker.recorded_started_at = worker.started_at;
       changed = true;
--- a/src/libdoorwood/cell/cell_workers.cpp
+++ b/src/libdoorwood/cell/cell_workers.cpp
@@ -175,6 +175,14 @@
     cell_worker.entry_rejected = false;
   }
   bool to_record = false;
+  listed_workers_ = incarnations.size();
+  for (const WorkerIncarnation& incarnation : incarnations) {
+    const auto known = cell_workers_.find(incarnation.id);
+    if (incarnation.is_valid && known != cell_workers_.end()) {
+      groups_.SetKind(known->second.group, incarnation.service,
+                      incarnation.data_centre);
+    }
+  }
   for (const WorkerIncarnation& incarnation : incarnations) {
     const auto found = cell_workers_.find(incarnation.id);
     if (found != cell_workers_.end()) {
@@ -301,6 +309,10 @@
   // ordered.
   cell_worker.from_takeover = from_takeover;
   UpdateSessionLimits(cell_worker, OrderDeadline());
+  if (!from_takeover) {
+    cell_worker.group = groups_.Assign(
+        incarnation.service, incarnation.data_centre, listed_workers_);
+  }
   if (from_takeover) {
     cell_worker.submitted_record.address = incarnation.address;
     cell_worker.recorded_address = incarnation.address;
@@ -371,6 +383,8 @@
   next.submitted_as_closed = cell_worker->submitted_as_closed;
   next.recorded_address = cell_worker->recorded_address;
   next.recorded_started_at = cell_worker->recorded_started_at;
+  next.group = cell_worker->group;
+  next.recorded_group = cell_worker->recorded_group;
   next.renewals_blocked = cell_worker->renewals_blocked;
   next.starts_blocked = cell_worker->starts_blocked;
   next.contact_record_pending = cell_worker->contact_record_pending;
@@ -414,6 +428,7 @@
       it->second.session->Close();
       quarantine_.RemoveWorker(it->first);
       reliability_.RemoveWorker(it->first);
+      groups_.Remove(it->second.group);
       it = cell_workers_.erase(it);
       removed_any = true;
     } else {
--- a/src/libdoorwood/job/job_plan.cpp
+++ b/src/libdoorwood/job/job_plan.cpp
@@ -201,6 +201,9 @@
     json["first_due"] = plan.first_due;
     json["interval_ms"] = plan.interval.count();
   }
+  if (plan.worker_group > 0) {
+    json["worker_group"] = plan.worker_group;
+  }
 }
 
 void from_json(const Json& json, JobPlan& plan) {
@@ -212,6 +215,7 @@
   plan.repeat_count = ReadIntOrZero(json, "times");
   plan.first_due = ReadIntegerOr(json, "first_due", 0);
   plan.interval = ReadMillisOr(json, "interval_ms", Millis(0));
+  plan.worker_group = ReadIntOrZero(json, "worker_group");
 }
 
 std::optional<JobPlan> ParsePlan(std::string_view text) {
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -35,6 +35,15 @@
   return StepName(*job, repetition, step) + "." + std::to_string(index);
 }
 
+WorkerGroup ConfinedTo(const Task& task) {
+  const bool confined = !task.job->was_spread && !task.plan().long_running;
+  return confined ? task.job->plan.worker_group : 0;
+}
+
+WorkerGroup MayStartIn(const Job& job) {
+  return job.spread == SpreadRecord::kRecorded ? 0 : job.plan.worker_group;
+}
+
 std::string StepName(const Job& job, int repetition, int step) {
   return job.plan.id + "." + std::to_string(repetition) + "." +
          std::to_string(step);
@@ -509,6 +518,9 @@
   if (!job.reason.empty()) {
     state["reason"] = job.reason;
   }
+  if (job.spread != SpreadRecord::kConfined) {
+    state["spread"] = true;
+  }
   return state.dump();
 }
 
@@ -525,6 +537,10 @@
     if (json->contains("reason")) {
       job->reason = json->at("reason").get<std::string>();
     }
+    if (json->value("spread", false)) {
+      job->spread = SpreadRecord::kRecorded;
+      job->was_spread = true;
+    }
     for (const Json& row : json->at("tasks")) {
       const size_t repetition = row.at(0).get<size_t>();
       const size_t step = row.at(1).get<size_t>();
