fix(ingress): a count of pending jobs that is not known is not given

Cause: an instance adds up the newest summaries of the leaders.

Test: an instance that has just started, and one that has lost the leader.

--- a/src/include/doorwood/ingress.h
+++ b/src/include/doorwood/ingress.h
@@ -103,6 +103,9 @@
   /// can try an instance that reaches the leader. The default is two
   /// `summary_interval`s plus 300 ms for an answer.
   Millis leader_answer_timeout{1500};
+  /// Counts of pending jobs from an older summary are not passed on. A count
+  /// may leave out the jobs accepted in the last 5 s.
+  Millis max_summary_age{4000};
   /// Maximum number of jobs whose cell is cached.
   size_t max_cached_jobs = 20'000;
   ReturnScheduleOptions returns;
@@ -145,8 +148,11 @@
   void Cancel(const std::string& job, CancelCallback done);
   void FetchJobState(const std::string& job, StateCallback done);
   /// Number of jobs of a queue that have no started task, over all cells, as
-  /// of their latest summaries.
-  int PendingJobCount(const std::string& queue) const;
+  /// of their latest summaries. Empty if it is not known: no cell is known, or
+  /// one has sent no summary within `IngressOptions::max_summary_age`.
+  std::optional<int> PendingJobCount(const std::string& queue) const;
+  /// The newest version of the queue table that a leader has reported; 0: none.
+  int64_t NewestConfigVersion() const;
   /// True if at least one cell has a leader that this instance can reach.
   bool HasReachableLeader() const;
   /// When a call that failed with kNoOwner or kStoreUnavailable should be made
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -347,8 +347,17 @@
 
 int Ingress::PendingJobCount(const std::string& queue) const {
   int pending = 0;
+  if (cells_.empty()) {
+    return std::nullopt;
+  }
   for (const auto& [cell, known] : cells_) {
     const CellLeader* leader = LocalLeader(cell);
+    const bool is_recent =
+        known.answered_at != Instant{} &&
+        executor_.Now() - known.answered_at <= options_.max_summary_age;
+    if (leader == nullptr && !is_recent) {
+      return std::nullopt;
+    }
     const CellSummary summary =
         leader != nullptr ? leader->summary() : known.summary;
     const auto found = summary.pending.find(queue);
--- a/src/libdoorwood/ingress/ingress_test.cpp
+++ b/src/libdoorwood/ingress/ingress_test.cpp
@@ -226,6 +226,22 @@
   BOOST_TEST(peers->submits == 1);
 }
 
+// Guards against a count of 0 from an instance that has heard no leader yet, or
+// none for long, while jobs are waiting.
+BOOST_AUTO_TEST_CASE(PendingJobCount_NoRecentSummary_IsNotKnown) {
+  IngressFixture fixture;
+  Ingress fresh(*fixture.executor, *fixture.self->store, *fixture.peers,
+                *fixture.self->live, *fixture.self->log,
+                {fixture.self->cell.get()}, IngressOptions{});
+  BOOST_TEST(!fresh.PendingJobCount("queue").has_value());
+  BOOST_TEST((fixture.ingress->PendingJobCount("queue") == 0));
+  fixture.peers->unreachable = true;
+  fixture.world.Run(Millis(3000));
+  BOOST_TEST(fixture.ingress->PendingJobCount("queue").has_value());
+  fixture.world.Run(Millis(3000));
+  BOOST_TEST(!fixture.ingress->PendingJobCount("queue").has_value());
+}
+
 // If only one cell has a leader, the leader answers about its jobs even if the
 // store is unavailable.
 BOOST_FIXTURE_TEST_CASE(State_StoreUnavailable_SoleLeaderAnswers,
