fix(cell): the workers' key fits into one value at 12,000 workers

Cause: the lists of tasks under the workers' key have a bound of 320 KB of their own; the rows of 12,000 workers take some 850 KB beside them. The store takes 1 MiB, so that it would have refused every batch from then on.

Change: one bound for rows and lists; the longest lists go first. Rows alone reach it at some 14,000 workers.

Test: 12,000 rows with lists encode to 1 MiB at most and are read back.

--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -140,6 +140,14 @@
 /// long and changes seldom.
 std::string EncodeWorkers(const std::vector<KnownWorker>& workers);
 std::vector<KnownWorker> DecodeWorkers(std::string_view text);
+/// Drops the task lists that are longest in bytes, so that all lists have
+/// `max_list_bytes` at most, and the encoded workers `max_bytes`, if that is
+/// possible: a successor then assumes that any task may run on those workers.
+void LimitTaskLists(size_t max_list_bytes,
+                    size_t max_bytes,
+                    std::vector<KnownWorker>* workers);
+/// Largest value that the platform's store accepts, in bytes.
+inline constexpr size_t kMaxStoredValueBytes = 1024 * 1024;
 
 struct JournalOptions {
   /// Time after which a change that is not urgent causes a batch to be sent. A
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -64,6 +64,25 @@
   return group <= kLargest ? static_cast<WorkerGroup>(group) : 0;
 }
 
+size_t SizeOfTaskList(const KnownWorker& worker) {
+  constexpr size_t kQuotesAndComma = 3;
+  size_t bytes = 0;
+  if (worker.tasks) {
+    for (const std::string& task : *worker.tasks) {
+      bytes += task.size() + kQuotesAndComma;
+    }
+  }
+  return bytes;
+}
+
+// An upper bound.
+size_t SizeOfRowWithoutTasks(const KnownWorker& worker) {
+  constexpr size_t kQuotesAndNumbers = 50;
+  constexpr size_t kEvidence = 110;
+  return kQuotesAndNumbers + worker.id.size() + worker.address.size() +
+         (worker.evidence ? kEvidence : 0);
+}
+
 Json EncodeEvidence(const RunEvidence& evidence) {
   return {evidence.runs, evidence.failures, evidence.timed, evidence.log_ratio,
           evidence.log_ratio_squared};
@@ -239,6 +258,29 @@
   return rows.dump();
 }
 
+void LimitTaskLists(size_t max_list_bytes,
+                    size_t max_bytes,
+                    std::vector<KnownWorker>* workers) {
+  size_t row_bytes = 0;
+  std::vector<std::pair<size_t, KnownWorker*>> fewest_first;
+  for (KnownWorker& worker : *workers) {
+    row_bytes += SizeOfRowWithoutTasks(worker);
+    fewest_first.emplace_back(SizeOfTaskList(worker), &worker);
+  }
+  std::stable_sort(
+      fewest_first.begin(), fewest_first.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  const size_t left = max_bytes - std::min(row_bytes, max_bytes);
+  const size_t limit = std::min(max_list_bytes, left);
+  size_t total = 0;
+  for (const auto& [bytes, worker] : fewest_first) {
+    total += bytes;
+    if (total > limit) {
+      worker->tasks.reset();
+    }
+  }
+}
+
 std::vector<KnownWorker> DecodeWorkers(std::string_view text) {
   std::vector<KnownWorker> workers;
   const auto json = ParseJson(text);
--- a/src/libdoorwood/cell/cell_journal_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_test.cpp
@@ -3,6 +3,7 @@
 #include "doorwood/cell_journal.h"
 #include "doorwood/ended_jobs.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <set>
@@ -444,5 +445,31 @@
   BOOST_TEST(journal.idle());
 }
 
+// Guards against a workers' key that the store refuses: its bound for the lists
+// of tasks left out what the rows of many workers take.
+BOOST_AUTO_TEST_CASE(LimitTaskLists_12000Workers_FitIntoOneValue) {
+  std::vector<KnownWorker> workers;
+  for (int i = 0; i < 12'000; ++i) {
+    KnownWorker worker;
+    worker.id = "i-" + std::to_string(1'000'000'000 + i);
+    worker.address = "10.250.250.250:" + std::to_string(10'000 + i);
+    worker.started_at = 1'764'800'000'000;
+    worker.group = 100 + i / 256;
+    worker.tasks = std::vector<std::string>(
+        i % 4, "5c0e7a21d94b36f8.0.1." + std::to_string(i));
+    workers.push_back(worker);
+  }
+  LimitTaskLists(320'000, kMaxStoredValueBytes, &workers);
+  const std::string encoded = EncodeWorkers(workers);
+  BOOST_TEST(encoded.size() <= kMaxStoredValueBytes);
+  const auto decoded = DecodeWorkers(encoded);
+  BOOST_REQUIRE(decoded.size() == workers.size());
+  BOOST_TEST(decoded[5].group == workers[5].group);
+  BOOST_TEST(decoded[5].started_at == workers[5].started_at);
+  BOOST_TEST(std::any_of(decoded.begin(), decoded.end(), [](const auto& row) {
+    return row.tasks && !row.tasks->empty();
+  }));
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_worker_records.cpp
+++ b/src/libdoorwood/cell/cell_worker_records.cpp
@@ -31,36 +31,6 @@
   return worker.tasks ? worker.tasks->size() : 0;
 }
 
-size_t CountNameBytes(const KnownWorker& worker) {
-  constexpr size_t kQuotesAndComma = 3;
-  size_t bytes = 0;
-  if (worker.tasks) {
-    for (const std::string& task : *worker.tasks) {
-      bytes += task.size() + kQuotesAndComma;
-    }
-  }
-  return bytes;
-}
-
-// If the task names exceed `max_bytes`, drops the lists that are longest in
-// bytes: a successor then assumes that any task may run on those workers.
-void LimitNameBytes(size_t max_bytes, std::vector<KnownWorker>* workers) {
-  std::vector<std::pair<size_t, KnownWorker*>> fewest_first;
-  for (KnownWorker& worker : *workers) {
-    fewest_first.emplace_back(CountNameBytes(worker), &worker);
-  }
-  std::stable_sort(
-      fewest_first.begin(), fewest_first.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
-  size_t total = 0;
-  for (const auto& [bytes, worker] : fewest_first) {
-    total += bytes;
-    if (total > max_bytes) {
-      worker->tasks.reset();
-    }
-  }
-}
-
 }  // namespace
 
 std::vector<KnownWorker> CellLeader::BuildWorkerRecords() const {
@@ -79,7 +49,7 @@
     }
     known.push_back(std::move(worker));
   }
-  LimitNameBytes(options_.max_name_bytes, &known);
+  LimitTaskLists(options_.max_name_bytes, kMaxStoredValueBytes, &known);
   return known;
 }
 
