fix(policy): a worker that leaves a start unanswered gets no further one

Cause: a worker that had just gone silent counted as responsive for 2.7 s, and got starts until its room was full; each held its task back until the lease had expired.

Change: no new work for a worker with a start unanswered for 0.3 s, or whose last poll failed, until it answers.

Test: jobs every 0.1 s, one of two workers silent: at most four starts go there (the fourth in the moment of the bound).

--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -162,6 +162,9 @@
   /// no new work. A worker without runs is not polled regularly, so it is
   /// exempt unless a poll is in flight or the last one failed.
   Millis unresponsive_after{1500};
+  /// A worker that has not answered a start for this long gets no further one
+  /// until it answers: each would hold its task back until its lease expires.
+  Millis slow_start_answer{300};
   /// A stop is sent again if the worker has not listed the end after this time.
   Millis stop_resend_delay{1200};
 };
@@ -363,6 +366,9 @@
   /// The poll that completed last failed. Until one succeeds, polls extend no
   /// lease there.
   bool last_poll_failed() const { return last_poll_failed_; }
+  /// The worker has left a start unanswered for
+  /// `WorkerSessionOptions::slow_start_answer`, or the last poll failed.
+  bool is_slow_to_answer() const;
   /// When the latest order that may have extended a lease there was sent. A
   /// deferred start counts as such an order. The first answer to a poll counts
   /// as well, since an earlier leader may have extended leases until then.
--- a/src/libdoorwood/cell/cell_places.cpp
+++ b/src/libdoorwood/cell/cell_places.cpp
@@ -68,6 +68,7 @@
   const Instant now = executor_.Now();
   return MayReceiveStarts(cell_worker) &&
          !cell_worker.session->has_unwanted_runs() &&
+         !cell_worker.session->is_slow_to_answer() &&
          now >= cell_worker.backoff_until && quarantine_.AllowsStart(id, now) &&
          reliability_.AllowsStart(id, cell_worker.session->runs().size());
 }
--- a/src/libdoorwood/cell/cell_unresponsive_worker_test.cpp
+++ b/src/libdoorwood/cell/cell_unresponsive_worker_test.cpp
@@ -108,5 +108,28 @@
   }
 }
 
+// Guards against starts that go on for 2.7 s on a worker that has just gone
+// silent: each holds its task back until its lease has expired.
+BOOST_AUTO_TEST_CASE(Starts_WorkerFallsSilent_GetsNoneAfterUnansweredOnes) {
+  CellWorld world(3);
+  world.SetTable({fakes::MakeQueue("queue", 3)});
+  world.AddWorker("w1", 64'000);
+  world.AddWorker("w2", 64'000);
+  world.AddInstance("a1", "plaka");
+  BOOST_REQUIRE(world.WaitForLeader() != nullptr);
+  world.Run(Millis(1000));
+  PartitionAllFrom(world, "w1");
+  constexpr int kJobs = 25;
+  for (int i = 0; i < kJobs; ++i) {
+    BOOST_REQUIRE(world.Submit(fakes::MakePlan(
+        "00112233aabbcc" + std::to_string(10 + i), 1, 1, "ms=200")));
+  }
+  world.Run(Millis(1000));
+  // One job is handed in every 100 ms, so that three come within
+  // `WorkerSessionOptions::slow_start_answer`.
+  BOOST_TEST(world.log_count("start order got no usable answer") <= 4);
+  BOOST_TEST(world.violations().empty());
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -141,6 +141,16 @@
          options_.unresponsive_after + options_.long_poll_wait;
 }
 
+bool WorkerSession::is_slow_to_answer() const {
+  const Instant now = executor_.Now();
+  return last_poll_failed_ ||
+         std::any_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
+           const Run& run = entry.second;
+           return run.phase == RunPhase::kStarting && !run.start_deferred &&
+                  now - run.ordered > options_.slow_start_answer;
+         });
+}
+
 // --- Leases ---
 
 void WorkerSession::NoteResponse(int64_t clock) {
