feat(config): in a large deployment the leader tells the newest version

Where instances do not follow each other, their own reads come every 6 s and a watch waits for 3 s. A leader that is cut off changes nothing: the others read for themselves, later.

Tests: a watch that hears nothing, with and without a leader's word; at most ten reads a minute.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -13,6 +13,7 @@
 
 constexpr Millis kFlushInterval{50};
 constexpr Millis kSettingsCheckInterval{2000};
+constexpr Millis kConfigVersionCheckInterval{300};
 constexpr Millis kIdleCheckInterval{50};
 // The balancer removes an instance after two failed readiness checks, one per
 // second. New requests arrive until the balancer has removed it.
@@ -139,6 +140,7 @@
   WaitForReload();
   ReloadChangedSettingsPeriodically();
   FlushLogPeriodically();
+  FollowLeadersConfigPeriodically();
   context_.run();
   FlushLog();
 }
@@ -219,6 +221,13 @@
   executor_.Schedule(kFlushInterval, [this] { FlushLogPeriodically(); });
 }
 
+void EntryDaemon::FollowLeadersConfigPeriodically() {
+  config_.set_reads_sparsely(!live_.follows_instances());
+  config_.ReadIfOlder(ingress_.NewestConfigVersion());
+  executor_.Schedule(kConfigVersionCheckInterval,
+                     [this] { FollowLeadersConfigPeriodically(); });
+}
+
 // --- Planned shutdown ---
 
 void EntryDaemon::BeginShutdown() {
--- a/src/celld/entry_daemon.h
+++ b/src/celld/entry_daemon.h
@@ -50,6 +50,8 @@
   void Reload(std::string_view cause);
   void ReloadChangedSettingsPeriodically();
   void FlushLogPeriodically();
+  /// Has the configuration read if a leader has a newer one in force.
+  void FollowLeadersConfigPeriodically();
   void BeginShutdown();
   void FinishWhenIdle();
   bool IsReady() const;
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -61,6 +61,8 @@
   double waiting_work = 0;
   /// Processors of the listed workers.
   double cores = 0;
+  /// Version of the queue table that the leader has in force; 0: none.
+  int64_t config_version = 0;
 };
 
 /// Leads one cell while this process holds the cell's lead key in the store.
--- a/src/include/doorwood/config_follower.h
+++ b/src/include/doorwood/config_follower.h
@@ -23,6 +23,11 @@
   Millis retry_pause{120};
   /// Interval between full reads, which find changes that the watch missed.
   Millis read_interval{1500};
+  /// The same, and the wait of a watch call, if another instance tells the
+  /// newest version (`ConfigFollower::ReadIfOlder`). In a large deployment, the
+  /// full reads of all instances would otherwise take much of the store's link.
+  Millis sparse_read_interval{6000};
+  Millis sparse_watch_wait{3000};
 };
 
 /// Reads the queue table once, then watches it for changes, and rereads it
@@ -40,6 +45,11 @@
   /// `on_change` is called with each table that comes into force.
   void Start(ChangeHandler on_change);
   void Stop() { stopped_ = true; }
+  /// Whether `sparse_read_interval` and `sparse_watch_wait` apply.
+  void set_reads_sparsely(bool sparse) { reads_sparsely_ = sparse; }
+  /// Reads the table unless it has this version or a later one: another
+  /// instance has it in force.
+  void ReadIfOlder(int64_t version);
 
   /// The table in force; null before the first successful read.
   const std::shared_ptr<const QueueTable>& table() const { return table_; }
@@ -57,6 +67,9 @@
   std::shared_ptr<const QueueTable> table_;
   int64_t watched_revision_ = 0;
   Instant last_read_{};
+  bool reads_sparsely_ = false;
+  /// A read that `ReadIfOlder` has begun is under way.
+  bool reading_newer_ = false;
   bool reachable_ = true;
   bool stopped_ = false;
 };
--- a/src/libdoorwood/cell/cell_calls.cpp
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -229,6 +229,7 @@
   waiting_start_bytes_.clear();
   summary.cell = options_.cell;
   summary.epoch = epoch_;
+  summary.config_version = table_ ? table_->version() : 0;
   for (const auto& [id, job] : jobs_.jobs()) {
     if (job->outcome != JobOutcome::kOpen) {
       continue;
--- a/src/libdoorwood/config/config_follower.cpp
+++ b/src/libdoorwood/config/config_follower.cpp
@@ -54,7 +54,8 @@
     return;
   }
   source_.WaitForChange(
-      watched_revision_, options_.watch_wait,
+      watched_revision_,
+      reads_sparsely_ ? options_.sparse_watch_wait : options_.watch_wait,
       [this](std::error_code error,
              const QueueTableSource::Snapshot& snapshot) {
         if (error) {
@@ -62,7 +63,9 @@
           return;
         }
         ApplyIfNewer(snapshot);
-        if (executor_.Now() - last_read_ >= options_.read_interval) {
+        const Millis interval = reads_sparsely_ ? options_.sparse_read_interval
+                                                : options_.read_interval;
+        if (executor_.Now() - last_read_ >= interval) {
           Read();
         } else {
           Watch();
@@ -70,6 +73,21 @@
       });
 }
 
+void ConfigFollower::ReadIfOlder(int64_t version) {
+  if (stopped_ || reading_newer_ || !table_ || table_->version() >= version) {
+    return;
+  }
+  reading_newer_ = true;
+  source_.Read([this](std::error_code error,
+                      const QueueTableSource::Snapshot& snapshot) {
+    reading_newer_ = false;
+    if (!error && !stopped_) {
+      last_read_ = executor_.Now();
+      ApplyIfNewer(snapshot);
+    }
+  });
+}
+
 void ConfigFollower::ApplyIfNewer(const QueueTableSource::Snapshot& snapshot) {
   watched_revision_ = std::max(watched_revision_, snapshot.revision);
   if (!snapshot.table ||
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -345,7 +345,7 @@
   });
 }
 
-int Ingress::PendingJobCount(const std::string& queue) const {
+std::optional<int> Ingress::PendingJobCount(const std::string& queue) const {
   int pending = 0;
   if (cells_.empty()) {
     return std::nullopt;
@@ -366,6 +366,14 @@
   return pending;
 }
 
+int64_t Ingress::NewestConfigVersion() const {
+  int64_t newest = 0;
+  for (const auto& [cell, known] : cells_) {
+    newest = std::max(newest, known.summary.config_version);
+  }
+  return newest;
+}
+
 void Ingress::OnSummary(const std::string& cell, const CellSummary& summary) {
   KnownCell& known = cells_[cell];
   known.summary = summary;
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -98,11 +98,10 @@
 }
 
 Json EncodeSummary(const CellSummary& summary) {
-  return {{"cell", summary.cell},
-          {"epoch", summary.epoch},
-          {"pending", summary.pending},
-          {"waiting_work", summary.waiting_work},
-          {"cores", summary.cores}};
+  return {
+      {"cell", summary.cell},       {"epoch", summary.epoch},
+      {"pending", summary.pending}, {"waiting_work", summary.waiting_work},
+      {"cores", summary.cores},     {"config_version", summary.config_version}};
 }
 
 std::map<std::string, int> DecodePending(const Json& json) {
@@ -129,6 +128,7 @@
     summary.pending = DecodePending(json);
     summary.waiting_work = json.value("waiting_work", 0.0);
     summary.cores = json.value("cores", 0.0);
+    summary.config_version = ReadIntegerOr(json, "config_version", 0);
     return summary;
   });
 }
