feat(membership): in a large deployment only leaders follow all instances

Cause: every instance read all instances at the start, after each quiet watch (all within the same second, every 5 s) and whenever the store had forgotten its history; each registration ended the watch of every instance. At 584 instances a read is 240 KB and all of them 140 MB, more than the store's link carries in a second; it grows with the square.

Change: with more than 64 instances, or more keys than a page, an instance follows the keys of leads only, and reads whether its own key is there. One that takes a lead reads and follows all; until it has, it confirms no outage and publishes no placements. Campaigns are then ordered by class and slot, 0.46 s at most; the lead key tells the leader's share. The key that dates the records of workers moved beside the lead keys. A list counts as proof only if it is not older than the registration.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -332,6 +332,8 @@
   // requests.
   void ScheduleCampaign();
   void Campaign();
+  /// Delay of this instance's campaign where instances do not know each other.
+  Millis CampaignDelayByClass() const;
   /// Earliest time at which this instance may campaign for a vacant lead.
   Instant EarliestCampaignTime() const;
   /// When the instances that would register at the same time as this one have
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -31,8 +31,9 @@
 std::string LeadKey(std::string_view cell);
 /// Key that the leader writes in the same transaction as a record in which a
 /// worker has a `KnownWorker::deductible_wait` above zero. Instances watch only
-/// the directory's keys; through this one they learn when the store reached the
-/// revision of the record. A later leader computes the record's age from that
+/// the directory's keys, in a large deployment only those that begin like a
+/// lead key's; through this one they learn when the store reached the revision
+/// of the record. A later leader computes the record's age from that
 /// time, see LiveDirectory::TimeRevisionReached.
 std::string DeductibleWaitsKey(std::string_view cell);
 
@@ -65,6 +66,8 @@
   /// version that writes none. A leader that writes them gives no orders before
   /// it has stored a batch that replaces the TermEnd of a predecessor.
   std::vector<int64_t> predecessors;
+  /// `LiveInstance::cpu_share` of the leader; 0 if the key does not state it.
+  double cpu_share = 0;
 };
 
 /// Maximum number of epochs in `CellLead::predecessors`.
@@ -117,6 +120,10 @@
   /// number. The store refuses calls beyond its rate, and among them those by
   /// which the leader keeps its lead.
   int max_reads_per_second = 2000;
+  /// In a larger deployment, only leaders follow the registrations of all
+  /// instances; the others follow the leads only. What one registration causes,
+  /// and what one instance reads, then does not grow with their number.
+  size_t max_followed_instances = 64;
   /// Once the store has not answered for `store_unresponsive_threshold`, or as
   /// soon as a renewal of the lease has failed, the other instances are queried
   /// every `query_interval` whether they reach it.
@@ -207,8 +214,12 @@
   /// or if the store answered this process after the oldest of these requests
   /// or less than `store_unresponsive_threshold` before it.
   Instant UnrecordedStartsAgreedUntil() const;
-  /// Store revision up to which the directory is complete.
-  int64_t revision() const { return revision_; }
+  /// Whether `instances` has all instances that are registered. Otherwise it
+  /// has some that were registered when this process read a part of them.
+  bool follows_instances() const { return follows_instances_; }
+  /// Store revision up to which the directory has all instances; 0 if it does
+  /// not (see `follows_instances`).
+  int64_t revision() const { return is_complete_ ? revision_ : 0; }
   /// Earliest time in `revision_times_` by which the store had reached the
   /// revision; empty if none is known.
   std::optional<Instant> TimeRevisionReached(int64_t revision) const;
@@ -218,6 +229,8 @@
   /// Epoch of the newest leader of the cell that this process knows of; 0 if
   /// there is none.
   int64_t NewestKnownEpoch(const std::string& cell) const;
+  /// `CellLead::cpu_share` of that leader; 0 if it is not known.
+  double NewestKnownShare(const std::string& cell) const;
   /// Epochs of the newest leader of the cell that this process knows of and of
   /// its `CellLead::predecessors`, newest first; empty if it knows of none.
   std::vector<int64_t> NewestKnownEpochs(const std::string& cell) const;
@@ -300,6 +313,18 @@
   /// while the store was away, and never be answered.
   void ListAgain();
   void BeginList();
+  /// Reads all instances.
+  void ListAll(uint64_t number);
+  /// Reads the first page of the instances, and all if that is all.
+  void ListFirstPage(uint64_t number);
+  /// Reads the leads, and whether this instance is registered.
+  void ListLeads(uint64_t number);
+  /// Whether the answer of the read with this number may be used.
+  bool EndList(uint64_t number, std::error_code error);
+  /// Begins or ends following the instances, as their number and the leads of
+  /// this instance require. Returns whether that began.
+  bool UpdateFollowing();
+  std::string WatchedPrefix() const;
   void Watch();
   void OnWatchFailed(std::error_code error);
   /// Minimum time between two watch calls, or two full reads, of this instance;
@@ -310,7 +335,11 @@
   void WatchAgain(Instant last_began);
   void Apply(const StoreItem& item);
   void Replace(const StoreItems& items);
+  void ReplaceLeads(const StoreItems& items);
+  /// Whether the list was read before something that this process knows.
+  bool IsOutdated(const StoreItems& items) const;
   void ReregisterIfMissing();
+  void RegisterAgain();
   void QueryOthers();
   /// Queries when the store last answered the instance and, if agreement is
   /// needed and `IsStoreUnresponsive`, asks the instance to agree.
@@ -356,6 +385,13 @@
   uint64_t queries_ = 0;
   uint64_t watches_over_budget_ = 0;
   int64_t revision_ = 0;
+  bool follows_instances_ = true;
+  /// All instances were read since this process follows them.
+  bool is_complete_ = false;
+  /// Number of the watch call whose answer continues the watch.
+  uint64_t watches_ = 0;
+  /// Revision at which the store confirmed the current registration.
+  int64_t registered_revision_ = 0;
   /// Store revisions, each with the time at which this process learned that the
   /// store had reached it; both in ascending order.
   std::deque<std::pair<int64_t, Instant>> revision_times_;
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -17,6 +17,16 @@
 // that read the same record may still use the same numbers.
 constexpr uint32_t kRunNumberGap = 16;
 
+// Order of the campaigns in a deployment whose instances do not know each
+// other: equal instances campaign in one of these slots, chosen by name, and
+// weaker ones after them. A slot is longer than the store takes to answer and
+// to tell the others.
+constexpr int kCampaignSlots = 16;
+constexpr Millis kCampaignSlot{10};
+constexpr Millis kWeakerCampaignDelay{250};
+// Of instances that may not rely on recorded placements, others being equal.
+constexpr Millis kUnreliablePlacementsDelay{60};
+
 }  // namespace
 
 bool CellLeader::MayCampaign() const {
@@ -30,7 +40,34 @@
   return options_.data_centre.empty() || options_.data_centre == data_centre;
 }
 
+// Among many instances, the order is by class and by slot, so that the wait has
+// a bound whatever their number.
+Millis CellLeader::CampaignDelayByClass() const {
+  const LiveInstance& self = live_.self();
+  double strongest = live_.NewestKnownShare(options_.cell);
+  for (const auto& [name, other] : live_.instances()) {
+    if (BelongsToCell(other.data_centre)) {
+      strongest = std::max(strongest, other.cpu_share);
+    }
+  }
+  const auto slot =
+      static_cast<int>(std::hash<std::string>{}(self.name) % kCampaignSlots);
+  Millis delay = slot * kCampaignSlot;
+  if (self.cpu_share < strongest) {
+    delay += kWeakerCampaignDelay;
+  }
+  const int64_t agreement = live_.no_agreement_since();
+  if (agreement == 0 || agreement > live_.NewestKnownEpoch(options_.cell)) {
+    delay += kUnreliablePlacementsDelay;
+  }
+  return delay;
+}
+
 Instant CellLeader::EarliestCampaignTime() const {
+  if (!live_.follows_instances()) {
+    return std::max(vacant_since_ + CampaignDelayByClass(),
+                    EndOfRegistrations());
+  }
   // Instances on stronger machines come first; among equally strong ones, those
   // that may rely on recorded placements; among otherwise equal ones, by name.
   Millis delay{0};
@@ -179,7 +216,8 @@
   const Json value{{"instance", live_.self().name},
                    {"address", live_.self().address},
                    {"nonce", nonce_},
-                   {"predecessors", predecessors_}};
+                   {"predecessors", predecessors_},
+                   {"cpu_share", live_.self().cpu_share}};
   transaction.puts.push_back({key, value.dump(), *live_.lease()});
   store_.Commit(transaction, [this, generation](std::error_code error,
                                                 const StoreCommit& commit) {
@@ -203,7 +241,7 @@
   epoch_ = epoch;
   ++counters_.takeovers;
   live_.SetLead({options_.cell, live_.self().name, live_.self().address, epoch,
-                 nonce_, predecessors_});
+                 nonce_, predecessors_, live_.self().cpu_share});
   log_.Write("info", "cell", "took the lead",
              {{"cell", options_.cell},
               {"epoch", epoch},
--- a/src/libdoorwood/cell/cell_groups.cpp
+++ b/src/libdoorwood/cell/cell_groups.cpp
@@ -109,9 +109,9 @@
 const std::vector<CandidateWorker*>& CellLeader::CandidatesFor(
     const Job& job,
     const std::map<WorkerGroup, std::vector<CandidateWorker*>>& by_group) {
-  static const std::vector<CandidateWorker*> kNone;
+  static const std::vector<CandidateWorker*> none;
   const auto found = by_group.find(MayStartIn(job));
-  return found == by_group.end() ? kNone : found->second;
+  return found == by_group.end() ? none : found->second;
 }
 
 // Runs of an older version's leader may be anywhere. While jobs of its time are
--- a/src/libdoorwood/cell/cell_placement_records.cpp
+++ b/src/libdoorwood/cell/cell_placement_records.cpp
@@ -6,6 +6,7 @@
 // one of them. Only while all other instances agree to unrecorded starts may
 // the start be ordered first.
 
+#include <algorithm>
 #include <utility>
 
 #include "doorwood/cell_leader.h"
@@ -81,7 +82,7 @@
 // records the placement of a long-running task before it orders the start.
 int64_t CellLeader::PlacementsValidTo() {
   if (ArePlacementsRecorded()) {
-    placements_valid_to_ = live_.revision();
+    placements_valid_to_ = std::max(placements_valid_to_, live_.revision());
   }
   return placements_valid_to_;
 }
--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::string_view kInstanceFolder = "instance/";
 constexpr std::string_view kLeadFolder = "lead/";
+// Begin of the keys that every instance follows.
+constexpr std::string_view kLeadPrefix = "lead";
 // Each instance that registers also writes a key here that has no lease. From
 // these keys a process that starts later learns which instances the store may
 // serve again.
@@ -85,7 +87,8 @@
                   ReadNonEmptyString(json, "address"),
                   item.created,
                   json.at("nonce").get<uint64_t>(),
-                  DecodePredecessors(json)};
+                  DecodePredecessors(json),
+                  json.value("cpu_share", 0.0)};
     if (!json.at("nonce").is_number_unsigned() ||
         !IsVisibleAscii(lead.address)) {
       throw FieldError("nonce");
@@ -107,7 +110,8 @@
 }
 
 std::string DeductibleWaitsKey(std::string_view cell) {
-  return std::string(kLivePrefix) + "unheard/" + std::string(cell);
+  return std::string(kLivePrefix) + std::string(kLeadPrefix) + "-waits/" +
+         std::string(cell);
 }
 
 std::string LeadKey(std::string_view cell) {
@@ -232,6 +236,7 @@
     no_agreement_since_ = revision;
   }
   registered_at_ = now;
+  registered_revision_ = revision;
   if (!registered_since_) {
     registered_since_ = now;
     first_registered_at_ =
@@ -258,6 +263,11 @@
   return newest;
 }
 
+double LiveDirectory::NewestKnownShare(const std::string& cell) const {
+  const auto known = newest_leads_.find(cell);
+  return known == newest_leads_.end() ? 0 : known->second.cpu_share;
+}
+
 int64_t LiveDirectory::NewestKnownEpoch(const std::string& cell) const {
   const auto known = newest_leads_.find(cell);
   return known == newest_leads_.end() ? 0 : known->second.epoch;
@@ -418,20 +428,105 @@
     return;
   }
   list_began_ = executor_.Now();
+  const uint64_t number = ++lists_;
+  if (!follows_instances_) {
+    ListLeads(number);
+  } else if (CountOwnLeads() > 0) {
+    ListAll(number);
+  } else {
+    ListFirstPage(number);
+  }
+}
+
+bool LiveDirectory::EndList(uint64_t number, std::error_code error) {
+  listing_ = listing_ && number != lists_;
+  if (stopped_ || error) {
+    return false;
+  }
+  last_store_answer_at_ = executor_.Now();
+  return true;
+}
+
+void LiveDirectory::ListAll(uint64_t number) {
   store_.List(std::string(kLivePrefix),
-              [this, number = ++lists_](std::error_code error,
-                                        const StoreItems& items) {
-                listing_ = listing_ && number != lists_;
-                if (stopped_) {
-                  return;
-                }
-                if (!error) {
-                  last_store_answer_at_ = executor_.Now();
+              [this, number](std::error_code error, const StoreItems& items) {
+                if (EndList(number, error)) {
                   Replace(items);
                 }
               });
 }
 
+void LiveDirectory::ListFirstPage(uint64_t number) {
+  store_.ListPage(
+      std::string(kLivePrefix), "",
+      [this, number](std::error_code error, const StoreItems& page) {
+        if (!error && !page.more) {
+          if (EndList(number, error)) {
+            Replace(page);
+          }
+          return;
+        }
+        if (!EndList(number, error)) {
+          return;
+        }
+        if (CountOwnLeads() > 0) {
+          ListAgain();
+          return;
+        }
+        for (const StoreItem& item : page.items) {
+          Apply(item);
+        }
+        follows_instances_ = false;
+        is_complete_ = false;
+        ListLeads(number);
+      });
+}
+
+void LiveDirectory::ListLeads(uint64_t number) {
+  store_.List(std::string(kLivePrefix) + std::string(kLeadPrefix),
+              [this, number](std::error_code error, const StoreItems& items) {
+                if (EndList(number, error)) {
+                  ReplaceLeads(items);
+                }
+              });
+  // The store may remove the key without reporting the lease as ended.
+  const int64_t registered = registered_revision_;
+  if (!registered_since_) {
+    return;
+  }
+  store_.Get(InstanceKey(self_.name), [this, registered](std::error_code error,
+                                                         const StoreItem&) {
+    if (!stopped_ && error == make_error_code(KvErrc::kNotFound) && lease_ &&
+        registered_since_ && registered == registered_revision_) {
+      RegisterAgain();
+    }
+  });
+}
+
+bool LiveDirectory::UpdateFollowing() {
+  const bool follows =
+      CountOwnLeads() > 0 ||
+      (is_complete_ && instances_.size() <= options_.max_followed_instances);
+  if (follows == follows_instances_) {
+    return false;
+  }
+  follows_instances_ = follows;
+  is_complete_ = false;
+  if (follows) {
+    ListAgain();
+    Watch();  // The watch that is waiting follows the leads only.
+  }
+  return follows;
+}
+
+std::string LiveDirectory::WatchedPrefix() const {
+  std::string prefix(kLivePrefix);
+  if (!follows_instances_) {
+    prefix += kLeadPrefix;
+  }
+  return prefix;
+}
+
 void LiveDirectory::Watch() {
   if (stopped_) {
     return;
@@ -443,9 +538,10 @@
   }
   const Instant sent = executor_.Now();
   store_.Watch(
-      std::string(kLivePrefix), revision_, options_.watch_wait,
-      [this, sent](std::error_code error, const StoreItems& events) {
-        if (stopped_) {
+      WatchedPrefix(), revision_, options_.watch_wait,
+      [this, sent, number = ++watches_](std::error_code error,
+                                        const StoreItems& events) {
+        if (stopped_ || number != watches_) {
           return;
         }
         if (error) {
@@ -461,9 +557,13 @@
           }
           ReregisterIfMissing();
         }
+        const bool begins = !events.items.empty() && UpdateFollowing();
         if (!events.items.empty()) {
           on_change_();
         }
+        if (begins || number != watches_) {
+          return;  // Another watch has begun.
+        }
         if (executor_.Now() - sent >= options_.min_watch_before_full_read) {
           List();
         }
@@ -558,17 +658,20 @@
   }
 }
 
+bool LiveDirectory::IsOutdated(const StoreItems& items) const {
+  return items.revision < revision_ ||
+         std::any_of(leads_.begin(), leads_.end(), [&](const auto& entry) {
+           return items.revision < entry.second.epoch;
+         });
+}
+
 void LiveDirectory::Replace(const StoreItems& items) {
-  // A list is outdated if it was read before a lead was taken that this process
-  // already knows.
-  const bool too_old = std::any_of(
-      leads_.begin(), leads_.end(),
-      [&](const auto& entry) { return items.revision < entry.second.epoch; });
-  if (items.revision < revision_ || too_old) {
+  if (IsOutdated(items)) {
     return;
   }
   RecordRevisionTime(items.revision);
   revision_ = items.revision;
+  const bool was_complete = std::exchange(is_complete_, true);
   const auto before = std::move(instances_);
   instances_.clear();
   leads_.clear();
@@ -577,26 +680,50 @@
     Apply(item);
   }
   for (const auto& [name, instance] : before) {
-    if (!instances_.contains(name)) {
+    // What was read before this process followed the instances may be old.
+    if (!instances_.contains(name) &&
+        (was_complete || known_instances_.contains(name))) {
       MarkMissing(instance);
     }
   }
   loaded_ = true;
   ReregisterIfMissing();
+  UpdateFollowing();
+  on_change_();
+}
+
+void LiveDirectory::ReplaceLeads(const StoreItems& items) {
+  if (IsOutdated(items) || follows_instances_) {
+    return;
+  }
+  RecordRevisionTime(items.revision);
+  revision_ = items.revision;
+  leads_.clear();
+  for (const StoreItem& item : items.items) {
+    Apply(item);
+  }
+  loaded_ = true;
+  UpdateFollowing();
   on_change_();
 }
 
 void LiveDirectory::ReregisterIfMissing() {
-  // The store may remove keys without reporting the lease as ended.
-  if (lease_ && registered_since_ && !instances_.contains(self_.name)) {
-    registered_since_.reset();
-    log_.Write("warn", "live",
-               "instance key is missing from the store; registering again",
-               Json::object());
-    Register();
+  // The store may remove keys without reporting the lease as ended. A list that
+  // was read before the registration does not show that.
+  if (lease_ && registered_since_ && is_complete_ &&
+      revision_ >= registered_revision_ && !instances_.contains(self_.name)) {
+    RegisterAgain();
   }
 }
 
+void LiveDirectory::RegisterAgain() {
+  registered_since_.reset();
+  log_.Write("warn", "live",
+             "instance key is missing from the store; registering again",
+             Json::object());
+  Register();
+}
+
 size_t LiveDirectory::CountOwnLeads() const {
   return std::count_if(leads_.begin(), leads_.end(), [this](const auto& lead) {
     return lead.second.instance == self_.name;
@@ -606,6 +733,7 @@
 void LiveDirectory::SetLead(const CellLead& lead) {
   newest_leads_[lead.cell] = lead;
   leads_[lead.cell] = lead;
+  UpdateFollowing();
 }
 
 void LiveDirectory::RemoveLead(const std::string& cell) {
--- a/src/libdoorwood/membership/live_outage.cpp
+++ b/src/libdoorwood/membership/live_outage.cpp
@@ -49,7 +49,11 @@
   return earliest == Instant::max() ? Instant{} : earliest;
 }
 
+// An instance that is not known was not asked.
 Instant LiveDirectory::AnswersValidUntil(Instant sent_at) const {
+  if (!is_complete_) {
+    return Instant{};
+  }
   const bool answer_too_recent =
       last_store_answer_at_ + options_.store_unresponsive_threshold > sent_at;
   return answer_too_recent ? Instant{} : sent_at + options_.answer_validity;
