fix(cell): strong instances lead first where instances do not know each other

Cause: the wait for other registrations and the delay by class ran at the same time, so on a first start a weak instance that registered early came before a strong one that registered last.

Change: the delay by class follows the wait, and is 0.7 s for weaker instances on a first start; 0.25 s later on.

--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -24,6 +24,9 @@
 constexpr int kCampaignSlots = 16;
 constexpr Millis kCampaignSlot{10};
 constexpr Millis kWeakerCampaignDelay{250};
+// The same on the first start: machines start within 0.3 s of each other, and
+// the strongest may register last.
+constexpr Millis kWeakerFirstCampaignDelay{700};
 // Of instances that may not rely on recorded placements, others being equal.
 constexpr Millis kUnreliablePlacementsDelay{60};
 
@@ -54,7 +57,9 @@
       static_cast<int>(std::hash<std::string>{}(self.name) % kCampaignSlots);
   Millis delay = slot * kCampaignSlot;
   if (self.cpu_share < strongest) {
-    delay += kWeakerCampaignDelay;
+    delay += live_.NewestKnownEpoch(options_.cell) == 0
+                 ? kWeakerFirstCampaignDelay
+                 : kWeakerCampaignDelay;
   }
   const int64_t agreement = live_.no_agreement_since();
   if (agreement == 0 || agreement > live_.NewestKnownEpoch(options_.cell)) {
@@ -65,8 +70,8 @@
 
 Instant CellLeader::EarliestCampaignTime() const {
   if (!live_.follows_instances()) {
-    return std::max(vacant_since_ + CampaignDelayByClass(),
-                    EndOfRegistrations());
+    return std::max(vacant_since_, EndOfRegistrations()) +
+           CampaignDelayByClass();
   }
   // Instances on stronger machines come first; among equally strong ones, those
   // that may rely on recorded placements; among otherwise equal ones, by name.
--- a/src/libdoorwood/cell/cell_campaign_test.cpp
+++ b/src/libdoorwood/cell/cell_campaign_test.cpp
@@ -3,6 +3,8 @@
 // Which instance takes a vacant lead.
 
 #include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
 
 #include "fakes/cell_world.h"
 
@@ -116,5 +118,74 @@
   }
 }
 
+// So many instances that they do not follow each other. Guards against delays
+// that add up over all instances that go first: 7 to 19 s.
+struct FleetFixture {
+  FleetFixture(int weak, int strong) : world(9) {
+    world.SetTable({fakes::MakeQueue("queue", 3)});
+    for (int n = 0; n < weak; ++n) {
+      world.AddInstance("w" + std::to_string(n), "pireas", 0.12);
+    }
+    for (int n = 0; n < strong; ++n) {
+      world.AddInstance("x" + std::to_string(n), "plaka", 1.0);
+    }
+    world.WaitForLeader();
+    world.Run(Millis(3000));
+  }
+
+  /// Kills all strong instances or only the leader; returns the time in ms
+  /// until another instance has the lead.
+  int ReplaceLeader(bool all_strong) {
+    const std::string leader = world.Leader()->name;
+    std::vector<std::string> killed = {leader};
+    for (const auto& [name, instance] : world.instances()) {
+      if (all_strong && name != leader && name.starts_with("x")) {
+        killed.push_back(name);
+      }
+    }
+    for (const std::string& name : killed) {
+      world.Kill(name);
+    }
+    int passed = 0;
+    const auto has_lead = [this] {
+      for (const auto& [name, instance] : world.instances()) {
+        if (instance->cell->leading() || instance->cell->reading()) {
+          return true;
+        }
+      }
+      return false;
+    };
+    while (!has_lead() && passed < 20'000) {
+      world.RunExactly(Millis(10));
+      passed += 10;
+    }
+    return passed;
+  }
+
+  fakes::CellWorld world;
+};
+
+BOOST_AUTO_TEST_CASE(Lead_ManyInstancesStartAtOnce_AStrongOneTakesIt) {
+  FleetFixture fixture(80, 6);
+  BOOST_REQUIRE(fixture.world.Leader() != nullptr);
+  BOOST_TEST(fixture.world.Leader()->name.starts_with("x"));
+}
+
+BOOST_AUTO_TEST_CASE(Lead_LeaderOfManyKilled_AnotherLeadsWithin2500Ms) {
+  for (const bool all_strong : {false, true}) {
+    for (const int weak : {80, 160}) {
+      FleetFixture fixture(weak, 6);
+      const int passed = fixture.ReplaceLeader(all_strong);
+      BOOST_TEST_MESSAGE("all strong " << all_strong << ", weak " << weak
+                                       << ": " << passed << " ms");
+      BOOST_TEST(passed <= 2500);
+      fixture.world.Run(Millis(2000));
+      BOOST_REQUIRE(fixture.world.Leader() != nullptr);
+      BOOST_TEST(
+          fixture.world.Leader()->name.starts_with(all_strong ? "w" : "x"));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace doorwood
