fix(http): a call does not wait for silent connections, nor give up a long answer

Two faults of the client made its reads fail one after the other:

- An answer was given up 1.2 s after the call, though it was arriving.
On a link of 10 Mbit/s the configuration of the incident takes 0.9 s alone; two copies side by side never came to their end, and the next read began at once.
- A call that timed out on a pooled connection condemned only that one.
Eight silent ones cost 9.3 s.
A time-out closes idle ones as well.
While a long answer arrives, patience does not run out: the link is full, not silent.

--- a/src/include/doorwood/record_store.h
+++ b/src/include/doorwood/record_store.h
@@ -29,6 +29,9 @@
   int64_t lease = 0;
   /// Set only in events of a watch: the key was removed.
   bool deleted = false;
+  /// Set only by `RecordStore::Get`: the store's revision at the time of the
+  /// answer; 0: not stated.
+  int64_t store_revision = 0;
 };
 
 /// Condition of a transaction: `key` is at `revision`; 0: `key` does not exist.
--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <set>
 
 namespace doorwood {
 
@@ -41,12 +42,19 @@
 constexpr Millis kLateReadPause{20};
 constexpr Millis kMaxLateReading{400};
 
+// A long response counts as arriving for so long after its last piece.
+constexpr Millis kMaxPieceInterval{250};
+// Pause between the checks whether a long response still arrives.
+constexpr Millis kReceivingCheckPause{50};
+
 struct Connection {
   explicit Connection(asio::io_context& context) : stream(context) {}
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  Instant idle_since{};
+  /// When the last response was complete or, before that, when the connection
+  /// was established.
+  Instant proven_at{};
 };
 
 // Returns true if neither data nor end of stream has arrived since the last
@@ -90,7 +98,7 @@
     while (!idle.empty()) {
       auto connection = std::move(idle.back());
       idle.pop_back();
-      if (now - connection->idle_since < kIdleLifetime &&
+      if (now - connection->proven_at < kIdleLifetime &&
           HasNoUnreadData(connection.get())) {
         return connection;
       }
@@ -101,14 +109,36 @@
   void Return(const HttpCall& call, std::shared_ptr<Connection> connection) {
     auto& idle = idle_[{call.address, call.group}];
     if (idle.size() < kMaxIdlePerAddress) {
-      connection->idle_since = BootClock::now();
       idle.push_back(std::move(connection));
     }
     CloseUnused();
   }
 
+  /// A call to the address that was sent at `since` found its connection
+  /// silent. Closes the idle connections that were proven earlier.
+  void CloseUnproven(const std::string& address, Instant since);
+  /// Besides, the call was answered on a new connection: sends the calls that
+  /// wait on such connections again.
+  void ResendUnproven(const std::string& address, Instant since);
+
+  void Add(Exchange* exchange) { open_.insert(exchange); }
+  void Remove(Exchange* exchange) {
+    open_.erase(exchange);
+    receiving_.erase(exchange);
+  }
+  void SetReceiving(Exchange* exchange, bool receiving) {
+    if (receiving) {
+      receiving_.insert(exchange);
+    } else {
+      receiving_.erase(exchange);
+    }
+  }
+  /// Of a call to `address` whose target contains `in_target`; empty: any.
+  bool IsReceiving(std::string_view address, std::string_view in_target) const;
+
   asio::io_context& context;
   uint64_t connects = 0;
+  SilentConnectionCounters silent;
 
  private:
   void CloseUnused() {
@@ -119,7 +149,7 @@
     closed_unused_at_ = now;
     for (auto it = idle_.begin(); it != idle_.end();) {
       std::erase_if(it->second, [now](const auto& connection) {
-        return now - connection->idle_since >= kIdleLifetime;
+        return now - connection->proven_at >= kIdleLifetime;
       });
       it = it->second.empty() ? idle_.erase(it) : std::next(it);
     }
@@ -130,6 +160,9 @@
   std::map<std::pair<std::string, std::string>,
            std::vector<std::shared_ptr<Connection>>>
       idle_;
+  std::set<Exchange*> open_;
+  /// Those of `open_` of whose response a part has arrived.
+  std::set<Exchange*> receiving_;
 };
 
 // One call. Its pending asynchronous operations keep the object alive.
@@ -140,10 +173,11 @@
         call_(std::move(call)),
         done_(std::move(done)),
         deadline_timer_(pool_->context) {
-    deadline_ = BootClock::now() + call_.timeout;
+    end_ = BootClock::now() + MaxDuration();
   }
 
   void Begin() {
+    pool_->Add(this);
     connection_ = pool_->Take(call_);
     if (connection_) {
       reused_ = true;
@@ -153,6 +187,23 @@
     Connect();
   }
 
+  // Sends the call again if no part of its response has arrived and its
+  // connection was last proven before `since`.
+  void ResendIfUnproven(const std::string& address, Instant since) {
+    const bool may_resend = call_.repeatable && call_.patience > Millis(0);
+    const bool waits = !completed_ && connection_->proven_at != Instant{} &&
+                       !got_piece_ && !abandoned_;
+    if (!may_resend || !waits || call_.address != address ||
+        connection_->proven_at >= since) {
+      return;
+    }
+    end_ = BootClock::now() + MaxDuration();
+    Abandon();
+  }
+
+  const HttpCall& call() const { return call_; }
+  Instant last_piece_at() const { return last_progress_; }
+
  private:
   void Connect() {
     const auto endpoint = ParseEndpoint(call_.address);
@@ -183,10 +234,21 @@
           // The check of an idle connection peeks at the socket and must not
           // block.
           self->connection_->stream.socket().non_blocking(true, ignored);
+          self->connection_->proven_at = BootClock::now();
           self->Write();
         });
   }
 
+  Instant::duration MaxDuration() const {
+    return std::max(call_.timeout, call_.max_duration);
+  }
+
+  // Ends the pending operation; OnConnectionError sends the call again.
+  void Abandon() {
+    abandoned_ = true;
+    connection_->stream.close();
+  }
+
   void Write() {
     const auto verb = http::string_to_verb(call_.method);
     request_.method(verb);
@@ -203,7 +265,10 @@
     }
     request_.prepare_payload();
     connection_->stream.expires_never();
-    AwaitDeadline(RemainingTime());
+    got_piece_ = false;
+    last_progress_ = BootClock::now();
+    first_sent_ = first_sent_ == Instant{} ? last_progress_ : first_sent_;
+    AwaitDeadline(Deadline() - last_progress_);
     sent_ = true;
     http::async_write(
         connection_->stream, request_,
@@ -230,20 +295,58 @@
         });
   }
 
+  // Whether the call is to be sent again, on a new connection, if nothing
+  // arrives on this one.
+  bool HasPatience() const {
+    return reused_ && call_.repeatable && call_.patience > Millis(0) &&
+           !got_piece_;
+  }
+
+  Instant Deadline() const {
+    return std::min(
+        end_, last_progress_ + (HasPatience()
+                                    ? std::min(call_.patience, call_.timeout)
+                                    : call_.timeout));
+  }
+
   void OnDeadline() {
     error_code error;
     const bool has_unread_data =
         connection_->stream.socket().available(error) > 0 && !error;
     const Instant now = BootClock::now();
+    if (now < Deadline()) {
+      AwaitDeadline(Deadline() - now);  // A piece has arrived since.
+      return;
+    }
     late_since_ = late_since_.value_or(now);
     if (has_unread_data && now - *late_since_ < kMaxLateReading) {
       AwaitDeadline(kLateReadPause);
       return;
     }
+    if (HasPatience() && now < end_ && now - last_progress_ < call_.timeout) {
+      if (pool_->IsReceiving({}, {})) {
+        AwaitDeadline(kReceivingCheckPause);
+        return;
+      }
+      ++pool_->silent.unanswered;
+      lost_patience_ = true;
+      Abandon();
+      return;
+    }
     timed_out_ = true;
+    if (reused_ && !got_piece_) {
+      ++pool_->silent.unanswered;
+      pool_->CloseUnproven(call_.address, last_progress_);
+    }
     connection_->stream.close();  // Ends the pending operation.
   }
 
+  void OnPiece() {
+    got_piece_ = true;
+    last_progress_ = BootClock::now();
+    late_since_.reset();
+  }
+
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMaxResponseBytes);
@@ -254,6 +357,7 @@
             self->OnConnectionError(self->ReadProgress() + error.message());
             return;
           }
+          self->OnPiece();
           self->ReadBody();
         });
   }
@@ -274,14 +378,16 @@
     // Without room, the body is read in pieces of 512 bytes.
     connection_->buffer.reserve(std::min<uint64_t>(
         length + connection_->buffer.size(), kMaxReadBuffer));
-    http::async_read(
+    pool_->SetReceiving(this, true);
+    http::async_read_some(
         connection_->stream, connection_->buffer, *parser_,
         [self = shared_from_this()](const error_code& error, size_t) {
           if (error) {
             self->OnConnectionError(self->ReadProgress() + error.message());
             return;
           }
-          self->OnReply();
+          self->OnPiece();
+          self->ReadBody();
         });
   }
 
@@ -304,9 +410,11 @@
   void OnConnectionError(std::string problem) {
     const bool in_time =
         !timed_out_ && RemainingTime() > Instant::duration::zero();
-    if (reused_ && call_.repeatable && in_time) {
+    pool_->SetReceiving(this, false);
+    if ((reused_ || abandoned_) && call_.repeatable && in_time) {
       sent_before_ = true;
-      first_problem_ = std::move(problem);
+      first_problem_ = abandoned_ ? "silent connection" : std::move(problem);
+      abandoned_ = false;
       Connect();
       return;
     }
@@ -324,6 +432,12 @@
   }
 
   void OnReply() {
+    connection_->proven_at = BootClock::now();
+    if (std::exchange(lost_patience_, false)) {
+      ++pool_->silent.confirmed;
+      pool_->CloseUnproven(call_.address, first_sent_);
+      pool_->ResendUnproven(call_.address, first_sent_);
+    }
     HttpReply reply;
     reply.status = static_cast<int>(parser_->get().result_int());
     reply.body = std::move(parser_->get().body());
@@ -340,16 +454,15 @@
 
   // Uses the time since boot: the stream's timer does not advance while the
   // machine is suspended.
-  Instant::duration RemainingTime() const {
-    return deadline_ - BootClock::now();
-  }
+  Instant::duration RemainingTime() const { return end_ - BootClock::now(); }
 
   void Finish(std::error_code error, const std::string& problem) {
     HttpReply reply;
     reply.problem =
         first_problem_.empty() ? problem : first_problem_ + ", then " + problem;
     if (timed_out_) {
-      reply.problem += " (timed out)";
+      reply.problem +=
+          reused_ ? " (timed out on a pooled connection)" : " (timed out)";
     }
     reply.refused = refused_;
     Complete(error, std::move(reply));
@@ -357,6 +470,7 @@
 
   void Complete(std::error_code error, HttpReply reply) {
     completed_ = true;
+    pool_->Remove(this);
     deadline_timer_.cancel();
     done_(error, std::move(reply));
   }
@@ -364,9 +478,22 @@
   std::shared_ptr<Pool> pool_;
   HttpCall call_;
   Callback done_;
-  Instant deadline_;
+  /// End of the call, however much of the response arrives.
+  Instant end_;
   asio::steady_timer deadline_timer_;
-  /// When the deadline was first handled.
+  /// When the call was first sent.
+  Instant first_sent_{};
+  /// When the call was sent on this connection or, if later, a piece of the
+  /// response arrived.
+  Instant last_progress_{};
+  /// A piece of the response has arrived on this connection.
+  bool got_piece_ = false;
+  /// The connection was closed because it is taken for silent; the call is to
+  /// be sent again.
+  bool abandoned_ = false;
+  /// That was because nothing arrived in `HttpCall::patience`.
+  bool lost_patience_ = false;
+  /// When the deadline was first handled after the last piece.
   std::optional<Instant> late_since_;
   /// The connection was closed at the deadline.
   bool timed_out_ = false;
@@ -385,6 +512,36 @@
   std::optional<http::response_parser<http::string_body>> parser_;
 };
 
+void HttpClient::Pool::CloseUnproven(const std::string& address,
+                                     Instant since) {
+  for (auto& [key, connections] : idle_) {
+    if (key.first == address) {
+      silent.closed += std::erase_if(connections, [since](const auto& idle) {
+        return idle->proven_at < since;
+      });
+    }
+  }
+}
+
+void HttpClient::Pool::ResendUnproven(const std::string& address,
+                                      Instant since) {
+  for (Exchange* exchange : open_) {
+    exchange->ResendIfUnproven(address, since);
+  }
+}
+
+bool HttpClient::Pool::IsReceiving(std::string_view address,
+                                   std::string_view in_target) const {
+  const Instant now = BootClock::now();
+  return std::any_of(
+      receiving_.begin(), receiving_.end(), [&](const Exchange* exchange) {
+        const HttpCall& call = exchange->call();
+        return now - exchange->last_piece_at() < kMaxPieceInterval &&
+               (address.empty() || call.address == address) &&
+               call.target.find(in_target) != std::string::npos;
+      });
+}
+
 HttpClient::HttpClient(asio::io_context& context)
     : pool_(std::make_shared<Pool>(context)) {}
 
@@ -398,4 +555,13 @@
   return pool_->connects;
 }
 
+const SilentConnectionCounters& HttpClient::silent_connections() const {
+  return pool_->silent;
+}
+
+bool HttpClient::IsReceiving(std::string_view address,
+                             std::string_view in_target) const {
+  return pool_->IsReceiving(address, in_target);
+}
+
 }  // namespace doorwood
--- a/src/loop.adapter/http_client.h
+++ b/src/loop.adapter/http_client.h
@@ -3,6 +3,11 @@
 /// \file
 /// HTTP/1.1 client on the event loop of the process, with a pool of persistent
 /// connections.
+///
+/// An open connection may go silent for good while new ones work. A pooled
+/// connection is therefore trusted only until a call finds another one of the
+/// same address silent: then the connections whose last response is older than
+/// that call are closed, and calls that wait on them are sent again.
 
 #ifndef DOORWOOD_LOOP_ADAPTER_HTTP_CLIENT_H_
 #define DOORWOOD_LOOP_ADAPTER_HTTP_CLIENT_H_
@@ -13,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <system_error>
 #include <utility>
 #include <vector>
@@ -51,11 +57,30 @@
   std::string group;
   /// If set, the connection is pooled only if this returns true for the reply.
   std::function<bool(const HttpReply&)> accepts_reply;
+  /// Longest time for the call or, if `max_duration` is larger, until the
+  /// response begins and between two pieces of it.
   Millis timeout{1000};
+  /// Longest time for a call whose response keeps arriving.
+  Millis max_duration{0};
+  /// If not zero: a repeatable call that got no part of the response on a
+  /// pooled connection after this time is sent again on a new one. Does not run
+  /// while a long response is arriving, since that fills the network link.
+  Millis patience{0};
   /// The call may be sent a second time if a pooled connection fails.
   bool repeatable = true;
 };
 
+/// Connections that were found to be silent.
+struct SilentConnectionCounters {
+  /// Calls that got no part of a response on a pooled connection in time.
+  uint64_t unanswered = 0;
+  /// Those of them that were answered on a new connection.
+  uint64_t confirmed = 0;
+  /// Idle connections that were closed because another one of the same address
+  /// was silent.
+  uint64_t closed = 0;
+};
+
 class HttpClient {
  public:
   /// Called exactly once. The error is PeerErrc::kNotSent if no connection
@@ -72,6 +97,10 @@
   void Send(HttpCall call, Callback done);
   /// Number of attempts to open a connection so far.
   uint64_t connect_attempts() const;
+  const SilentConnectionCounters& silent_connections() const;
+  /// Whether a part of a long response has just arrived and the rest has not,
+  /// of a call to `address` whose target contains `in_target`.
+  bool IsReceiving(std::string_view address, std::string_view in_target) const;
 
  private:
   class Pool;
--- a/src/loop.adapter/silencing_server.h
+++ b/src/loop.adapter/silencing_server.h
@@ -36,6 +36,8 @@
   }
   size_t connections() const { return connections_.size(); }
   size_t requests() const { return requests_; }
+  /// Requests that wait for `AnswerWaiting`.
+  size_t waiting() const { return waiting_.size(); }
   /// From now on, the connections that are open neither read nor answer.
   void SilenceOpenConnections() {
     for (const auto& connection : connections_) {
--- a/src/loop.adapter/silent_connection_test.cpp
+++ b/src/loop.adapter/silent_connection_test.cpp
@@ -35,10 +35,11 @@
     return call;
   }
 
-  std::error_code Send(Millis timeout) {
+  std::error_code Send(Millis timeout) { return Send(MakeCall(timeout)); }
+  std::error_code Send(const HttpCall& call) {
     std::optional<std::error_code> result;
-    client.Send(MakeCall(timeout), [&](std::error_code error,
-                                       const HttpReply&) { result = error; });
+    client.Send(
+        call, [&](std::error_code error, const HttpReply&) { result = error; });
     while (!result) {
       context.run_one();
     }
@@ -62,5 +63,63 @@
   }
 }
 
+// Guards against a read that fails although the server answers new
+// connections.
+BOOST_AUTO_TEST_CASE(Send_PatientCallOnSilentConnection_IsAnsweredOnNewOne) {
+  PooledConnections pooled(8);
+  pooled.server.SilenceOpenConnections();
+  HttpCall call = pooled.MakeCall(Millis(2000));
+  call.patience = Millis(100);
+  const Instant began = BootClock::now();
+  BOOST_TEST(pooled.Send(call) == std::error_code());
+  BOOST_TEST((BootClock::now() - began < Millis(600)));
+  BOOST_TEST(pooled.client.silent_connections().confirmed == 1U);
+  BOOST_TEST(pooled.client.silent_connections().closed == 7U);
+}
+
+// Guards against a watch that waits on a silent connection until its time limit
+// while other calls have found the connections silent.
+BOOST_AUTO_TEST_CASE(Send_OtherCallFindsSilence_WaitingCallIsSentAgain) {
+  PooledConnections pooled(2);
+  HttpCall waiting = pooled.MakeCall(Millis(20'000));
+  waiting.target = "/wait";
+  waiting.patience = Millis(15'000);
+  std::optional<std::error_code> result;
+  pooled.client.Send(waiting, [&](std::error_code error, const HttpReply&) {
+    result = error;
+  });
+  while (pooled.server.waiting() == 0) {
+    pooled.context.run_one();
+  }
+  pooled.server.SilenceOpenConnections();
+  HttpCall call = pooled.MakeCall(Millis(2000));
+  call.patience = Millis(100);
+  const Instant began = BootClock::now();
+  BOOST_TEST(pooled.Send(call) == std::error_code());
+  while (pooled.server.waiting() < 2) {
+    pooled.context.run_one();
+  }
+  pooled.server.AnswerWaiting();
+  while (!result) {
+    pooled.context.run_one();
+  }
+  BOOST_TEST(*result == std::error_code());
+  BOOST_TEST((BootClock::now() - began < Millis(1500)));
+}
+
+// A call that changes something is not sent twice; it only costs the other
+// connections their trust.
+BOOST_AUTO_TEST_CASE(Send_CallMayNotBeRepeated_IsSentOnce) {
+  PooledConnections pooled(2);
+  pooled.server.SilenceOpenConnections();
+  const size_t requests = pooled.server.requests();
+  HttpCall call = pooled.MakeCall(Millis(300));
+  call.patience = Millis(100);
+  call.repeatable = false;
+  BOOST_TEST(pooled.Send(call) == make_error_code(PeerErrc::kNoAnswer));
+  BOOST_TEST(pooled.server.requests() == requests);
+  BOOST_TEST(pooled.Send(call) == std::error_code());
+}
+
 }  // namespace
 }  // namespace doorwood
