fix(config): full reads and the watch are independent, and one transfer at a time

Callers saw requests handled by a version that was replaced more than 3 s before.

If the store cannot be read, the table comes from the leader. A leader answers 404 to a job that an instance with an older table took for a queue that is dropped since.

Lines and metrics tell what an instance believes: version, age, newest version told, failed reads and watches with the kind of connection, tables that cannot be decoded (dropped without a word before).

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -13,7 +13,7 @@
 
 constexpr Millis kFlushInterval{50};
 constexpr Millis kSettingsCheckInterval{2000};
-constexpr Millis kConfigVersionCheckInterval{300};
+constexpr Millis kConfigVersionCheckInterval{100};
 constexpr Millis kIdleCheckInterval{50};
 // The balancer removes an instance after two failed readiness checks, one per
 // second. New requests arrive until the balancer has removed it.
@@ -61,8 +61,8 @@
       adviser_(client_, settings_.adviser_address),
       machines_(client_, store_, settings_.machine_service_address),
       directory_(metered_store_, log_),
-      config_source_(metered_store_),
-      peers_(client_),
+      config_source_(metered_store_, store_),
+      peers_(client_, [this] { return config_.version(); }),
       live_(executor_,
             metered_store_,
             peers_,
@@ -90,9 +90,12 @@
       front_(
           ingress_,
           log_,
-          [this] { return config_.table(); },
+          [this] { return config_.current_table(); },
+          [this](platform::Front::TableCallback done) {
+            config_.AwaitCurrent(std::move(done));
+          },
           UnixMillis),
-      peer_service_(executor_, {&cell_}),
+      peer_service_(executor_, {&cell_}, [this] { return config_.table(); }),
       front_server_(
           context_,
           [this](const HttpRequest& request, HttpServer::Respond respond) {
@@ -131,6 +134,9 @@
     cell_.OnLiveChange();
     ingress_.OnLiveChange();
   });
+  config_.set_other_source([this](QueueTableSource::Callback done) {
+    ReadConfigFromLeader(std::move(done));
+  });
   config_.Start([this](const std::shared_ptr<const QueueTable>& table) {
     ApplyTable(table);
   });
@@ -159,7 +165,7 @@
 bool EntryDaemon::IsReady() const {
   const bool store_reachable =
       executor_.Now() - live_.last_store_answer_at() < kStoreTimeout;
-  return !stopping_ && config_.table() != nullptr &&
+  return !stopping_ && config_.current_table() != nullptr &&
          ingress_.HasReachableLeader() && (store_reachable || cell_.leading());
 }
 
@@ -223,11 +229,30 @@
 
 void EntryDaemon::FollowLeadersConfigPeriodically() {
   config_.set_reads_sparsely(!live_.follows_instances());
+  config_.set_leads(cell_.leading());
   config_.ReadIfOlder(ingress_.NewestConfigVersion());
   executor_.Schedule(kConfigVersionCheckInterval,
                      [this] { FollowLeadersConfigPeriodically(); });
 }
 
+void EntryDaemon::ReadConfigFromLeader(QueueTableSource::Callback done) {
+  for (const auto& [cell, lead] : live_.leads()) {
+    if (lead.instance == settings_.instance) {
+      continue;
+    }
+    peers_.FetchQueueTable(
+        lead, [done = std::move(done)](std::error_code error,
+                                       const std::string& text) {
+          QueueTableSource::Snapshot snapshot;
+          snapshot.table = error ? nullptr : platform::DecodeConfig(text);
+          snapshot.malformed = !error && !snapshot.table;
+          done(error, snapshot);
+        });
+    return;
+  }
+  done(CoreErrc::kNoOwner, {});
+}
+
 // --- Planned shutdown ---
 
 void EntryDaemon::BeginShutdown() {
@@ -326,6 +351,25 @@
       {"doorwood_directory_watches_refused_total", live_.watches_over_budget()},
       {"doorwood_instance_queries_total", live_.queries()},
       {"doorwood_connects_total", client_.connect_attempts()},
+      {"doorwood_silent_connections_total{answered_elsewhere=\"any\"}",
+       client_.silent_connections().unanswered},
+      {"doorwood_silent_connections_total{answered_elsewhere=\"yes\"}",
+       client_.silent_connections().confirmed},
+      {"doorwood_unproven_connections_closed_total",
+       client_.silent_connections().closed},
+      {"doorwood_config_version", static_cast<uint64_t>(config_.version())},
+      {"doorwood_config_newest_told",
+       static_cast<uint64_t>(config_.newest_told())},
+      {"doorwood_config_age_ms", static_cast<uint64_t>(config_.Age().count())},
+      {"doorwood_config_reads_failed_total", config_.counters().reads_failed},
+      {"doorwood_config_watches_failed_total",
+       config_.counters().watches_failed},
+      {"doorwood_config_tables_rejected_total",
+       config_.counters().tables_rejected},
+      {"doorwood_requests_waited_for_config_total",
+       config_.counters().requests_waited},
+      {"doorwood_requests_refused_outdated_total",
+       config_.counters().requests_refused},
       {"doorwood_polls_failed_total{reason=\"not_sent\"}",
        workers_.failed_polls(PollFailure::kNotSent)},
       {"doorwood_polls_failed_total{reason=\"no_response\"}",
--- a/src/celld/entry_daemon.h
+++ b/src/celld/entry_daemon.h
@@ -52,6 +52,7 @@
   void FlushLogPeriodically();
   /// Has the configuration read if a leader has a newer one in force.
   void FollowLeadersConfigPeriodically();
+  void ReadConfigFromLeader(QueueTableSource::Callback done);
   void BeginShutdown();
   void FinishWhenIdle();
   bool IsReady() const;
--- a/src/include/doorwood/queue_table.h
+++ b/src/include/doorwood/queue_table.h
@@ -59,16 +59,23 @@
   QueueTable(int64_t version,
              std::vector<Queue> queues,
              HttpLimits limits,
-             std::vector<std::string> services_without_capacity_check);
+             std::vector<std::string> services_without_capacity_check,
+             std::string source = {});
 
   int64_t version() const { return version_; }
   const HttpLimits& limits() const { return limits_; }
   const std::vector<Queue>& queues() const { return queues_; }
+  /// The text from which the table was decoded, for other instances; may be
+  /// empty.
+  const std::string& source() const { return source_; }
 
   /// Returns the queue for `host` with the longest path prefix that `path`
   /// starts with, or null if there is none.
   const Queue* FindByPath(std::string_view host, std::string_view path) const;
   const Queue* FindByName(std::string_view name) const;
+  /// Whether the queue is missing here and the table of that version, by which
+  /// a request for it was taken, is older.
+  bool HasDropped(std::string_view queue, int64_t version) const;
   /// Returns false if the workers of the service start every task they are
   /// sent, without checking their own free capacity.
   bool WorkersCheckCapacity(std::string_view service) const;
@@ -78,16 +85,25 @@
   std::vector<Queue> queues_;
   HttpLimits limits_;
   std::vector<std::string> services_without_capacity_check_;
+  std::string source_;
 };
 
 /// Interface to the operators' configuration.
 class QueueTableSource {
  public:
   struct Snapshot {
-    /// Null if nothing changed or no table exists yet.
+    /// Null if nothing changed, no table exists yet, or it is malformed.
     std::shared_ptr<const QueueTable> table;
     /// Store revision at which the snapshot was taken.
     int64_t revision = 0;
+    /// Of `WaitForChange`: something changed, the table or another key that
+    /// begins with its key.
+    bool changed = false;
+    /// There is a table that could not be decoded.
+    bool malformed = false;
+    /// On failure: what went wrong, and on which kind of connection. Only for
+    /// logs.
+    std::string problem;
   };
   using Callback = std::function<void(std::error_code, Snapshot)>;
 
@@ -97,6 +113,9 @@
   virtual void Read(Callback done) = 0;
   /// Waits up to `wait` for a change after store revision `after`.
   virtual void WaitForChange(int64_t after, Millis wait, Callback done) = 0;
+  /// Whether a part of an answer with the table has arrived and the rest is
+  /// arriving.
+  virtual bool IsReceiving() const { return false; }
 };
 
 }  // namespace doorwood
--- a/src/libdoorwood/config/queue_table.cpp
+++ b/src/libdoorwood/config/queue_table.cpp
@@ -10,12 +10,14 @@
 QueueTable::QueueTable(int64_t version,
                        std::vector<Queue> queues,
                        HttpLimits limits,
-                       std::vector<std::string> services_without_capacity_check)
+                       std::vector<std::string> services_without_capacity_check,
+                       std::string source)
     : version_(version),
       queues_(std::move(queues)),
       limits_(limits),
       services_without_capacity_check_(
-          std::move(services_without_capacity_check)) {
+          std::move(services_without_capacity_check)),
+      source_(std::move(source)) {
   // Longest prefix first, so that the first match is the most specific one.
   std::stable_sort(queues_.begin(), queues_.end(),
                    [](const Queue& a, const Queue& b) {
@@ -40,6 +42,10 @@
   return found == queues_.end() ? nullptr : &*found;
 }
 
+bool QueueTable::HasDropped(std::string_view queue, int64_t version) const {
+  return version < version_ && FindByName(queue) == nullptr;
+}
+
 bool QueueTable::WorkersCheckCapacity(std::string_view service) const {
   return std::find(services_without_capacity_check_.begin(),
                    services_without_capacity_check_.end(),
--- a/src/libdoorwood/membership/live_directory_test.cpp
+++ b/src/libdoorwood/membership/live_directory_test.cpp
@@ -29,6 +29,8 @@
   bool silent = false;
   /// Refuses all watch calls as over budget.
   bool refuses_watches = false;
+  /// Watches deliver nothing.
+  bool deaf = false;
   int watches = 0;
   int lists = 0;
   int gets = 0;
@@ -120,6 +122,9 @@
                    Callback<StoreItems> done) {
     StoreItems events;
     const auto error = shared_.model.ChangesAfter(prefix, after, &events);
+    if (shared_.deaf) {
+      events = {};
+    }
     if (error || !events.items.empty() || executor_.Now() >= until) {
       shared_.bytes += SizeOf(events);
       Answer<StoreItems>(error, events, std::move(done));
@@ -315,6 +320,24 @@
   }
 }
 
+// Guards against a directory that a watch alone keeps current. The bound is the
+// longest time of a watch, after which all is read, and the time for that.
+BOOST_AUTO_TEST_CASE(Watch_DeliversNothing_LeadIsKnownWithin6000Ms) {
+  for (const int instances : {10, 300}) {
+    for (int offset = 0; offset < 5000; offset += 700) {
+      CrowdFixture crowd;
+      crowd.StartInstances(instances);
+      crowd.time.Run(Millis(9000 + offset));
+      crowd.store.deaf = true;
+      crowd.WriteLead(*crowd.members.front().live);
+      crowd.time.Run(Millis(6000));
+      for (const Member& member : crowd.members) {
+        BOOST_TEST(member.live->leads().contains(kCell));
+      }
+    }
+  }
+}
+
 // Guards against full reads after each refused watch, which triple the calls
 // while the store refuses calls for their rate.
 BOOST_AUTO_TEST_CASE(Watch_RefusedForItsRate_CausesNoFullRead) {
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -15,8 +15,15 @@
 
 // Recording a job may take long if the store is slow; callers wait about 3 s.
 constexpr Millis kSubmitTimeout{2400};
+// A leader answers within this time, with a refusal if it could not record the
+// change. After it, the call is sent again on a new connection; the leader
+// recognizes the job by its id.
+constexpr Millis kSubmitPatience{1500};
 constexpr Millis kStateTimeout{800};
 constexpr Millis kSummaryTimeout{1000};
+// An instance is expected to answer a call that waits for nothing within this
+// time. After it, the call is sent again on a new connection.
+constexpr Millis kPatience{400};
 
 constexpr std::array<std::pair<CoreErrc, int>, 5> kStatusOfError = {
     {{CoreErrc::kNoOwner, 409},
@@ -27,6 +34,11 @@
 constexpr int kOk = 200;
 constexpr char kStoreAnswerPath[] = "/store-heard";
 constexpr char kUnrecordedStartsPath[] = "/unrecorded-starts";
+constexpr char kQueueTablePath[] = "/queue-table";
+// The queue table may be long; its time limit as that of other answers.
+constexpr Millis kMaxTableDuration{8000};
+// Version of the queue table by which a job was taken.
+constexpr std::string_view kVersionHeader = "Queue-Table-Version";
 constexpr std::string_view kHandOverPath = "/hand-over/";
 // Query of a call for a summary that waits while the leader reads its records,
 // followed by the longest wait in milliseconds.
@@ -97,6 +109,12 @@
   return call;
 }
 
+// Sets the time limits of a call that the other instance answers at once.
+void ExpectAnswerAtOnce(HttpCall* call) {
+  call->timeout = kSummaryTimeout;
+  call->patience = kPatience;
+}
+
 Json EncodeSummary(const CellSummary& summary) {
   return {
       {"cell", summary.cell},       {"epoch", summary.epoch},
@@ -168,6 +186,10 @@
                            SubmitCallback done) {
   HttpCall call = Call(lead, "POST", plan.id, kSubmitTimeout);
   call.body = Json(plan).dump();
+  if (version_) {
+    call.headers.emplace_back(kVersionHeader, std::to_string(version_()));
+  }
+  call.patience = kSubmitPatience;
   client_.Send(
       std::move(call),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
@@ -180,8 +202,10 @@
 void HttpCellPeers::Cancel(const CellLead& lead,
                            const std::string& job,
                            CancelCallback done) {
+  HttpCall call = Call(lead, "DELETE", job, kSubmitTimeout);
+  call.patience = kSubmitPatience;
   client_.Send(
-      Call(lead, "DELETE", job, kSubmitTimeout),
+      std::move(call),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
         done(ErrorOfChange(error, reply));
       });
@@ -190,8 +214,10 @@
 void HttpCellPeers::FetchJobState(const CellLead& lead,
                                   const std::string& job,
                                   StateCallback done) {
+  HttpCall call = Call(lead, "GET", job, kStateTimeout);
+  call.patience = kPatience;
   client_.Send(
-      Call(lead, "GET", job, kStateTimeout),
+      std::move(call),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
         if (error || reply.status != kOk) {
           done(error ? error : ErrorOf(reply.status), {});
@@ -209,8 +235,9 @@
 
 void HttpCellPeers::FetchCellSummary(const CellLead& lead,
                                      SummaryCallback done) {
-  client_.Send(Call(lead, "GET", "", kSummaryTimeout),
-               DecodeSummaryReply(std::move(done)));
+  HttpCall call = Call(lead, "GET", "", kSummaryTimeout);
+  ExpectAnswerAtOnce(&call);
+  client_.Send(std::move(call), DecodeSummaryReply(std::move(done)));
 }
 
 void HttpCellPeers::AwaitAcceptance(const CellLead& lead,
@@ -218,6 +245,7 @@
                                     SummaryCallback done) {
   HttpCall call = Call(lead, "GET", "", kSummaryTimeout + wait);
   call.target += "?" + std::string(kWaitQuery) + std::to_string(wait.count());
+  call.patience = wait + kPatience;
   client_.Send(std::move(call), DecodeSummaryReply(std::move(done)));
 }
 
@@ -226,7 +254,7 @@
   HttpCall call;
   call.address = instance.address;
   call.target = kStoreAnswerPath;
-  call.timeout = kSummaryTimeout;
+  ExpectAnswerAtOnce(&call);
   client_.Send(
       std::move(call),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
@@ -246,7 +274,7 @@
   call.address = instance.address;
   call.method = "POST";
   call.target = kUnrecordedStartsPath;
-  call.timeout = kSummaryTimeout;
+  ExpectAnswerAtOnce(&call);
   client_.Send(
       std::move(call),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
@@ -254,6 +282,19 @@
       });
 }
 
+void HttpCellPeers::FetchQueueTable(const CellLead& lead, TableCallback done) {
+  HttpCall call;
+  call.address = lead.address;
+  call.target = kQueueTablePath;
+  ExpectAnswerAtOnce(&call);
+  call.max_duration = kMaxTableDuration;
+  client_.Send(
+      std::move(call),
+      [done = std::move(done)](std::error_code error, const HttpReply& reply) {
+        done(error ? error : ErrorOf(reply.status), reply.body);
+      });
+}
+
 void HttpCellPeers::HandOverLead(const LiveInstance& instance,
                                  const std::string& cell,
                                  int64_t epoch) {
@@ -261,7 +302,7 @@
   call.address = instance.address;
   call.method = "POST";
   call.target = std::string(kHandOverPath) + cell + "/" + std::to_string(epoch);
-  call.timeout = kSummaryTimeout;
+  ExpectAnswerAtOnce(&call);
   client_.Send(std::move(call), [](std::error_code, const HttpReply&) {});
 }
 
@@ -344,6 +385,31 @@
   }
 }
 
+void CellPeerService::Submit(CellLeader& leader,
+                             const HttpRequest& request,
+                             Answer answer) {
+  const auto plan = ParsePlan(request.body);
+  if (!plan) {
+    answer(CoreErrc::kInvalid, "");
+    return;
+  }
+  const auto table = table_ ? table_() : nullptr;
+  const std::string_view text = request.header(kVersionHeader);
+  int64_t version = 0;
+  const auto read =
+      std::from_chars(text.data(), text.data() + text.size(), version);
+  if (table && read.ec == std::errc() &&
+      table->HasDropped(plan->queue, version)) {
+    answer(CoreErrc::kNotFound, "");
+    return;
+  }
+  leader.Submit(*plan, [answer = std::move(answer)](std::error_code error,
+                                                    AcceptOutcome outcome) {
+    const bool known = outcome == AcceptOutcome::kAlreadyKnown;
+    answer(error, known ? "known" : "accepted");
+  });
+}
+
 void CellPeerService::Handle(const HttpRequest& request,
                              HttpServer::Respond respond) {
   constexpr std::string_view kPrefix = "/cell/";
@@ -360,6 +426,12 @@
            age ? std::to_string(age->count()) : "");
     return;
   }
+  if (request.path == kQueueTablePath) {
+    const auto table = table_ ? table_() : nullptr;
+    answer(table ? std::error_code() : make_error_code(CoreErrc::kNoOwner),
+           table ? table->source() : "");
+    return;
+  }
   if (request.path == kUnrecordedStartsPath) {
     answer(AgreeToUnrecordedStarts() ? std::error_code() : CoreErrc::kNoOwner,
            "");
@@ -396,16 +468,7 @@
   if (job.empty()) {
     answer({}, EncodeSummary(leader->summary()).dump());
   } else if (request.method == "POST") {
-    const auto plan = ParsePlan(request.body);
-    if (!plan) {
-      answer(CoreErrc::kInvalid, "");
-      return;
-    }
-    leader->Submit(*plan,
-                   [answer](std::error_code error, AcceptOutcome outcome) {
-                     const bool known = outcome == AcceptOutcome::kAlreadyKnown;
-                     answer(error, known ? "known" : "accepted");
-                   });
+    Submit(*leader, request, std::move(answer));
   } else if (request.method == "DELETE") {
     leader->Cancel(job, [answer](std::error_code error) { answer(error, ""); });
   } else {
--- a/src/loop.adapter/http_peers.h
+++ b/src/loop.adapter/http_peers.h
@@ -7,10 +7,14 @@
 #ifndef DOORWOOD_LOOP_ADAPTER_HTTP_PEERS_H_
 #define DOORWOOD_LOOP_ADAPTER_HTTP_PEERS_H_
 
+#include <functional>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "doorwood/ingress.h"
+#include "doorwood/queue_table.h"
 #include "loop.adapter/http_client.h"
 #include "loop.adapter/http_server.h"
 
@@ -18,7 +22,16 @@
 
 class HttpCellPeers : public CellPeers, public StoreAnswerPort {
  public:
-  explicit HttpCellPeers(HttpClient& client) : client_(client) {}
+  /// Returns the version of the queue table in force; 0: none.
+  using VersionSource = std::function<int64_t()>;
+  /// Gets the text of a queue table, see `QueueTable::source`.
+  using TableCallback = std::function<void(std::error_code, std::string)>;
+
+  explicit HttpCellPeers(HttpClient& client, VersionSource version = {})
+      : client_(client), version_(std::move(version)) {}
+
+  /// Reads the queue table that the leader has in force.
+  void FetchQueueTable(const CellLead& lead, TableCallback done);
 
   void Submit(const CellLead& lead,
               const JobPlan& plan,
@@ -44,14 +57,22 @@
 
  private:
   HttpClient& client_;
+  VersionSource version_;
 };
 
 /// Serves the calls of other instances. Calls about a job or a cell's summary
 /// are answered by the leader of that cell if this process leads it.
 class CellPeerService {
  public:
-  CellPeerService(Executor& executor, std::vector<CellLeader*> cells)
-      : executor_(executor), cells_(std::move(cells)) {}
+  /// Returns the queue table in force; null: none.
+  using TableSource = std::function<std::shared_ptr<const QueueTable>()>;
+
+  CellPeerService(Executor& executor,
+                  std::vector<CellLeader*> cells,
+                  TableSource table = {})
+      : executor_(executor),
+        cells_(std::move(cells)),
+        table_(std::move(table)) {}
 
   void Handle(const HttpRequest& request, HttpServer::Respond respond);
 
@@ -68,6 +89,7 @@
   /// accepts jobs; with CoreErrc::kNoOwner after `wait` or if it stops leading.
   void AnswerWhenAccepting(const std::string& cell, Millis wait, Answer answer);
   void AnswerWaiting();
+  void Submit(CellLeader& leader, const HttpRequest& request, Answer answer);
 
   /// A call that waits for the end of reading.
   struct WaitingCall {
@@ -78,6 +100,7 @@
 
   Executor& executor_;
   std::vector<CellLeader*> cells_;
+  TableSource table_;
   std::vector<WaitingCall> waiting_;
 };
 
--- a/src/loop.adapter/http_peers_test.cpp
+++ b/src/loop.adapter/http_peers_test.cpp
@@ -198,5 +198,61 @@
   BOOST_TEST(fetch() == make_error_code(PeerErrc::kNotSent));
 }
 
+struct LeaderWithNewerTable : ReadingLeaderFixture {
+  LeaderWithNewerTable() {
+    for (int step = 0; step < 80 && !instance->cell->leading(); ++step) {
+      world.Run(Millis(50));
+    }
+    const auto table = std::make_shared<const QueueTable>(
+        7, std::vector<Queue>(), HttpLimits{}, std::vector<std::string>(),
+        "the text");
+    service = std::make_unique<CellPeerService>(
+        *instance->executor, std::vector<CellLeader*>{instance->cell.get()},
+        [table] { return table; });
+  }
+
+  void Send(const std::string& method,
+            const std::string& path,
+            const std::string& version) {
+    JobPlan plan;
+    plan.id = "00112233aabbccdd";
+    plan.queue = "dropped";
+    plan.steps.emplace_back();
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.body = Json(plan).dump();
+    request.headers = {{"Queue-Table-Version", version}};
+    status = 0;
+    service->Handle(request, [this](const HttpResponse& response) {
+      status = response.status;
+      body = response.body;
+    });
+    world.Run(Millis(3000));
+  }
+};
+
+// Guards against a job that an instance with an older table takes for a queue
+// of which the leader knows that it was dropped.
+BOOST_FIXTURE_TEST_CASE(Submit_QueueIsDroppedInNewerTable_IsNotFound,
+                        LeaderWithNewerTable) {
+  BOOST_REQUIRE(instance->cell->leading());
+  Send("POST", "/cell/all/00112233aabbccdd", "6");
+  BOOST_TEST(status == 404);
+  // The caller's instance knows the queue from a newer table than the leader.
+  Send("POST", "/cell/all/00112233aabbccdd", "8");
+  BOOST_TEST(status == 200);
+  // Of an earlier version of this program, which states none.
+  Send("POST", "/cell/all/00112233aabbccdd", "");
+  BOOST_TEST(status == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(QueueTable_IsRead_AnswersItsText,
+                        LeaderWithNewerTable) {
+  Send("GET", "/queue-table", "");
+  BOOST_TEST(status == 200);
+  BOOST_TEST(body == "the text");
+}
+
 }  // namespace
 }  // namespace doorwood
