test(soak): open connections that go silent for good

Scenario silent-connections: the open connections of one instance after the other go silent while new ones work, each time followed by a new configuration within 0.5 s. Every instance has to serve it 2.5 s after it was stored.

--- a/src/soak/config_probe.cpp
+++ b/src/soak/config_probe.cpp
@@ -3,6 +3,7 @@
 #include "soak/config_probe.h"
 
 #include <string>
+#include <utility>
 
 #include "platform/standin/soak_messages.h"
 
@@ -11,6 +12,8 @@
 
 constexpr Millis kPollInterval{250};
 constexpr Millis kCallTimeout{1500};
+// Time for the answer to a probe.
+constexpr Millis kAnswerTime{150};
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
@@ -21,6 +24,7 @@
 
 void ConfigProbe::Start() {
   ProbeAll();
+  CheckAges();
   world_.After(kPollInterval, [this] { Start(); });
 }
 
@@ -37,6 +41,23 @@
   }
 }
 
+void ConfigProbe::CheckAges() {
+  if (!max_age_ || world_.Now() - world_.configured_at() <
+                       (*max_age_ + kPollInterval + kAnswerTime).count()) {
+    return;
+  }
+  const int newest = world_.config_version();
+  for (size_t instance = 0; instance < world_.instances(); ++instance) {
+    if (!ServesNewest(instance) &&
+        std::exchange(reported_[instance], newest) != newest) {
+      world_.ReportViolation(World::NameOf(instance) +
+                             " does not serve configuration " +
+                             std::to_string(newest) + " after " +
+                             std::to_string(max_age_->count()) + " ms");
+    }
+  }
+}
+
 void ConfigProbe::SendProbe(size_t instance, int version) {
   HttpCall call;
   call.address = world_.FrontAddressOf(instance);
--- a/src/soak/config_probe.h
+++ b/src/soak/config_probe.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "loop.adapter/http_client.h"
 #include "soak/world.h"
@@ -21,6 +22,9 @@
   explicit ConfigProbe(World& world);
 
   void Start();
+  /// From now on, an instance that does not serve a configuration so long after
+  /// it was stored is a violation.
+  void ExpectNewestWithin(Millis age) { max_age_ = age; }
   /// Waits until every instance serves the newest route; reports a violation if
   /// some instances do not within the time-out.
   void AwaitNewest(Millis timeout, std::function<void()> done);
@@ -43,6 +47,7 @@
   };
 
   void ProbeAll();
+  void CheckAges();
   void SendProbe(size_t instance, int version);
   void OnAnswer(const Probe& probe, int status);
   bool ServesNewest(size_t instance) const;
@@ -51,6 +56,9 @@
   World& world_;
   HttpClient client_;
   std::map<size_t, Served> served_;
+  std::optional<Millis> max_age_;
+  /// Newest configuration of which lateness was reported, by instance.
+  std::map<size_t, int> reported_;
 };
 
 }  // namespace doorwood::soak
--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -35,7 +35,8 @@
     "a worker's entry is removed",
     "a new configuration",
     "settings are reloaded",
-    "a worker is replaced"};
+    "a worker is replaced",
+    "open connections go silent"};
 // In addition to its share as one of the kinds, one fault in this many is a
 // partition of a data centre that begins and heals in steps
 // (kCutCentreInSteps), because that takes longer to have an effect.
@@ -55,6 +56,12 @@
 // Mixed into the seed so that the plans made from one seed use different random
 // numbers.
 constexpr uint64_t kChangesSeed = 0x636f6e666967;
+constexpr uint64_t kSilenceSeed = 0x73696c656e6365;
+// From one silence to the next. Longer than the time within which an instance
+// has the configuration that follows the silence.
+constexpr uint64_t kShortestSilenceInterval = 4000;  // ms
+constexpr uint64_t kLongestSilenceInterval = 6000;   // ms
+constexpr uint64_t kLongestTimeToChange = 500;       // ms
 constexpr uint64_t kReplacementsSeed = 0x7265706c616365;
 constexpr uint64_t kShortestReplacementInterval =
     700;  // ms, from one to the next
@@ -249,6 +256,29 @@
   return plan;
 }
 
+std::vector<Fault> MakeSilencePlan(uint64_t seed, Millis length) {
+  SeededRandom random(seed ^ kSilenceSeed);
+  std::vector<Fault> plan;
+  Millis at{0};
+  for (;;) {
+    at +=
+        random.RandomBetween(kShortestSilenceInterval, kLongestSilenceInterval);
+    if (at + Millis(kShortestSilenceInterval) > length) {
+      return plan;
+    }
+    Fault silence;
+    silence.at = at;
+    silence.kind = FaultKind::kSilenceConnections;
+    silence.leader = random.RandomBelow(2) == 0;
+    silence.pick = static_cast<uint32_t>(random.RandomBelow(UINT32_MAX));
+    plan.push_back(silence);
+    Fault change;
+    change.at = at + random.RandomBetween(0, kLongestTimeToChange);
+    change.kind = FaultKind::kConfigure;
+    plan.push_back(change);
+  }
+}
+
 std::vector<Fault> MakeStopPlan(Millis length) {
   std::vector<Fault> plan;
   for (Millis at = kStopInterval; at <= length; at += kStopInterval) {
--- a/src/soak/fault_plan.h
+++ b/src/soak/fault_plan.h
@@ -42,6 +42,8 @@
   kReloadSettings,
   /// See MakeReplacePlan.
   kReplaceWorker,
+  /// See MakeSilencePlan.
+  kSilenceConnections,
   kCount,
 };
 
@@ -75,6 +77,10 @@
 /// kills of the leader. Sorted by time; all have ended after `until`.
 std::vector<Fault> MakeReplacePlan(uint64_t seed, Millis from, Millis until);
 
+/// Open connections of one instance after the other go silent for good, with a
+/// new configuration within half a second.
+std::vector<Fault> MakeSilencePlan(uint64_t seed, Millis length);
+
 /// Planned stops of one instance after the other, and of the leader.
 std::vector<Fault> MakeStopPlan(Millis length);
 
--- a/src/soak/fault_plan_test.cpp
+++ b/src/soak/fault_plan_test.cpp
@@ -48,6 +48,9 @@
       kinds.insert(fault.kind);
     }
   }
+  for (const Fault& fault : MakeSilencePlan(0, kLength)) {
+    kinds.insert(fault.kind);
+  }
   BOOST_TEST(kinds.size() == static_cast<size_t>(FaultKind::kCount));
 }
 
--- a/src/soak/fault_player.cpp
+++ b/src/soak/fault_player.cpp
@@ -146,6 +146,11 @@
         link->Reset();
       }
       return nullptr;
+    case FaultKind::kSilenceConnections:
+      for (Link* link : world_.AllLinks(instance)) {
+        link->Silence();
+      }
+      return nullptr;
     case FaultKind::kDelayInstance: {
       const Links links = world_.AllLinks(instance);
       for (Link* link : links) {
--- a/src/soak/link.cpp
+++ b/src/soak/link.cpp
@@ -53,6 +53,8 @@
   Socket server;
   /// No bytes are transferred before this time.
   Instant resumes_at{};
+  /// No bytes are transferred any more.
+  bool silent = false;
 };
 
 struct Link::Flow {
@@ -122,6 +124,15 @@
   ResumeWaiting();
 }
 
+void Link::Silence() {
+  for (const auto& weak : relays_) {
+    const auto relay = weak.lock();
+    if (relay && !std::exchange(relay->silent, true)) {
+      silent_.push_back(relay);
+    }
+  }
+}
+
 // --- Connections ---
 
 void Link::Accept() {
@@ -167,6 +178,9 @@
     flow->from.async_read_some(
         asio::buffer(flow->chunk),
         [this, flow](const error_code& error, size_t size) {
+          if (flow->relay->silent) {
+            return;
+          }
           if (error && error != asio::error::eof) {
             flow->relay->Break();
             return;
@@ -206,7 +220,7 @@
 void Link::WhenOpen(const std::shared_ptr<Relay>& relay,
                     const int& cuts,
                     std::function<void()> function) {
-  if (!relay->caller.is_open()) {
+  if (!relay->caller.is_open() || relay->silent) {
     return;
   }
   auto retry = [this, relay, &cuts, function] {
--- a/src/soak/link.h
+++ b/src/soak/link.h
@@ -47,6 +47,9 @@
   void Heal(Direction direction, Millis resume_delay);
   /// Resets every connection.
   void Reset();
+  /// Makes the connections that are open now silent for good, without a reset;
+  /// new ones work.
+  void Silence();
   /// New connections are reset at once while this is set.
   void Refuse(bool refuse) { refuse_ = refuse; }
   /// Sets a delay for each chunk in both directions.
@@ -82,6 +85,8 @@
   bool refuse_ = false;
   Millis delay_{0};
   std::list<std::weak_ptr<Relay>> relays_;
+  /// Silent relays; their sockets stay open.
+  std::vector<std::shared_ptr<Relay>> silent_;
   /// Operations that wait for the end of a cut.
   std::vector<std::function<void()>> waiting_;
   /// Occupies the accept queue during a cut.
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -40,6 +40,9 @@
 constexpr Millis kBetweenJobsAtStops{50};
 constexpr Millis kBetweenCrashingJobs{3000};
 constexpr Millis kSettleTime{40'000};
+// Bound of the age of the configuration after connections have gone silent; see
+// docs/OPERATIONS.md.
+constexpr Millis kMaxConfigAge{2500};
 // Workers are replaced from the middle of the fault plan until this long after
 // its end.
 constexpr Millis kReplacementsAfterFaults{20'000};
@@ -81,6 +84,9 @@
       PlayFaults(MakeStopPlan(length), kBetweenJobsAtStops);
     } else if (options_.scenario == "changes") {
       PlayFaults(MakeChangePlan(options_.seed, length), kBetweenJobs);
+    } else if (options_.scenario == "silent-connections") {
+      config_probe_.ExpectNewestWithin(kMaxConfigAge);
+      PlayFaults(MakeSilencePlan(options_.seed, length), kBetweenJobs);
     } else if (options_.scenario == "replaced-workers") {
       PlayFaults(MakeReplacePlan(options_.seed, Millis(0), length),
                  kBetweenJobs);
@@ -192,10 +198,12 @@
   app.add_option("--block", options.world.block,
                  "third octet of all addresses");
   app.add_option("--scenario", options.scenario,
-                 "random, planned-stops, replaced-workers, changes or "
+                 "random, planned-stops, replaced-workers, changes, "
+                 "silent-connections or "
                  "regained-store")
-      ->check(CLI::IsMember({"random", "planned-stops", "replaced-workers",
-                             "changes", "regained-store"}));
+      ->check(
+          CLI::IsMember({"random", "planned-stops", "replaced-workers",
+                         "changes", "silent-connections", "regained-store"}));
   app.add_option("--silent-before", options.worker_partition_time,
                  "ms each, from the loss of the workers in other data centres "
                  "to the full partition")
--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -392,6 +392,7 @@
 
 void World::Configure() {
   ++config_version_;
+  configured_at_ = Now();
   Log("configuration " + std::to_string(config_version_));
   store_.Put(platform::kSoakConfigKey,
              platform::EncodeSoakConfig(config_version_));
--- a/src/soak/world.h
+++ b/src/soak/world.h
@@ -104,6 +104,8 @@
   /// Puts the next version into the store.
   void Configure();
   int config_version() const { return config_version_; }
+  /// When that version was stored; see `Now`.
+  int64_t configured_at() const { return configured_at_; }
 
   // --- Workers ---
   void CrashWorker(size_t worker);
@@ -172,6 +174,7 @@
   std::vector<std::unique_ptr<platform::SoakWorker>> workers_;
   std::vector<std::unique_ptr<Instance>> instances_;
   int config_version_ = 1;
+  int64_t configured_at_ = 0;
   bool ending_ = false;
   size_t violations_ = 0;
 };
