--- a/src/loop.adapter/http_peers_test.cpp
+++ b/src/loop.adapter/http_peers_test.cpp
@@ -203,12 +203,9 @@
     for (int step = 0; step < 80 && !instance->cell->leading(); ++step) {
       world.Run(Millis(50));
     }
-    const auto table = std::make_shared<const QueueTable>(
-        7, std::vector<Queue>(), HttpLimits{}, std::vector<std::string>(),
-        "the text");
     service = std::make_unique<CellPeerService>(
         *instance->executor, std::vector<CellLeader*>{instance->cell.get()},
-        [table] { return table; });
+        [this] { return table; });
   }
 
   void Send(const std::string& method,
@@ -230,6 +227,13 @@
     });
     world.Run(Millis(3000));
   }
+
+  std::shared_ptr<const QueueTable> table =
+      std::make_shared<const QueueTable>(7,
+                                         std::vector<Queue>(),
+                                         HttpLimits{},
+                                         std::vector<std::string>(),
+                                         "the text");
 };
 
 // Guards against a job that an instance with an older table takes for a queue
