fix(cell): a leader relies on no placement after its own starts without a record

Cause: in an outage of the store, a leader starts long-running tasks without a record once all others have agreed, and those forget that they may rely on recorded placements. The leader did not forget it itself. When its lease had lapsed, it was preferred as the next leader, and started the tasks again that no record names.

--- a/src/libdoorwood/cell/cell_placement_records.cpp
+++ b/src/libdoorwood/cell/cell_placement_records.cpp
@@ -21,6 +21,8 @@
   JournalIfDirty(task->job, /*urgent=*/true);
   if (MayStartUnrecorded()) {
     unrecorded_placements_.insert(name);
+    // This instance may succeed itself.
+    live_.AgreeToUnrecordedStarts();
     return true;
   }
   starts_awaiting_record_.insert(name);
@@ -64,6 +66,7 @@
       starts_awaiting_record_.erase(name);
       if (!recorded) {
         unrecorded_placements_.insert(name);
+        live_.AgreeToUnrecordedStarts();
       }
       session->SendDeferredStart(name);
     }
--- a/src/libdoorwood/cell/cell_placement_records_test.cpp
+++ b/src/libdoorwood/cell/cell_placement_records_test.cpp
@@ -246,6 +246,30 @@
   }
 }
 
+// Guards against a leader that has started tasks without a record, loses its
+// lease, leads again and then relies on the recorded placements.
+BOOST_AUTO_TEST_CASE(
+    LongRunningTask_StartedUnrecordedThenLeaderLeadsAgain_NeverRunsTwice) {
+  int led_again = 0;
+  for (const int store_delay_ms : {0, 200, 1000}) {
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      BOOST_TEST_CONTEXT("store available after " << store_delay_ms
+                                                  << " ms, seed " << seed) {
+        PlacementFixture fixture(seed, kFailsAfterSix);
+        const std::string leader = fixture.world.WaitForLeader()->name;
+        StartUnrecorded(&fixture);
+        fixture.Run(Millis(store_delay_ms));
+        fixture.SetStoreDown(false);
+        fixture.Run(Millis(3000));
+        led_again += fixture.world.WaitForLeader()->name == leader ? 1 : 0;
+        fixture.Run(Millis(17'000));
+        BOOST_TEST(!fixture.WorkerOf(PlacementFixture::NameOf(0)).empty());
+      }
+    }
+  }
+  BOOST_TEST(led_again > 0);
+}
+
 // Guards against starts that wait for as long as the store is unavailable.
 BOOST_AUTO_TEST_CASE(LongRunningTask_StoreIsDownForAll_RunsAgainSoon) {
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
