refactor(http): a pool of its own; silence found by calls that are sent once counts too

Reading the change again found a gap: a call that may not be repeated, or that goes to a worker, timed out on a silent connection and closed the idle ones, but what waited on others was only sent again if a repeatable call had found the silence.

Usual names: first_byte_timeout, last_response_at, newest_reported, fallback, watch_revision. Lines for requests refused as outdated, once a version, and for how a configuration was received.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -130,11 +130,13 @@
               {"front", settings_.client_address},
               {"store", settings_.store_address},
               {"cpu_share", settings_.cpu_share}});
+  client_.set_on_silence(
+      [this](const SilentConnections& silent) { LogSilence(silent); });
   live_.Start([this] {
     cell_.OnLiveChange();
     ingress_.OnLiveChange();
   });
-  config_.set_other_source([this](QueueTableSource::Callback done) {
+  config_.set_fallback([this](QueueTableSource::Callback done) {
     ReadConfigFromLeader(std::move(done));
   });
   config_.Start([this](const std::shared_ptr<const QueueTable>& table) {
@@ -253,6 +255,19 @@
   done(CoreErrc::kNoOwner, {});
 }
 
+void EntryDaemon::LogSilence(const SilentConnections& silent) {
+  const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+      executor_.Now().time_since_epoch());
+  if (const auto left_out = silence_lines_.Allow(second.count())) {
+    log_.Write("warn", "connections",
+               "open connections were silent while a new one was answered",
+               {{"address", silent.address},
+                {"silent_ms", silent.duration.count()},
+                {"calls_sent_again", silent.resent},
+                {"lines_left_out", *left_out}});
+  }
+}
+
 // --- Planned shutdown ---
 
 void EntryDaemon::BeginShutdown() {
@@ -355,11 +370,13 @@
        client_.silent_connections().unanswered},
       {"doorwood_silent_connections_total{answered_elsewhere=\"yes\"}",
        client_.silent_connections().confirmed},
-      {"doorwood_unproven_connections_closed_total",
+      {"doorwood_silent_connections_closed_total",
        client_.silent_connections().closed},
+      {"doorwood_calls_resent_after_silence_total",
+       client_.silent_connections().resent},
       {"doorwood_config_version", static_cast<uint64_t>(config_.version())},
-      {"doorwood_config_newest_told",
-       static_cast<uint64_t>(config_.newest_told())},
+      {"doorwood_config_newest_reported",
+       static_cast<uint64_t>(config_.newest_reported())},
       {"doorwood_config_age_ms", static_cast<uint64_t>(config_.Age().count())},
       {"doorwood_config_reads_failed_total", config_.counters().reads_failed},
       {"doorwood_config_watches_failed_total",
--- a/src/celld/entry_daemon.h
+++ b/src/celld/entry_daemon.h
@@ -15,6 +15,7 @@
 #include "doorwood/config_follower.h"
 #include "doorwood/entry_settings.h"
 #include "doorwood/ingress.h"
+#include "doorwood/line_limiter.h"
 #include "doorwood/link_load.h"
 #include "doorwood/live_directory.h"
 #include "doorwood/metered_store.h"
@@ -52,6 +53,7 @@
   void FlushLogPeriodically();
   /// Has the configuration read if a leader has a newer one in force.
   void FollowLeadersConfigPeriodically();
+  void LogSilence(const SilentConnections& silent);
   void ReadConfigFromLeader(QueueTableSource::Callback done);
   void BeginShutdown();
   void FinishWhenIdle();
@@ -92,6 +94,7 @@
   HttpServer ready_server_;
   HttpServer peer_server_;
   HttpServer metrics_server_;
+  LineLimiter silence_lines_;
   bool stopping_ = false;
   bool lead_released_ = false;
   Instant stopping_since_{};
--- a/src/include/doorwood/config_follower.h
+++ b/src/include/doorwood/config_follower.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "doorwood/event_log.h"
 #include "doorwood/executor.h"
@@ -82,9 +83,8 @@
 
   /// Reads the table of another instance. Called while `IsOutdated` if the
   /// source cannot be read.
-  void set_other_source(
-      std::function<void(QueueTableSource::Callback done)> read) {
-    read_elsewhere_ = std::move(read);
+  void set_fallback(std::function<void(QueueTableSource::Callback done)> read) {
+    read_fallback_ = std::move(read);
   }
   /// `on_change` is called with each table that comes into force.
   void Start(ChangeHandler on_change);
@@ -100,7 +100,7 @@
   /// The table in force; null before the first successful read.
   const std::shared_ptr<const QueueTable>& table() const { return table_; }
   /// Whether a version is known that is newer than the one in force.
-  bool IsOutdated() const { return newest_told_ > version(); }
+  bool IsOutdated() const { return newest_reported_ > version(); }
   /// The table by which a request is to be handled; null: there is none yet, or
   /// `IsOutdated`.
   std::shared_ptr<const QueueTable> current_table() const {
@@ -113,7 +113,7 @@
   /// Version in force; 0: none.
   int64_t version() const { return table_ ? table_->version() : 0; }
   /// Newest version that another instance has reported; 0: none.
-  int64_t newest_told() const { return newest_told_; }
+  int64_t newest_reported() const { return newest_reported_; }
   /// Upper bound of the time for which a newer version may have been in the
   /// store, according to this instance's own reads and watches.
   Millis Age() const;
@@ -130,7 +130,7 @@
   void OnRead(Instant began,
               std::error_code error,
               const QueueTableSource::Snapshot& snapshot);
-  void ReadElsewhere();
+  void ReadFallback();
   Millis ReadInterval() const;
   /// Schedules the next read by the begin and the duration of the last.
   void ScheduleNextRead();
@@ -138,26 +138,28 @@
   void OnWatch(Instant began,
                std::error_code error,
                const QueueTableSource::Snapshot& snapshot);
-  void ApplyIfNewer(const QueueTableSource::Snapshot& snapshot);
+  void ApplyIfNewer(const QueueTableSource::Snapshot& snapshot,
+                    std::string_view received_by);
   void RejectTable(const QueueTableSource::Snapshot& snapshot);
+  void RefuseRequest(const TableCallback& done);
   void ReleaseWaiting(const std::shared_ptr<const QueueTable>& table);
   void CheckAge();
-  void LogReadFailure(std::string_view message) const;
+  void LogState(std::string_view message) const;
 
   Executor& executor_;
   QueueTableSource& source_;
   EventLog& log_;
   const ConfigFollowerOptions options_;
-  std::function<void(QueueTableSource::Callback done)> read_elsewhere_;
-  bool reading_elsewhere_ = false;
+  std::function<void(QueueTableSource::Callback done)> read_fallback_;
+  bool reading_fallback_ = false;
   ChangeHandler on_change_;
   std::shared_ptr<const QueueTable> table_;
   /// Watches ask for changes after this store revision: that of the last full
   /// read or of the newest change that a watch has delivered. An empty answer
   /// does not advance it, so that a watch that failed to deliver a change is
   /// followed by one that delivers it.
-  int64_t position_ = 0;
-  int64_t newest_told_ = 0;
+  int64_t watch_revision_ = 0;
+  int64_t newest_reported_ = 0;
   int64_t rejected_revision_ = 0;
   /// No newer table was in the store at this time.
   Instant as_of_{};
@@ -176,6 +178,8 @@
   bool late_ = false;
   bool stopped_ = false;
   uint64_t requests_ = 0;
+  /// Version for which refused requests were logged.
+  int64_t refused_for_ = 0;
   std::map<uint64_t, WaitingRequest> waiting_;
   ConfigCounters counters_;
 };
--- a/src/libdoorwood/config/config_age_test.cpp
+++ b/src/libdoorwood/config/config_age_test.cpp
@@ -42,7 +42,7 @@
   void Replace(int64_t version, size_t bytes) {
     version_ = version;
     bytes_ = bytes;
-    if (!deaf && !silent) {
+    if (!drops_events && !silent) {
       for (const CallPtr& call : std::exchange(waiting_, {})) {
         Deliver(call);
       }
@@ -65,7 +65,7 @@
     if (silent) {
       return;
     }
-    if (version_ > after && !deaf) {
+    if (version_ > after && !drops_events) {
       Deliver(call);
       return;
     }
@@ -83,7 +83,7 @@
   /// A call is given up after its time limit even if its answer is arriving.
   bool limits_whole_calls = false;
   /// Watches deliver nothing.
-  bool deaf = false;
+  bool drops_events = false;
   /// Nothing is answered.
   bool silent = false;
 
@@ -214,11 +214,11 @@
 }
 
 // Guards against a bound on the age that a watch alone keeps.
-BOOST_AUTO_TEST_CASE(Follow_WatchesAreDeaf_NewestIsInForceWithin1500Ms) {
+BOOST_AUTO_TEST_CASE(Follow_WatchesDropEvents_NewestIsInForceWithin1500Ms) {
   for (int offset = 0; offset < 3000; offset += 70) {
     BOOST_TEST_CONTEXT("changed " << offset << " ms later") {
       InstanceOnLink instance(/*bytes_per_second=*/25e6);
-      instance.table.deaf = true;
+      instance.table.drops_events = true;
       instance.time.Run(Millis(2000 + offset));
       instance.table.Replace(2, 60'000);  // no leader tells of it
       instance.time.Run(kMaxAge);
@@ -230,15 +230,16 @@
 // Guards against an instance of a large deployment that learns of a change only
 // with its next sparse read: its watch delivers nothing, and so does the
 // leader's.
-BOOST_AUTO_TEST_CASE(Follow_SparseAndDeaf_LeaderTellsWithin1500Ms) {
+BOOST_AUTO_TEST_CASE(
+    Follow_SparseReadsAndWatchesDropEvents_LeaderTellsWithin1500Ms) {
   constexpr Millis kLeaderAsked{600};  // `IngressOptions::summary_interval`
   for (int offset = 0; offset < 1300; offset += 37) {
     BOOST_TEST_CONTEXT("changed " << offset << " ms later") {
       InstanceOnLink leader(/*bytes_per_second=*/25e6);
-      leader.table.deaf = true;
+      leader.table.drops_events = true;
       leader.follower.set_leads(true);
       InstanceOnLink other(/*bytes_per_second=*/25e6);
-      other.table.deaf = true;
+      other.table.drops_events = true;
       other.follower.set_reads_sparsely(true);
       const auto run_both = [&](Millis duration) {
         leader.time.Run(duration);
@@ -260,14 +261,14 @@
 
 // Guards against a watch that skips a change which an earlier watch failed to
 // deliver.
-BOOST_AUTO_TEST_CASE(Follow_WatchWasDeafForASecond_NextWatchDelivers) {
+BOOST_AUTO_TEST_CASE(Follow_WatchDroppedEventsForASecond_NextWatchDelivers) {
   InstanceOnLink instance(/*bytes_per_second=*/25e6);
   instance.follower.set_reads_sparsely(true);
   instance.time.Run(Millis(100));
-  instance.table.deaf = true;
+  instance.table.drops_events = true;
   instance.table.Replace(2, 60'000);
   instance.time.Run(Millis(1000));
-  instance.table.deaf = false;
+  instance.table.drops_events = false;
   instance.time.Run(Millis(3000));
   BOOST_TEST(instance.VersionInForce() == 2);
   BOOST_TEST(instance.follower.counters().reads_failed == 0U);
@@ -319,7 +320,7 @@
 BOOST_FIXTURE_TEST_CASE(AwaitCurrent_StoreIsNotReachable_TableComesFromLeader,
                         RequestAtOutdatedInstance) {
   int asked = 0;
-  instance.follower.set_other_source([&](QueueTableSource::Callback done) {
+  instance.follower.set_fallback([&](QueueTableSource::Callback done) {
     ++asked;
     done({}, {std::make_shared<const QueueTable>(2, std::vector<Queue>(),
                                                  HttpLimits{},
@@ -343,6 +344,43 @@
   BOOST_TEST(instance.trace.size() == before);
 }
 
+// Guards against an instance that does not ask the leader again when it failed
+// halfway, and against requests that are handled or kept meanwhile.
+BOOST_FIXTURE_TEST_CASE(AwaitCurrent_LeaderFailsToo_IsRefusedAndAskedAgain,
+                        RequestAtOutdatedInstance) {
+  std::vector<QueueTableSource::Callback> asked;
+  instance.follower.set_fallback([&](QueueTableSource::Callback done) {
+    asked.push_back(std::move(done));
+  });
+  instance.time.Run(3 * kReadTimeout);
+  BOOST_TEST(asked.size() == 1U);  // it has not answered yet
+  BOOST_TEST(answers == 1);
+  BOOST_TEST(version == 0);
+  BOOST_REQUIRE(!asked.empty());
+  asked[0](PeerErrc::kNoAnswer, {});
+  instance.time.Run(2 * kReadTimeout);
+  BOOST_TEST(asked.size() == 2U);
+  BOOST_TEST(instance.VersionInForce() == 1);
+  BOOST_TEST(instance.follower.current_table() == nullptr);
+}
+
+// Guards against a line for each refused request.
+BOOST_FIXTURE_TEST_CASE(AwaitCurrent_ManyRequests_RefusalIsLoggedOnce,
+                        RequestAtOutdatedInstance) {
+  const size_t before = instance.trace.size();
+  int refused = 0;
+  for (int i = 0; i < 500; ++i) {
+    instance.follower.AwaitCurrent(
+        [&](const std::shared_ptr<const QueueTable>& table) {
+          refused += table ? 0 : 1;
+        });
+  }
+  BOOST_TEST(refused == 301);  // 199 more may wait
+  instance.time.Run(Millis(301));
+  BOOST_TEST(refused == 500);
+  BOOST_TEST(instance.trace.size() == before + 1);
+}
+
 // Guards against a log that grows with the number of failed reads.
 BOOST_AUTO_TEST_CASE(Follow_StoreIsSilentForAMinute_LogsAFewLines) {
   InstanceOnLink instance(/*bytes_per_second=*/25e6);
--- a/src/libdoorwood/config/config_follower.cpp
+++ b/src/libdoorwood/config/config_follower.cpp
@@ -112,9 +112,9 @@
     read_error_ = error;
     read_problem_ = snapshot.problem;
     if (++reads_failed_ == 1) {
-      LogReadFailure("cannot read the configuration");
+      LogState("cannot read the configuration");
     }
-    ReadElsewhere();
+    ReadFallback();
     ScheduleNextRead();
     return;
   }
@@ -124,24 +124,24 @@
                {{"version", version()}, {"age_ms", Age().count()}});
   }
   as_of_ = std::max(as_of_, began);
-  position_ = std::max(position_, snapshot.revision);
-  ApplyIfNewer(snapshot);
+  watch_revision_ = std::max(watch_revision_, snapshot.revision);
+  ApplyIfNewer(snapshot, "read");
   ScheduleNextRead();
   if (table_ && !watching_) {
     Watch();
   }
 }
 
-void ConfigFollower::ReadElsewhere() {
-  if (!IsOutdated() || !read_elsewhere_ || reading_elsewhere_) {
+void ConfigFollower::ReadFallback() {
+  if (!IsOutdated() || !read_fallback_ || reading_fallback_) {
     return;
   }
-  reading_elsewhere_ = true;
-  read_elsewhere_([this](std::error_code error,
-                         const QueueTableSource::Snapshot& snapshot) {
-    reading_elsewhere_ = false;
+  reading_fallback_ = true;
+  read_fallback_([this](std::error_code error,
+                        const QueueTableSource::Snapshot& snapshot) {
+    reading_fallback_ = false;
     if (!error && !stopped_) {
-      ApplyIfNewer(snapshot);
+      ApplyIfNewer(snapshot, "another instance");
     }
   });
 }
@@ -154,7 +154,7 @@
   }
   watching_ = true;
   source_.WaitForChange(
-      position_,
+      watch_revision_,
       reads_sparsely_ ? options_.sparse_watch_wait : options_.watch_wait,
       [this, began = executor_.Now()](
           std::error_code error, const QueueTableSource::Snapshot& snapshot) {
@@ -175,7 +175,7 @@
                  {{"error", error.message()},
                   {"problem", snapshot.problem},
                   {"after_ms", ToMillis(executor_.Now() - began).count()},
-                  {"position", position_},
+                  {"watch_revision", watch_revision_},
                   {"version", version()}});
     }
     if (error == make_error_code(KvErrc::kCompacted)) {
@@ -187,9 +187,9 @@
   }
   watch_failing_ = false;
   if (snapshot.table || snapshot.changed) {
-    position_ = std::max(position_, snapshot.revision);
+    watch_revision_ = std::max(watch_revision_, snapshot.revision);
     as_of_ = std::max(as_of_, began);
-    ApplyIfNewer(snapshot);
+    ApplyIfNewer(snapshot, "watch");
   } else if (executor_.Now() - began < kMinWatchTime) {
     executor_.Schedule(options_.retry_pause, [this] { Watch(); });
     return;
@@ -200,10 +200,10 @@
 // --- Versions ---
 
 void ConfigFollower::ReadIfOlder(int64_t version) {
-  if (stopped_ || !table_ || version <= newest_told_) {
+  if (stopped_ || !table_ || version <= newest_reported_) {
     return;
   }
-  newest_told_ = version;
+  newest_reported_ = version;
   if (!IsOutdated()) {
     return;
   }
@@ -216,7 +216,8 @@
   BeginRead();
 }
 
-void ConfigFollower::ApplyIfNewer(const QueueTableSource::Snapshot& snapshot) {
+void ConfigFollower::ApplyIfNewer(const QueueTableSource::Snapshot& snapshot,
+                                  std::string_view received_by) {
   if (!snapshot.table) {
     RejectTable(snapshot);
     return;
@@ -229,6 +230,7 @@
               {"before", version()},
               {"queues", snapshot.table->queues().size()},
               {"revision", snapshot.revision},
+              {"received_by", received_by},
               {"age_ms", Age().count()}});
   table_ = snapshot.table;
   on_change_(table_);
@@ -254,21 +256,27 @@
     return;
   }
   if (waiting_.size() >= options_.max_waiting_requests) {
-    ++counters_.requests_refused;
-    done(nullptr);
+    RefuseRequest(done);
     return;
   }
   ++counters_.requests_waited;
   const uint64_t number = ++requests_;
   const auto timer =
       executor_.Schedule(options_.max_request_wait, [this, number] {
-        const auto request = waiting_.extract(number);
-        ++counters_.requests_refused;
-        request.mapped().done(nullptr);
+        RefuseRequest(waiting_.extract(number).mapped().done);
       });
   waiting_.emplace(number, WaitingRequest{std::move(done), timer});
 }
 
+void ConfigFollower::RefuseRequest(const TableCallback& done) {
+  ++counters_.requests_refused;
+  if (refused_for_ != newest_reported_) {
+    refused_for_ = newest_reported_;
+    LogState("requests are refused until a newer configuration is read");
+  }
+  done(nullptr);
+}
+
 void ConfigFollower::ReleaseWaiting(
     const std::shared_ptr<const QueueTable>& table) {
   for (auto& [number, request] : std::exchange(waiting_, {})) {
@@ -286,7 +294,7 @@
   const bool late = Age() > ReadInterval() + options_.late_margin;
   if (late != std::exchange(late_, late)) {
     if (late) {
-      LogReadFailure("the configuration in force may be out of date");
+      LogState("the configuration in force may be out of date");
     } else {
       log_.Write("info", "config", "the configuration in force is confirmed",
                  {{"version", version()}, {"age_ms", Age().count()}});
@@ -295,19 +303,19 @@
   executor_.Schedule(kAgeCheckInterval, [this] { CheckAge(); });
 }
 
-void ConfigFollower::LogReadFailure(std::string_view message) const {
+void ConfigFollower::LogState(std::string_view message) const {
   const auto reading =
       reading_ ? executor_.Now() - read_began_ : Instant::duration::zero();
   log_.Write("warn", "config", message,
              {{"version", version()},
-              {"newest_told", newest_told_},
+              {"newest_reported", newest_reported_},
               {"age_ms", Age().count()},
               {"reads_failed", reads_failed_},
               {"error", reads_failed_ > 0 ? read_error_.message() : ""},
               {"problem", read_problem_},
               {"reading_ms", ToMillis(reading).count()},
               {"watch_failing", watch_failing_},
-              {"position", position_}});
+              {"watch_revision", watch_revision_}});
 }
 
 }  // namespace doorwood
--- a/src/libdoorwood/membership/live_directory_test.cpp
+++ b/src/libdoorwood/membership/live_directory_test.cpp
@@ -30,7 +30,7 @@
   /// Refuses all watch calls as over budget.
   bool refuses_watches = false;
   /// Watches deliver nothing.
-  bool deaf = false;
+  bool drops_events = false;
   int watches = 0;
   int lists = 0;
   int gets = 0;
@@ -122,7 +122,7 @@
                    Callback<StoreItems> done) {
     StoreItems events;
     const auto error = shared_.model.ChangesAfter(prefix, after, &events);
-    if (shared_.deaf) {
+    if (shared_.drops_events) {
       events = {};
     }
     if (error || !events.items.empty() || executor_.Now() >= until) {
@@ -328,7 +328,7 @@
       CrowdFixture crowd;
       crowd.StartInstances(instances);
       crowd.time.Run(Millis(9000 + offset));
-      crowd.store.deaf = true;
+      crowd.store.drops_events = true;
       crowd.WriteLead(*crowd.members.front().live);
       crowd.time.Run(Millis(6000));
       for (const Member& member : crowd.members) {
--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -5,12 +5,13 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <map>
 #include <optional>
 #include <set>
 
+#include "loop.adapter/http_connection_pool.h"
+
 namespace doorwood {
 
 namespace asio = boost::asio;
@@ -23,14 +24,6 @@
 // Bounds the wait for a connection: a machine that a network partition makes
 // unreachable does not refuse the connection, it does not reply at all.
 constexpr Millis kConnectTimeout{500};
-// Maximum number of idle connections for one address and group.
-constexpr size_t kMaxIdlePerAddress = 8;
-// Connections that were idle for longer are not reused, because the server may
-// be about to close them.
-constexpr std::chrono::seconds kIdleLifetime{8};
-// Interval at which these are closed. To thousands of servers they would
-// otherwise use up the descriptors of the process.
-constexpr std::chrono::seconds kIdleCheckInterval{1};
 constexpr uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
 // Room for reading a body, at most. The body is read in pieces of this size;
 // the loop handles everything else that is due between two of them.
@@ -44,32 +37,12 @@
 
 // A long response counts as arriving for so long after its last piece.
 constexpr Millis kMaxPieceInterval{250};
+// Connections to an address that has answered no new one for so long are
+// suspect no longer: each call has its own time limit.
+constexpr std::chrono::seconds kMaxSuspicion{60};
 // Pause between the checks whether a long response still arrives.
 constexpr Millis kReceivingCheckPause{50};
 
-struct Connection {
-  explicit Connection(asio::io_context& context) : stream(context) {}
-
-  beast::tcp_stream stream;
-  beast::flat_buffer buffer;
-  /// When the last response was complete or, before that, when the connection
-  /// was established.
-  Instant proven_at{};
-};
-
-// Returns true if neither data nor end of stream has arrived since the last
-// response. Unread data would be taken for the response to the next call.
-bool HasNoUnreadData(Connection* connection) {
-  if (connection->buffer.size() > 0) {
-    return false;
-  }
-  char byte = 0;
-  error_code error;
-  connection->stream.socket().receive(asio::buffer(&byte, sizeof byte),
-                                      asio::socket_base::message_peek, error);
-  return error == asio::error::would_block;
-}
-
 std::optional<asio::ip::tcp::endpoint> ParseEndpoint(
     const std::string& address) {
   const size_t colon = address.rfind(':');
@@ -88,38 +61,10 @@
 
 }  // namespace
 
-class HttpClient::Pool {
+// The open calls of a client and its idle connections.
+class HttpClient::Calls {
  public:
-  explicit Pool(asio::io_context& context) : context(context) {}
-
-  std::shared_ptr<Connection> Take(const HttpCall& call) {
-    auto& idle = idle_[{call.address, call.group}];
-    const Instant now = BootClock::now();
-    while (!idle.empty()) {
-      auto connection = std::move(idle.back());
-      idle.pop_back();
-      if (now - connection->proven_at < kIdleLifetime &&
-          HasNoUnreadData(connection.get())) {
-        return connection;
-      }
-    }
-    return nullptr;
-  }
-
-  void Return(const HttpCall& call, std::shared_ptr<Connection> connection) {
-    auto& idle = idle_[{call.address, call.group}];
-    if (idle.size() < kMaxIdlePerAddress) {
-      idle.push_back(std::move(connection));
-    }
-    CloseUnused();
-  }
-
-  /// A call to the address that was sent at `since` found its connection
-  /// silent. Closes the idle connections that were proven earlier.
-  void CloseUnproven(const std::string& address, Instant since);
-  /// Besides, the call was answered on a new connection: sends the calls that
-  /// wait on such connections again.
-  void ResendUnproven(const std::string& address, Instant since);
+  explicit Calls(asio::io_context& context) : context(context) {}
 
   void Add(Exchange* exchange) { open_.insert(exchange); }
   void Remove(Exchange* exchange) {
@@ -135,50 +80,41 @@
   }
   /// Of a call to `address` whose target contains `in_target`; empty: any.
   bool IsReceiving(std::string_view address, std::string_view in_target) const;
+  /// A call that was sent at `sent` got no part of a response on a pooled
+  /// connection.
+  void OnSilence(const std::string& address, Instant sent);
+  /// A new connection to the address was answered.
+  void OnNewConnectionAnswered(const std::string& address);
 
   asio::io_context& context;
+  HttpConnectionPool pool;
   uint64_t connects = 0;
   SilentConnectionCounters silent;
+  SilenceHandler on_silence;
 
  private:
-  void CloseUnused() {
-    const Instant now = BootClock::now();
-    if (now - closed_unused_at_ < kIdleCheckInterval) {
-      return;
-    }
-    closed_unused_at_ = now;
-    for (auto it = idle_.begin(); it != idle_.end();) {
-      std::erase_if(it->second, [now](const auto& connection) {
-        return now - connection->proven_at >= kIdleLifetime;
-      });
-      it = it->second.empty() ? idle_.erase(it) : std::next(it);
-    }
-  }
-
-  Instant closed_unused_at_{};
-  /// By address and `HttpCall::group`.
-  std::map<std::pair<std::string, std::string>,
-           std::vector<std::shared_ptr<Connection>>>
-      idle_;
   std::set<Exchange*> open_;
   /// Those of `open_` of whose response a part has arrived.
   std::set<Exchange*> receiving_;
+  /// By address: when the newest call was sent that got no part of a response
+  /// on a pooled connection, until a new connection is answered.
+  std::map<std::string, Instant> suspect_since_;
 };
 
 // One call. Its pending asynchronous operations keep the object alive.
 class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  Exchange(std::shared_ptr<Pool> pool, HttpCall call, Callback done)
-      : pool_(std::move(pool)),
+  Exchange(std::shared_ptr<Calls> calls, HttpCall call, Callback done)
+      : calls_(std::move(calls)),
         call_(std::move(call)),
         done_(std::move(done)),
-        deadline_timer_(pool_->context) {
+        deadline_timer_(calls_->context) {
     end_ = BootClock::now() + MaxDuration();
   }
 
   void Begin() {
-    pool_->Add(this);
-    connection_ = pool_->Take(call_);
+    calls_->Add(this);
+    connection_ = calls_->pool.Take(call_.address, call_.group);
     if (connection_) {
       reused_ = true;
       Write();
@@ -187,18 +123,21 @@
     Connect();
   }
 
-  // Sends the call again if no part of its response has arrived and its
-  // connection was last proven before `since`.
-  void ResendIfUnproven(const std::string& address, Instant since) {
-    const bool may_resend = call_.repeatable && call_.patience > Millis(0);
-    const bool waits = !completed_ && connection_->proven_at != Instant{} &&
+  // Sends the call again if no part of its response has arrived and the last
+  // response on its connection came before `time`. Returns whether it does.
+  bool ResendIfOlderThan(const std::string& address, Instant time) {
+    const bool may_resend =
+        call_.repeatable && call_.first_byte_timeout > Millis(0);
+    const bool waits = !completed_ &&
+                       connection_->last_response_at != Instant{} &&
                        !got_piece_ && !abandoned_;
     if (!may_resend || !waits || call_.address != address ||
-        connection_->proven_at >= since) {
-      return;
+        connection_->last_response_at >= time) {
+      return false;
     }
     end_ = BootClock::now() + MaxDuration();
     Abandon();
+    return true;
   }
 
   const HttpCall& call() const { return call_; }
@@ -208,14 +147,14 @@
   void Connect() {
     const auto endpoint = ParseEndpoint(call_.address);
     if (!endpoint) {
-      asio::post(pool_->context, [self = shared_from_this()] {
+      asio::post(calls_->context, [self = shared_from_this()] {
         self->Finish(PeerErrc::kNotSent, "invalid address");
       });
       return;
     }
     reused_ = false;
-    ++pool_->connects;
-    connection_ = std::make_shared<Connection>(pool_->context);
+    ++calls_->connects;
+    connection_ = std::make_shared<HttpConnection>(calls_->context);
     connection_->stream.expires_after(
         std::min<Instant::duration>(RemainingTime(), kConnectTimeout));
     connection_->stream.async_connect(
@@ -234,7 +173,7 @@
           // The check of an idle connection peeks at the socket and must not
           // block.
           self->connection_->stream.socket().non_blocking(true, ignored);
-          self->connection_->proven_at = BootClock::now();
+          self->connection_->last_response_at = BootClock::now();
           self->Write();
         });
   }
@@ -267,7 +206,6 @@
     connection_->stream.expires_never();
     got_piece_ = false;
     last_progress_ = BootClock::now();
-    first_sent_ = first_sent_ == Instant{} ? last_progress_ : first_sent_;
     AwaitDeadline(Deadline() - last_progress_);
     sent_ = true;
     http::async_write(
@@ -296,17 +234,17 @@
   }
 
   // Whether the call is to be sent again, on a new connection, if nothing
-  // arrives on this one.
-  bool HasPatience() const {
-    return reused_ && call_.repeatable && call_.patience > Millis(0) &&
-           !got_piece_;
+  // arrives on this one within `HttpCall::first_byte_timeout`.
+  bool LimitsFirstByte() const {
+    return reused_ && call_.repeatable &&
+           call_.first_byte_timeout > Millis(0) && !got_piece_;
   }
 
   Instant Deadline() const {
-    return std::min(
-        end_, last_progress_ + (HasPatience()
-                                    ? std::min(call_.patience, call_.timeout)
-                                    : call_.timeout));
+    const Millis limit = LimitsFirstByte()
+                             ? std::min(call_.first_byte_timeout, call_.timeout)
+                             : call_.timeout;
+    return std::min(end_, last_progress_ + limit);
   }
 
   void OnDeadline() {
@@ -323,21 +261,20 @@
       AwaitDeadline(kLateReadPause);
       return;
     }
-    if (HasPatience() && now < end_ && now - last_progress_ < call_.timeout) {
-      if (pool_->IsReceiving({}, {})) {
-        AwaitDeadline(kReceivingCheckPause);
-        return;
-      }
-      ++pool_->silent.unanswered;
-      lost_patience_ = true;
-      Abandon();
+    const bool may_resend =
+        LimitsFirstByte() && now < end_ && now - last_progress_ < call_.timeout;
+    if (may_resend && calls_->IsReceiving({}, {})) {
+      AwaitDeadline(kReceivingCheckPause);
       return;
     }
-    timed_out_ = true;
     if (reused_ && !got_piece_) {
-      ++pool_->silent.unanswered;
-      pool_->CloseUnproven(call_.address, last_progress_);
+      calls_->OnSilence(call_.address, last_progress_);
     }
+    if (may_resend) {
+      Abandon();
+      return;
+    }
+    timed_out_ = true;
     connection_->stream.close();  // Ends the pending operation.
   }
 
@@ -378,7 +315,7 @@
     // Without room, the body is read in pieces of 512 bytes.
     connection_->buffer.reserve(std::min<uint64_t>(
         length + connection_->buffer.size(), kMaxReadBuffer));
-    pool_->SetReceiving(this, true);
+    calls_->SetReceiving(this, true);
     http::async_read_some(
         connection_->stream, connection_->buffer, *parser_,
         [self = shared_from_this()](const error_code& error, size_t) {
@@ -410,7 +347,7 @@
   void OnConnectionError(std::string problem) {
     const bool in_time =
         !timed_out_ && RemainingTime() > Instant::duration::zero();
-    pool_->SetReceiving(this, false);
+    calls_->SetReceiving(this, false);
     if ((reused_ || abandoned_) && call_.repeatable && in_time) {
       sent_before_ = true;
       first_problem_ = abandoned_ ? "silent connection" : std::move(problem);
@@ -432,11 +369,9 @@
   }
 
   void OnReply() {
-    connection_->proven_at = BootClock::now();
-    if (std::exchange(lost_patience_, false)) {
-      ++pool_->silent.confirmed;
-      pool_->CloseUnproven(call_.address, first_sent_);
-      pool_->ResendUnproven(call_.address, first_sent_);
+    connection_->last_response_at = BootClock::now();
+    if (!reused_) {
+      calls_->OnNewConnectionAnswered(call_.address);
     }
     HttpReply reply;
     reply.status = static_cast<int>(parser_->get().result_int());
@@ -447,7 +382,7 @@
       if (connection_->buffer.capacity() > kMaxIdleBuffer) {
         connection_->buffer.shrink_to_fit();
       }
-      pool_->Return(call_, std::move(connection_));
+      calls_->pool.Return(call_.address, call_.group, std::move(connection_));
     }
     Complete({}, std::move(reply));
   }
@@ -470,19 +405,17 @@
 
   void Complete(std::error_code error, HttpReply reply) {
     completed_ = true;
-    pool_->Remove(this);
+    calls_->Remove(this);
     deadline_timer_.cancel();
     done_(error, std::move(reply));
   }
 
-  std::shared_ptr<Pool> pool_;
+  std::shared_ptr<Calls> calls_;
   HttpCall call_;
   Callback done_;
   /// End of the call, however much of the response arrives.
   Instant end_;
   asio::steady_timer deadline_timer_;
-  /// When the call was first sent.
-  Instant first_sent_{};
   /// When the call was sent on this connection or, if later, a piece of the
   /// response arrived.
   Instant last_progress_{};
@@ -491,14 +424,12 @@
   /// The connection was closed because it is taken for silent; the call is to
   /// be sent again.
   bool abandoned_ = false;
-  /// That was because nothing arrived in `HttpCall::patience`.
-  bool lost_patience_ = false;
   /// When the deadline was first handled after the last piece.
   std::optional<Instant> late_since_;
   /// The connection was closed at the deadline.
   bool timed_out_ = false;
   bool completed_ = false;
-  std::shared_ptr<Connection> connection_;
+  std::shared_ptr<HttpConnection> connection_;
   bool reused_ = false;
   /// Part of the request may have been sent, on this connection or an earlier
   /// one.
@@ -512,26 +443,38 @@
   std::optional<http::response_parser<http::string_body>> parser_;
 };
 
-void HttpClient::Pool::CloseUnproven(const std::string& address,
-                                     Instant since) {
-  for (auto& [key, connections] : idle_) {
-    if (key.first == address) {
-      silent.closed += std::erase_if(connections, [since](const auto& idle) {
-        return idle->proven_at < since;
-      });
-    }
-  }
+void HttpClient::Calls::OnSilence(const std::string& address, Instant sent) {
+  ++silent.unanswered;
+  silent.closed += pool.CloseOlderThan(address, sent);
+  const Instant now = BootClock::now();
+  std::erase_if(suspect_since_, [now](const auto& entry) {
+    return now - entry.second >= kMaxSuspicion;
+  });
+  Instant& since = suspect_since_[address];
+  since = std::max(since, sent);
 }
 
-void HttpClient::Pool::ResendUnproven(const std::string& address,
-                                      Instant since) {
-  for (Exchange* exchange : open_) {
-    exchange->ResendIfUnproven(address, since);
+void HttpClient::Calls::OnNewConnectionAnswered(const std::string& address) {
+  const auto suspect = suspect_since_.extract(address);
+  if (suspect.empty()) {
+    return;
+  }
+  const Instant sent = suspect.mapped();
+  const auto resent = static_cast<size_t>(
+      std::count_if(open_.begin(), open_.end(), [&](Exchange* exchange) {
+        return exchange->ResendIfOlderThan(address, sent);
+      }));
+  ++silent.confirmed;
+  silent.resent += resent;
+  if (on_silence) {
+    on_silence({address,
+                std::chrono::duration_cast<Millis>(BootClock::now() - sent),
+                resent});
   }
 }
 
-bool HttpClient::Pool::IsReceiving(std::string_view address,
-                                   std::string_view in_target) const {
+bool HttpClient::Calls::IsReceiving(std::string_view address,
+                                    std::string_view in_target) const {
   const Instant now = BootClock::now();
   return std::any_of(
       receiving_.begin(), receiving_.end(), [&](const Exchange* exchange) {
@@ -543,25 +486,29 @@
 }
 
 HttpClient::HttpClient(asio::io_context& context)
-    : pool_(std::make_shared<Pool>(context)) {}
+    : calls_(std::make_shared<Calls>(context)) {}
 
 HttpClient::~HttpClient() = default;
 
 void HttpClient::Send(HttpCall call, Callback done) {
-  std::make_shared<Exchange>(pool_, std::move(call), std::move(done))->Begin();
+  std::make_shared<Exchange>(calls_, std::move(call), std::move(done))->Begin();
+}
+
+void HttpClient::set_on_silence(SilenceHandler handler) {
+  calls_->on_silence = std::move(handler);
 }
 
 uint64_t HttpClient::connect_attempts() const {
-  return pool_->connects;
+  return calls_->connects;
 }
 
 const SilentConnectionCounters& HttpClient::silent_connections() const {
-  return pool_->silent;
+  return calls_->silent;
 }
 
 bool HttpClient::IsReceiving(std::string_view address,
                              std::string_view in_target) const {
-  return pool_->IsReceiving(address, in_target);
+  return calls_->IsReceiving(address, in_target);
 }
 
 }  // namespace doorwood
--- a/src/loop.adapter/http_client.h
+++ b/src/loop.adapter/http_client.h
@@ -4,10 +4,11 @@
 /// HTTP/1.1 client on the event loop of the process, with a pool of persistent
 /// connections.
 ///
-/// An open connection may go silent for good while new ones work. A pooled
-/// connection is therefore trusted only until a call finds another one of the
-/// same address silent: then the connections whose last response is older than
-/// that call are closed, and calls that wait on them are sent again.
+/// An open connection may go silent for good, without a reset, while new ones
+/// work. A call that gets no answer on a pooled connection therefore makes the
+/// older connections to its address suspect. Idle ones are closed; once a new
+/// connection is answered, the calls that wait on such connections are sent
+/// again.
 
 #ifndef DOORWOOD_LOOP_ADAPTER_HTTP_CLIENT_H_
 #define DOORWOOD_LOOP_ADAPTER_HTTP_CLIENT_H_
@@ -63,22 +64,32 @@
   /// Longest time for a call whose response keeps arriving.
   Millis max_duration{0};
   /// If not zero: a repeatable call that got no part of the response on a
-  /// pooled connection after this time is sent again on a new one. Does not run
-  /// while a long response is arriving, since that fills the network link.
-  Millis patience{0};
+  /// pooled connection within this time is sent again on a new one. The time is
+  /// extended while a long response is arriving, since that fills the network
+  /// link.
+  Millis first_byte_timeout{0};
   /// The call may be sent a second time if a pooled connection fails.
   bool repeatable = true;
 };
 
-/// Connections that were found to be silent.
 struct SilentConnectionCounters {
   /// Calls that got no part of a response on a pooled connection in time.
   uint64_t unanswered = 0;
-  /// Those of them that were answered on a new connection.
+  /// How often a new connection to the address of such a call was answered.
   uint64_t confirmed = 0;
-  /// Idle connections that were closed because another one of the same address
-  /// was silent.
+  /// Idle connections that were closed, and calls that were sent again, because
+  /// another connection to their address was silent.
   uint64_t closed = 0;
+  uint64_t resent = 0;
+};
+
+/// Connections to `address` were silent while a new one was answered.
+struct SilentConnections {
+  std::string address;
+  /// From the sending of the first unanswered call to the answer.
+  Millis duration{0};
+  /// Calls that were sent again.
+  size_t resent = 0;
 };
 
 class HttpClient {
@@ -88,6 +99,7 @@
   /// request may have arrived but no complete response was received. The reply
   /// of a failed call has only `problem`.
   using Callback = std::function<void(std::error_code, HttpReply)>;
+  using SilenceHandler = std::function<void(const SilentConnections&)>;
 
   explicit HttpClient(boost::asio::io_context& context);
   ~HttpClient();
@@ -95,6 +107,8 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   void Send(HttpCall call, Callback done);
+  /// Called whenever silent connections are confirmed.
+  void set_on_silence(SilenceHandler handler);
   /// Number of attempts to open a connection so far.
   uint64_t connect_attempts() const;
   const SilentConnectionCounters& silent_connections() const;
@@ -103,10 +117,10 @@
   bool IsReceiving(std::string_view address, std::string_view in_target) const;
 
  private:
-  class Pool;
+  class Calls;
   class Exchange;
 
-  std::shared_ptr<Pool> pool_;
+  std::shared_ptr<Calls> calls_;
 };
 
 }  // namespace doorwood
--- /dev/null
+++ b/src/loop.adapter/http_connection_pool.h
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Idle persistent connections of an HTTP client, by address and group.
+
+#ifndef DOORWOOD_LOOP_ADAPTER_HTTP_CONNECTION_POOL_H_
+#define DOORWOOD_LOOP_ADAPTER_HTTP_CONNECTION_POOL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "doorwood/types.h"
+
+namespace doorwood {
+
+struct HttpConnection {
+  explicit HttpConnection(boost::asio::io_context& context) : stream(context) {}
+
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;
+  /// When the last response was complete or, before that, when the connection
+  /// was established; zero: it is not yet.
+  Instant last_response_at{};
+};
+
+class HttpConnectionPool {
+ public:
+  /// Removes and returns a connection on which nothing has arrived since its
+  /// last response; null: there is none.
+  std::shared_ptr<HttpConnection> Take(const std::string& address,
+                                       const std::string& group);
+  /// Keeps the connection for reuse, unless there are enough.
+  void Return(const std::string& address,
+              const std::string& group,
+              std::shared_ptr<HttpConnection> connection);
+  /// Closes the connections to the address, of all groups, whose last response
+  /// came before `time`. Returns their number.
+  size_t CloseOlderThan(std::string_view address, Instant time);
+
+ private:
+  void CloseUnused();
+
+  Instant closed_unused_at_{};
+  /// By address and group.
+  std::map<std::pair<std::string, std::string>,
+           std::vector<std::shared_ptr<HttpConnection>>>
+      idle_;
+};
+
+}  // namespace doorwood
+
+#endif  // DOORWOOD_LOOP_ADAPTER_HTTP_CONNECTION_POOL_H_
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -18,12 +18,12 @@
 // A leader answers within this time, with a refusal if it could not record the
 // change. After it, the call is sent again on a new connection; the leader
 // recognizes the job by its id.
-constexpr Millis kSubmitPatience{1500};
+constexpr Millis kSubmitFirstByteTimeout{1500};
 constexpr Millis kStateTimeout{800};
 constexpr Millis kSummaryTimeout{1000};
 // An instance is expected to answer a call that waits for nothing within this
 // time. After it, the call is sent again on a new connection.
-constexpr Millis kPatience{400};
+constexpr Millis kFirstByteTimeout{400};
 
 constexpr std::array<std::pair<CoreErrc, int>, 5> kStatusOfError = {
     {{CoreErrc::kNoOwner, 409},
@@ -112,7 +112,7 @@
 // Sets the time limits of a call that the other instance answers at once.
 void ExpectAnswerAtOnce(HttpCall* call) {
   call->timeout = kSummaryTimeout;
-  call->patience = kPatience;
+  call->first_byte_timeout = kFirstByteTimeout;
 }
 
 Json EncodeSummary(const CellSummary& summary) {
@@ -189,7 +189,7 @@
   if (version_) {
     call.headers.emplace_back(kVersionHeader, std::to_string(version_()));
   }
-  call.patience = kSubmitPatience;
+  call.first_byte_timeout = kSubmitFirstByteTimeout;
   client_.Send(
       std::move(call),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
@@ -203,7 +203,7 @@
                            const std::string& job,
                            CancelCallback done) {
   HttpCall call = Call(lead, "DELETE", job, kSubmitTimeout);
-  call.patience = kSubmitPatience;
+  call.first_byte_timeout = kSubmitFirstByteTimeout;
   client_.Send(
       std::move(call),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
@@ -215,7 +215,7 @@
                                   const std::string& job,
                                   StateCallback done) {
   HttpCall call = Call(lead, "GET", job, kStateTimeout);
-  call.patience = kPatience;
+  call.first_byte_timeout = kFirstByteTimeout;
   client_.Send(
       std::move(call),
       [done = std::move(done)](std::error_code error, const HttpReply& reply) {
@@ -245,7 +245,7 @@
                                     SummaryCallback done) {
   HttpCall call = Call(lead, "GET", "", kSummaryTimeout + wait);
   call.target += "?" + std::string(kWaitQuery) + std::to_string(wait.count());
-  call.patience = wait + kPatience;
+  call.first_byte_timeout = wait + kFirstByteTimeout;
   client_.Send(std::move(call), DecodeSummaryReply(std::move(done)));
 }
 
--- a/src/loop.adapter/silencing_server.h
+++ b/src/loop.adapter/silencing_server.h
@@ -44,6 +44,11 @@
       connection->silent = true;
     }
   }
+  /// The same for later ones, which are still accepted.
+  void SilenceAll() {
+    all_silent_ = true;
+    SilenceOpenConnections();
+  }
   /// Time from a request to its answer; by default 30 ms. Requests for "/wait"
   /// are answered by `AnswerWaiting` instead.
   void set_delay(Millis delay) { delay_ = delay; }
@@ -71,6 +76,7 @@
         return;
       }
       connections_.push_back(std::make_shared<Connection>(std::move(socket)));
+      connections_.back()->silent = all_silent_;
       Read(connections_.back());
       Accept();
     });
@@ -117,6 +123,7 @@
   std::vector<ConnectionPtr> connections_;
   std::vector<ConnectionPtr> waiting_;
   size_t requests_ = 0;
+  bool all_silent_ = false;
   Millis delay_{30};
 };
 
