--- a/review/stage/stage.cpp
+++ b/review/stage/stage.cpp
@@ -147,6 +147,10 @@
 }
 
 void Worker::Start() {
+  if (left_) {
+    server_.Listen(address_);
+    left_ = false;
+  }
   ++life_;
   id_ = machine_ + "-life" + std::to_string(life_);
   model_ = std::make_unique<doorwood::standin::RunWorkerModel>();
@@ -156,21 +160,46 @@
   started_at_.clear();
   up_ = true;
   stage_.Record("worker " + id_ + " is up");
-  stage_.Put(
-      "servers/" + id_,
-      Json{{"service", kService},
-           {"address", address_},
-           {"zone", "plaka"},
-           {"version", "1"},
-           {"slots", 8},
-           {"state", "ready"},
-           {"coldRemainingMs", 0},
-           {"callSeq", 1},
-           {"machine", machine_},
-           {"capacity",
-            {{"cpu", stage_.worker_cpu_}, {"memMb", 128000}, {"gpu", 0}}},
-           {"labels", {"a", rack_}}}
-          .dump());
+  PutEntry("ready", 0);
+}
+
+void Worker::PutEntry(const std::string& state, int64_t remaining_ms) {
+  Json entry{{"service", kService},
+             {"address", address_},
+             {"zone", "plaka"},
+             {"version", "1"},
+             {"slots", 8},
+             {"state", state},
+             {"coldRemainingMs", 0},
+             {"callSeq", 1},
+             {"machine", machine_},
+             {"capacity",
+              {{"cpu", stage_.worker_cpu_}, {"memMb", 128000}, {"gpu", 0}}},
+             {"labels", {"a", rack_}}};
+  if (state == "draining") {
+    entry["remainingMs"] = remaining_ms;
+  }
+  stage_.Put("servers/" + id_, entry.dump());
+}
+
+void Worker::Announce(int64_t remaining_ms) {
+  stage_.Record("worker " + id_ + " states draining, remainingMs " +
+                std::to_string(remaining_ms));
+  PutEntry("draining", remaining_ms);
+}
+
+void Worker::Leave() {
+  up_ = false;
+  left_ = true;
+  server_.StopListening();
+  stage_.left_at[id_] = stage_.Now();
+  stage_.Record("worker " + id_ + " leaves; " +
+                std::to_string(started_at_.size()) + " runs die there");
+  for (const auto& [task, at] : started_at_) {
+    stage_.Record("dies: " + task + ", since " + std::to_string(at));
+  }
+  started_at_.clear();
+  stage_.Remove("servers/" + id_);
 }
 
 void Worker::Crash() {
@@ -202,19 +231,50 @@
 void Worker::OnStarted(const doorwood::StartOrder& order) {
   started_at_[order.task] = stage_.Now();
   ++stage_.starts[order.task];
-  stage_.Record("run " + std::to_string(order.run) + " of " + order.task +
-                " starts on " + id_ + ", fence " + std::to_string(order.token));
+  const auto done = stage_.done.find(order.task);
+  if (done != stage_.done.end()) {
+    const Stage::Done& end = done->second;
+    const auto left = stage_.left_at.find(end.worker);
+    stage_.started_after_done.push_back(order.task);
+    stage_.Record("STARTED AGAIN: " + order.task + ", run " +
+                  std::to_string(order.run) + " on " + id_ + ", " +
+                  std::to_string(stage_.Now() - end.at) + " ms after its run " +
+                  std::to_string(end.run) + " had ended done on " + end.worker +
+                  (left == stage_.left_at.end()
+                       ? ""
+                       : ", " + std::to_string(left->second - end.at) +
+                             " ms before that worker left") +
+                  (end.acknowledged ? "; acknowledged" : "; not acknowledged"));
+  }
+  if (!stage_.brief_runs) {
+    stage_.Record("run " + std::to_string(order.run) + " of " + order.task +
+                  " starts on " + id_ + ", fence " +
+                  std::to_string(order.token));
+  }
 }
 
 void Worker::OnEnded(const doorwood::EndedRun& end) {
+  const int64_t started = started_at_[end.task];
   started_at_.erase(end.task);
+  if (end.end == doorwood::RunEnd::kDone) {
+    stage_.done[end.task] = {end.run, id_, stage_.Now(), false};
+  }
   ++stage_.ends[end.task + " " + std::string(doorwood::ToString(end.end))];
-  stage_.Record("run " + std::to_string(end.run) + " of " + end.task +
-                " ends on " + id_ + ": " +
-                std::string(doorwood::ToString(end.end)));
+  const std::string how(doorwood::ToString(end.end));
+  const std::string run = std::to_string(end.run);
+  stage_.Record(stage_.brief_runs
+                    ? end.task + " run " + run + " on " + id_ + " since " +
+                          std::to_string(started) + ": " + how
+                    : "run " + run + " of " + end.task + " ends on " + id_ +
+                          ": " + how);
 }
 
-void Worker::OnEndAcknowledged(const doorwood::EndedRun&) {}
+void Worker::OnEndAcknowledged(const doorwood::EndedRun& end) {
+  const auto found = stage_.done.find(end.task);
+  if (found != stage_.done.end() && found->second.run == end.run) {
+    found->second.acknowledged = true;
+  }
+}
 
 void Worker::Handle(const HttpRequest& request,
                     const HttpServer::Respond& respond) {
@@ -242,6 +302,10 @@
                stage_.Now() + body->value("waitMs", int64_t{0}), respond);
     return;
   }
+  if (request.path == "/run-start" && stage_.task_ms) {
+    (*body)["spec"] =
+        "ms=" + std::to_string(stage_.task_ms(body->value("taskId", "")));
+  }
   if (request.path == "/run-stop") {
     const std::string task = body->value("taskId", "");
     stage_.Record("order to stop " + task + " at " + id_);
@@ -256,12 +320,17 @@
                         doorwood::PollOrder order,
                         int64_t until,
                         const HttpServer::Respond& respond) {
-  if (!up_ || life != life_) {
+  // A worker that leaves answers a call that it holds if an end is to be told.
+  const bool leaves = left_ && life == life_;
+  if ((!up_ && !leaves) || life != life_) {
     return;
   }
   Advance();
   doorwood::WorkerReport report;
   const auto error = model_->Poll(order, &report);
+  if (leaves && report.ended.empty()) {
+    return;
+  }
   if (error || !report.ended.empty() || stage_.Now() >= until) {
     HttpResponse response = doorwood::platform::EncodeReport(error, report);
     if (!error) {
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -69,6 +69,11 @@
   /// Ends the life: all that runs dies at once, and nothing answers. The store
   /// forgets the entry after three liveness reports of silence.
   void Crash();
+  /// States `draining` in the store, with the least time remaining.
+  void Announce(int64_t remaining_ms);
+  /// The planned end of the life: all that runs dies, connections are closed,
+  /// and the entry is removed.
+  void Leave();
   void Advance();
 
   const std::string& id() const { return id_; }
@@ -83,6 +88,7 @@
   void OnEndAcknowledged(const doorwood::EndedRun& end) override;
 
  private:
+  void PutEntry(const std::string& state, int64_t remaining_ms);
   void Handle(const doorwood::HttpRequest& request,
               const doorwood::HttpServer::Respond& respond);
   void AnswerHold(int life,
@@ -97,6 +103,7 @@
   int life_ = 0;
   std::string id_;
   bool up_ = false;
+  bool left_ = false;
   std::unique_ptr<doorwood::standin::RunWorkerModel> model_;
   std::map<std::string, int64_t> started_at_;
   doorwood::HttpServer server_;
@@ -172,6 +179,22 @@
   /// Starts of each task so far, and ends by kind ("TASK HOW").
   std::map<std::string, int> starts;
   std::map<std::string, int> ends;
+  /// Records a run when it ends only.
+  bool brief_runs = false;
+  /// How long the work of a task takes; empty: as its spec says.
+  std::function<int64_t(const std::string& task)> task_ms;
+  /// Where and when a run of a task ended `done`, and the tasks of which
+  /// another run has started since.
+  struct Done {
+    uint32_t run = 0;
+    std::string worker;
+    int64_t at = 0;
+    bool acknowledged = false;
+  };
+  std::map<std::string, Done> done;
+  std::vector<std::string> started_after_done;
+  /// When the lives of workers ended as planned.
+  std::map<std::string, int64_t> left_at;
 
  private:
   friend class Worker;
