feat(cell): what each held task waits for after a takeover

Cause: the line about a takeover's wait named eight tasks and eight workers separately.

Change: a row for each held task, long-running ones first, at most 24 a line and one line a second: worker, time without a lease extension, remaining wait, state of the worker, reason. Gauges with the numbers by reason and the longest remaining wait. The rows are built outside the leader (held_tasks.h). No decision changes.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -496,9 +496,10 @@
   Millis RemainingWait(const CellWorker& cell_worker) const;
   /// Workers for which the takeover still waits (see `RemainingWait`).
   UnaccountedWorkers FindUnaccountedWorkers() const;
-  static void AddUnaccountedWorker(std::string_view worker,
-                                   const CellWorker& cell_worker,
-                                   UnaccountedWorkers* unaccounted);
+  WorkerWait DescribeWait(const CellWorker& cell_worker) const;
+  void AddUnaccountedWorker(std::string_view worker,
+                            const CellWorker& cell_worker,
+                            UnaccountedWorkers* unaccounted) const;
   /// Whether the task may be active on one of these workers, or may have ended
   /// there unreported.
   bool MayRunOn(const Task& task, const UnaccountedWorkers& unaccounted) const;
@@ -509,7 +510,8 @@
   /// Requests a proof of the lead if a wait for an uncontacted worker would be
   /// over, had the lead been proved by now.
   void RequestProofIfWaitServed();
-  /// Logs the unaccounted workers, at most once a second.
+  /// Logs what the held tasks wait for, and updates
+  /// `CellCounters::held_tasks`, at most once a second.
   void LogWait();
 
   // cell_run_ends.cpp: processing the ends of runs.
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -12,6 +12,7 @@
 
 #include "doorwood/cell_journal.h"
 #include "doorwood/cell_policy.h"
+#include "doorwood/held_tasks.h"
 #include "doorwood/job_repetitions.h"
 #include "doorwood/lead_proof.h"
 #include "doorwood/lead_vacancy.h"
@@ -155,6 +156,9 @@
   uint64_t jobs_archived = 0;
   /// Time that the newest takeover took to read the records, in ms.
   uint64_t takeover_read_ms = 0;
+  /// Tasks that are held back after a takeover, as of the newest line about
+  /// them in the log.
+  HeldTaskCounts held_tasks;
   /// Times that a worker was set aside; see `WorkerReliability`.
   uint64_t workers_set_aside = 0;
   uint64_t takeovers = 0;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -162,6 +162,7 @@
   ended_jobs_.Close();
   to_archive_.clear();
   proof_.Close();
+  counters_.held_tasks = {};
   tickets_.Clear();
   upkeep_waves_.Close();
   auto cancels = std::move(cancels_);
--- a/src/libdoorwood/cell/cell_takeover.cpp
+++ b/src/libdoorwood/cell/cell_takeover.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "doorwood/cell_leader.h"
+#include "doorwood/held_tasks.h"
 
 namespace doorwood {
 namespace {
@@ -23,10 +24,9 @@
 
 // Interval at which the workers that the leader waits for are logged.
 constexpr Millis kWaitLogInterval{1000};
-// Maximum number of workers named in such a line.
+// Maximum number of workers, and of held tasks, described in such a line.
 constexpr size_t kMaxWorkersLogged = 8;
-// Maximum number of held tasks named in such a line.
-constexpr size_t kMaxTasksLogged = 8;
+constexpr size_t kMaxTasksLogged = 24;
 
 }  // namespace
 
@@ -120,13 +120,25 @@
   return unaccounted;
 }
 
+WorkerWait CellLeader::DescribeWait(const CellWorker& cell_worker) const {
+  const Millis left = RemainingWait(cell_worker);
+  if (HasUnlistedEnds(cell_worker)) {
+    const auto without_response = std::chrono::duration_cast<Millis>(
+        executor_.Now() - cell_worker.session->last_response_at());
+    return {WorkerWaitReason::kEndsNotListed, without_response, left};
+  }
+  return {WorkerWaitReason::kNotContacted,
+          cell_worker.predecessors_waited + TimeLeading(), left};
+}
+
 void CellLeader::AddUnaccountedWorker(std::string_view worker,
                                       const CellWorker& cell_worker,
-                                      UnaccountedWorkers* unaccounted) {
+                                      UnaccountedWorkers* unaccounted) const {
+  const WorkerWait wait = DescribeWait(cell_worker);
   if (cell_worker.inherited_tasks) {
-    unaccounted->Add(worker, *cell_worker.inherited_tasks);
+    unaccounted->Add(worker, wait, *cell_worker.inherited_tasks);
   } else {
-    unaccounted->Add(worker, cell_worker.group);
+    unaccounted->Add(worker, wait, cell_worker.group);
   }
 }
 
@@ -175,6 +187,7 @@
     job->new_tasks_may_still_run = false;
   }
   unaccounted_.reset();
+  counters_.held_tasks = {};
   log_.Write("info", "cell", "all runs of earlier leaders are accounted for",
              {{"cell", options_.cell},
               {"epoch", epoch_},
@@ -203,50 +216,22 @@
     return;
   }
   wait_logged_ = now;
-  Json workers = Json::array();
-  size_t count = 0;
-  for (const auto& [id, cell_worker] : cell_workers_) {
-    const Millis left = RemainingWait(cell_worker);
-    if (left == Millis(0)) {
-      continue;
-    }
-    if (++count <= kMaxWorkersLogged) {
-      workers.push_back(
-          {{"worker", id},
-           {"listed", cell_worker.listed},
-           {"unheard_before_ms", cell_worker.predecessors_waited.count()},
-           {"may_run", cell_worker.inherited_tasks
-                           ? Json(cell_worker.inherited_tasks->size())
-                           : Json("anything")},
-           {"left_ms", left.count()}});
-    }
-  }
-  int held = 0;
-  int held_long_running = 0;
-  Json names = Json::array();
-  for (Job* job : jobs_.OpenJobs()) {
-    ForEachTask(job, [&](const Task* task) {
-      if (!task->may_still_run || task->placed || task->done) {
-        return;
-      }
-      ++held;
-      held_long_running += task->plan().long_running ? 1 : 0;
-      if (names.size() < kMaxTasksLogged) {
-        names.push_back(task->name());
-      }
-    });
-  }
-  log_.Write("info", "cell",
-             "waiting for workers whose runs are not yet accounted for",
-             {{"cell", options_.cell},
-              {"epoch", epoch_},
-              {"led_ms", TimeLeading().count()},
-              {"unheard", count},
-              {"held_tasks", held},
-              {"held_long_running", held_long_running},
-              {"held", std::move(names)},
-              {"placements_valid", placements_valid_at_takeover_},
-              {"workers", std::move(workers)}});
+  const HeldTasks held = CollectHeldTasks(
+      jobs_, *unaccounted_, placements_valid_at_takeover_, kMaxTasksLogged);
+  counters_.held_tasks = held.counts;
+  log_.Write(
+      "info", "cell",
+      "waiting for workers whose runs are not yet accounted for",
+      {{"cell", options_.cell},
+       {"epoch", epoch_},
+       {"led_ms", TimeLeading().count()},
+       {"unaccounted", unaccounted_->workers().size()},
+       {"held_tasks", held.counts.all()},
+       {"held_long_running", held.counts.long_running},
+       {"longest_left_ms", held.counts.longest_left.count()},
+       {"held", held.rows},
+       {"placements_valid", placements_valid_at_takeover_},
+       {"workers", DescribeWorkerWaits(*unaccounted_, kMaxWorkersLogged)}});
 }
 
 }  // namespace doorwood
