--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -122,6 +122,8 @@
   int life = 1;
   /// World time at which the worker's steady clock was 0.
   int64_t clock_origin = 0;
+  /// The worker's clock runs 2% slow, the most that the platform allows.
+  bool slow_clock = false;
   /// The worker is down, and its machine refuses calls at once instead of
   /// letting them time out.
   bool refuses_calls = false;
@@ -138,7 +140,12 @@
   std::vector<Instant> start_times{};
 
   /// Advances the model to the world time `now`.
-  void Advance(int64_t now) { model.Advance(now - clock_origin); }
+  void Advance(int64_t now) {
+    const int64_t passed = now - clock_origin;
+    constexpr int64_t kSlowPercent = 98;
+    constexpr int64_t kWhole = 100;
+    model.Advance(slow_clock ? passed * kSlowPercent / kWhole : passed);
+  }
 };
 
 /// How the entry of a worker that restarts in place appears while it is down.
