--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -67,9 +67,9 @@
   /// Time that a successor deducts from its wait for the worker's runs, because
   /// no leader extended a lease there; zero: nothing to deduct.
   /// - If the recording leader has not yet contacted the worker
-  ///   (`CellLeader::IsUncontacted`): the time that this leader could deduct
-  ///   itself, plus the time that it has led.
-  /// - If the worker is unresponsive (`CellLeader::IsUnresponsive`): the time
+  ///   (`TakeoverAccount::IsUncontacted`): the time that this leader could
+  ///   deduct itself, plus the time that it has led.
+  /// - If the worker is unreachable (`WorkerSession::is_unreachable`): the time
   ///   since the `LeaseBasis` of this leader's last order that may have
   ///   extended a lease there. Leaders of earlier versions added
   ///   `CellOptions::order_grace`.
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -33,15 +33,16 @@
 #include "doorwood/known_queues.h"
 #include "doorwood/lead_proof.h"
 #include "doorwood/lead_vacancy.h"
-#include "doorwood/lease_basis.h"
 #include "doorwood/live_directory.h"
 #include "doorwood/machine_platform.h"
+#include "doorwood/order_limits.h"
 #include "doorwood/pacing.h"
 #include "doorwood/place_search.h"
 #include "doorwood/queue_table.h"
 #include "doorwood/record_store.h"
 #include "doorwood/rejected_entry_log.h"
 #include "doorwood/run_worker.h"
+#include "doorwood/takeover_account.h"
 #include "doorwood/ticket_book.h"
 #include "doorwood/unaccounted_workers.h"
 #include "doorwood/upkeep_wave_controller.h"
@@ -367,23 +368,12 @@
   /// Records the workers if one has reported another start time than its
   /// record has.
   void RecordChangedIncarnations();
-  /// Whether the worker is not yet contacted: it was added from an earlier
-  /// leader's record, has not answered this leader, is not proven to have
-  /// ended, and the takeover goes on. This leader has extended no lease there.
-  /// Not the same as unaccounted (see `UnaccountedWorkers`): a worker can be
-  /// either one without the other.
-  bool IsUncontacted(const CellWorker& cell_worker) const;
   /// Whether the worker was in contact, but is unreachable now, and no order
   /// extended a lease there for `CellOptions::unresponsive_close_delay`.
   bool IsLongUnresponsive(const CellWorker& cell_worker) const;
-  /// Whether the worker was in contact, but is unreachable now. Its record says
-  /// so, and no lease is extended there until a newer one does not.
-  bool IsUnresponsive(const CellWorker& cell_worker) const;
   /// The value of `KnownWorker::deductible_wait` to record for the worker
   /// now.
   Millis DeductibleWaitToRecord(const CellWorker& cell_worker) const;
-  /// Time since this leader finished reading the records of earlier leaders.
-  Millis TimeLeading() const;
   /// Records how long no lease was extended on workers that are not yet
   /// contacted or are unresponsive: periodically, and as soon as a worker
   /// becomes unresponsive.
@@ -421,13 +411,8 @@
   /// confirmed again. Stops, paces and polls that extend no lease are not
   /// limited.
   Instant OrderDeadline() const;
-  /// Extends `order_deadline_` to the later of two times: `order_grace` after
-  /// the newest stored batch was sent, and the time that
-  /// `LiveDirectory::OutageConfirmedUntil` returns. The second time counts only
-  /// if the current deadline has not passed: after that deadline, another
-  /// instance may have led, and only the store proves the lead. Updates
-  /// `lease_basis_` by the same evidence.
-  void ExtendOrderDeadline();
+  /// Applies what the other instances state of the store to `order_limits_`.
+  void ApplyOutageStatements();
   /// Sends the journal's first batch, before which this leader gives no orders,
   /// once all workers are contacted or `first_contact_time` has passed.
   void SendFirstBatchIfDue();
@@ -498,22 +483,6 @@
   /// Allows the start of tasks that can neither be active on an unaccounted
   /// worker nor have ended there unreported.
   void ReleaseTasks();
-  /// Whether the worker was added from an earlier leader's record, has answered
-  /// this leader and is not dead, but has not yet listed all its ended runs.
-  /// False once the takeover is over.
-  bool HasUnlistedEnds(const CellWorker& cell_worker) const;
-  /// How much longer the takeover waits for the worker if it does not respond
-  /// meanwhile; zero: the worker is accounted for.
-  Millis RemainingWait(const CellWorker& cell_worker) const;
-  /// Workers for which the takeover still waits (see `RemainingWait`).
-  UnaccountedWorkers FindUnaccountedWorkers() const;
-  /// Time for which a worker with unlisted ends has not responded, and this
-  /// leader has sent no order that may have extended a lease there.
-  Millis TimeWithoutResponse(const CellWorker& cell_worker) const;
-  WorkerWait DescribeWait(const CellWorker& cell_worker) const;
-  void AddUnaccountedWorker(std::string_view worker,
-                            const CellWorker& cell_worker,
-                            UnaccountedWorkers* unaccounted) const;
   /// Whether the task may be active on one of these workers, or may have ended
   /// there unreported.
   bool MayRunOn(const Task& task, const UnaccountedWorkers& unaccounted) const;
@@ -824,10 +793,6 @@
   /// Updates the candidates of all workers (free capacity, and whether the
   /// worker accepts new work) and returns them.
   std::vector<CandidateWorker*> CollectCandidates();
-  /// Whether orders that extend leases may be sent to the worker. A record that
-  /// excludes them binds unless no instance can reach the store: then all that
-  /// may lead next have stated so, and deduct no time before that.
-  bool MayExtendLeases(const CellWorker& cell_worker) const;
   /// Whether a task that was placed on the worker may be started there.
   /// `MayOrderStarts` is checked separately.
   bool MayReceiveStarts(const CellWorker& cell_worker) const;
@@ -950,12 +915,6 @@
   /// or to workers that were closed to new work or opened again.
   Instant next_tasks_record_{};
   Instant last_tick_{};
-  /// Time until which starts may be ordered and leases extended, unless this
-  /// process was paused. Use `OrderDeadline`, which takes pauses into account.
-  Instant order_deadline_{};
-  /// This process was paused. Its lead must be confirmed before it orders
-  /// starts or extends leases.
-  bool unconfirmed_after_pause_ = false;
   /// Since when this instance may campaign for a vacant lead; zero: it may not,
   /// or the lead is not vacant.
   Instant vacant_since_{};
@@ -1013,11 +972,7 @@
   /// Since when a planned shutdown orders no starts and no lease extensions any
   /// more; zero: it still does, or there is none.
   Instant orders_ended_{};
-  /// What the leases that this leader grants count from.
-  LeaseBasis lease_basis_;
-  /// Until when leases may be extended on workers whose record says that none
-  /// are (see `MayExtendLeases`).
-  Instant blocked_orders_until_{};
+  OrderLimits order_limits_;
   /// See `JournalOwner::BoundedLeasesEpoch`.
   bool leases_bounded_ = false;
   /// When this instance last stated that it cannot reach the store, or led by
@@ -1033,7 +988,7 @@
   /// journal to be archived yet.
   std::vector<std::string> to_archive_;
   LeadProof proof_;
-  TakeoverWait takeover_wait_;
+  TakeoverAccount takeover_;
   WorkerQuarantine quarantine_;
   WorkerReliability reliability_;
   /// Which workers are set aside has changed since they were last recorded.
@@ -1095,9 +1050,6 @@
   RejectedEntryLog rejected_entries_{log_, "cell"};
   /// Pending cancellations, by job.
   std::multimap<std::string, PendingCancel> cancels_;
-  /// The takeover is over: no worker is unaccounted, so every run from before
-  /// it is known to this leader or has certainly ended.
-  bool all_runs_accounted_ = true;
   /// `RequestProofIfWaitServed` has requested a proof.
   bool takeover_awaits_proof_ = false;
   /// As of the last `ReleaseTasks` in this takeover; empty before the first.
--- a/src/include/doorwood/live_directory.h
+++ b/src/include/doorwood/live_directory.h
@@ -54,6 +54,18 @@
   bool remembers_statements = true;
 };
 
+/// Statements of all instances that may take a lead that they cannot reach the
+/// store.
+struct StatedOutage {
+  /// When the oldest of them was asked for; each was given later.
+  Instant asked{};
+  /// Until when no other instance can take a lead: `answer_validity` after
+  /// `asked`. Zero: there are no such statements.
+  Instant valid_until{};
+  /// See `LiveInstance::remembers_statements`.
+  bool all_remember = false;
+};
+
 struct CellLead {
   std::string cell;
   std::string instance;
@@ -219,7 +231,7 @@
   bool AgreeToUnrecordedStarts();
   /// Sets whether the other instances are to be asked to agree.
   void set_needs_agreement(bool needs) { needs_agreement_ = needs; }
-  /// Until when the agreement of all instances that `OutageConfirmedUntil`
+  /// Until when the agreement of all instances that `OutageStatements`
   /// considers is valid. Zero if one of them has not agreed, if there is none,
   /// or if the store answered this process after the oldest of these requests
   /// or less than `store_unresponsive_threshold` before it.
@@ -244,20 +256,12 @@
   /// Epochs of the newest leader of the cell that this process knows of and of
   /// its `CellLead::predecessors`, newest first; empty if it knows of none.
   std::vector<int64_t> NewestKnownEpochs(const std::string& cell) const;
-  /// Until when no other instance can take a lead, because every other instance
-  /// in the directory, and every missing one that may return (see `MayReturn`),
-  /// answered that it cannot reach the store either. An answer is valid for
-  /// `answer_validity` from the time of its query. Zero if the answer of one is
-  /// missing, if no such instance is known, or if the store answered this
-  /// process after the oldest of these queries or less than
-  /// `store_unresponsive_threshold` before it.
-  Instant OutageConfirmedUntil() const;
-  /// Whether all instances whose answers `OutageConfirmedUntil` considers
-  /// remember when they gave them.
-  bool AllRememberStatements() const;
-  /// When the oldest of these answers was asked for; zero if
-  /// `OutageConfirmedUntil` is.
-  Instant OutageConfirmedAt() const;
+  /// The statements of every other instance in the directory, and of every
+  /// missing one that may return (see `MayReturn`), that it cannot reach the
+  /// store either. Empty if the statement of one is missing, if no such
+  /// instance is known, or if the store answered this process after the oldest
+  /// of these queries or less than `store_unresponsive_threshold` before it.
+  StatedOutage OutageStatements() const;
   /// Of the instances that are not leaving and whose answer that they reach the
   /// store (see `store_answer_margin`) arrived less than
   /// `store_unresponsive_threshold` ago, the one with the largest `cpu_share`.
--- a/src/include/doorwood/lease_basis.h
+++ b/src/include/doorwood/takeover_wait.h
@@ -1,53 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// The time from which a leader counts the leases that it grants, and for how
-/// long a new leader has to expect that such a lease lasts.
+/// For how long a new leader has to expect that runs of earlier leaders go on
+/// on a worker that it cannot contact.
 
-#ifndef DOORWOOD_LEASE_BASIS_H_
-#define DOORWOOD_LEASE_BASIS_H_
+#ifndef DOORWOOD_TAKEOVER_WAIT_H_
+#define DOORWOOD_TAKEOVER_WAIT_H_
 
-#include <algorithm>
-#include <cstdint>
 #include <optional>
 
 #include "doorwood/types.h"
 
 namespace doorwood {
 
-/// The latest time at which a leader provably led, by evidence that every
-/// instance that may succeed it has as well. However late an order is sent or
-/// carried out, no lease that it grants ends later than one run lease after
-/// this time.
-class LeaseBasis {
- public:
-  void Reset() { *this = LeaseBasis(); }
-  /// The store has taken a batch of this leader that was sent at `sent`. A
-  /// successor finds the batch in the store.
-  void NoteBatchStored(Instant sent) {
-    batch_sent_ = std::max(batch_sent_, sent);
-  }
-  /// Each instance that may lead next was asked at `asked` or later, and stated
-  /// that it cannot reach the store. It knows when it stated that. Ignored
-  /// before the first batch is stored.
-  void NoteOutageConfirmed(Instant asked) {
-    if (batch_sent_ != Instant{}) {
-      outage_confirmed_ = std::max(outage_confirmed_, asked);
-    }
-  }
-
-  /// Zero: there is no evidence yet, and no lease may be granted.
-  Instant time() const { return std::max(batch_sent_, outage_confirmed_); }
-  /// Zero: no batch of this leader is known to be stored.
-  Instant batch_sent() const { return batch_sent_; }
-  /// Zero: no outage was confirmed since the first batch.
-  Instant outage_confirmed() const { return outage_confirmed_; }
-
- private:
-  Instant batch_sent_{};
-  Instant outage_confirmed_{};
-};
-
 struct TakeoverWaitOptions {
   /// Longest lease that a leader of this version grants.
   Millis run_lease{0};
@@ -102,4 +67,4 @@
 
 }  // namespace doorwood
 
-#endif  // DOORWOOD_LEASE_BASIS_H_
+#endif  // DOORWOOD_TAKEOVER_WAIT_H_
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -375,10 +375,12 @@
   /// The poll that completed last failed. Until one succeeds, polls extend no
   /// lease there.
   bool last_poll_failed() const { return failed_polls_ > 0; }
-  /// No poll has succeeded since at least two failed, or since one was not
-  /// answered in time. A single failed poll may be due to a connection that was
-  /// reset.
-  bool is_unreachable() const { return failed_polls_ > 1 || poll_timed_out_; }
+  /// The worker has answered a poll of this leader, but since then two polls
+  /// failed in a row, or one was not answered in time. A single failed poll may
+  /// be due to a connection that was reset.
+  bool is_unreachable() const {
+    return fenced_ && (failed_polls_ > 1 || poll_timed_out_);
+  }
   /// The worker has left a start unanswered for
   /// `WorkerSessionOptions::slow_start_answer`, or the last poll failed.
   bool is_slow_to_answer() const;
--- a/src/libdoorwood/cell/cell_campaign.cpp
+++ b/src/libdoorwood/cell/cell_campaign.cpp
@@ -433,25 +433,21 @@
       worker.tasks.reset();
     }
   }
-  takeover_wait_.Begin(ReadWaitEvidence(newest));
-  leases_bounded_ = takeover_wait_.evidence().leases_bounded;
+  led_since_ = executor_.Now();
+  takeover_.Begin(ReadWaitEvidence(newest), led_since_);
+  leases_bounded_ = takeover_.wait().evidence().leases_bounded;
   groups_kept_at_takeover_ = newest == nullptr || KeepsToGroups(newest->value);
   const int open = RestoreJobs(items);
   stage_ = Stage::kLeading;
-  all_runs_accounted_ = false;
   takeover_awaits_proof_ = false;
   unaccounted_.reset();
-  led_since_ = executor_.Now();
   last_tick_ = led_since_;
   unreachable_recorded_ = led_since_ + options_.first_unreachable_record -
                           options_.unreachable_record_interval;
   next_tasks_record_ = Instant{};
   workers_record_requested_ = false;
   wait_logged_ = Instant{};
-  unconfirmed_after_pause_ = false;
-  order_deadline_ = Instant{};
-  lease_basis_.Reset();
-  blocked_orders_until_ = Instant{};
+  order_limits_.Begin();
   workers_read_ = Instant{};
   workers_read_began_ = Instant{};
   workers_reads_failed_ = 0;
@@ -466,7 +462,7 @@
   const auto read_time =
       std::chrono::duration_cast<Millis>(led_since_ - won_at_);
   counters_.takeover_read_ms = static_cast<uint64_t>(read_time.count());
-  const TakeoverWait::Evidence& evidence = takeover_wait_.evidence();
+  const TakeoverWait::Evidence& evidence = takeover_.wait().evidence();
   log_.Write("info", "cell", "read the records of earlier leaders",
              {{"cell", options_.cell},
               {"epoch", epoch_},
@@ -479,8 +475,8 @@
               {"planned_stop", evidence.since_term_end.has_value()},
               {"leases_bounded", evidence.leases_bounded},
               {"newest_batch_ms_ago", evidence.since_newest_batch.count()},
-              {"waited_ms", takeover_wait_.DeductibleFor(Millis(0)).count()},
-              {"full_wait_ms", takeover_wait_.full().count()},
+              {"waited_ms", takeover_.wait().DeductibleFor(Millis(0)).count()},
+              {"full_wait_ms", takeover_.wait().full().count()},
               {"agreeing_since", live_.no_agreement_since()}});
   journal_.Open(epoch_, chains);
   journal_.Hold();
@@ -505,7 +501,7 @@
     cell_worker.recorded_group = worker.group;
     groups_.Restore(worker.group);
     cell_worker.predecessors_waited =
-        takeover_wait_.DeductibleFor(worker.deductible_wait);
+        takeover_.wait().DeductibleFor(worker.deductible_wait);
     cell_worker.renewals_blocked = worker.deductible_wait > Millis(0);
     cell_worker.inherited_tasks = worker.tasks;
     cell_worker.starts_blocked = worker.tasks.has_value();
--- a/src/libdoorwood/cell/cell_crashes.cpp
+++ b/src/libdoorwood/cell/cell_crashes.cpp
@@ -176,7 +176,8 @@
   std::vector<Task*> tasks;
   const int64_t now = unix_millis_();
   UnaccountedWorkers unaccounted;
-  AddUnaccountedWorker(worker, cell_worker, &unaccounted);
+  takeover_.AddTo(worker, cell_worker, executor_.Now(), proof_.confirmed_at(),
+                  &unaccounted);
   for (Job* job : std::vector<Job*>(jobs_.OpenJobs())) {
     ForEachTask(job, [&](Task* task) {
       const bool may_run =
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -90,8 +90,9 @@
       journal_(executor, store, log, *this, options.journal, options.cell),
       ended_jobs_(executor, store, log, EndedJobsOptions{}, options.cell),
       proof_(executor, store, *this, options.proof, LeadKey(options.cell)),
-      takeover_wait_({options.sessions.run_lease,
-                      options.sessions.earlier_run_lease, options.order_grace}),
+      order_limits_(options.order_grace),
+      takeover_({options.sessions.run_lease, options.sessions.earlier_run_lease,
+                 options.order_grace}),
       quarantine_(options.policy),
       reliability_(options.policy.reliability),
       trials_(options.policy.crashes),
@@ -358,25 +359,15 @@
 // --- Time ---
 
 Instant CellLeader::OrderDeadline() const {
-  const bool may_order = leading() && !unconfirmed_after_pause_ &&
-                         orders_ended_ == Instant{} &&
-                         lease_basis_.time() != Instant{};
-  return may_order ? order_deadline_ : Instant{};
+  const bool may_order = leading() && orders_ended_ == Instant{};
+  return may_order ? order_limits_.deadline() : Instant{};
 }
 
-void CellLeader::ExtendOrderDeadline() {
-  const Instant until = executor_.Now() < order_deadline_
-                            ? live_.OutageConfirmedUntil()
-                            : Instant{};
-  if (until != Instant{}) {
-    order_deadline_ = std::max(order_deadline_, until);
-    lease_basis_.NoteOutageConfirmed(live_.OutageConfirmedAt());
-    blocked_orders_until_ =
-        live_.AllRememberStatements() ? until : blocked_orders_until_;
-    stated_store_unreachable_at_ = executor_.Now();  // May succeed itself.
-  }
-  order_deadline_ = std::max(order_deadline_,
-                             lease_basis_.batch_sent() + options_.order_grace);
+void CellLeader::ApplyOutageStatements() {
+  const Instant now = executor_.Now();
+  if (order_limits_.NoteStatements(now, live_.OutageStatements())) {
+    stated_store_unreachable_at_ = now;  // May succeed itself.
+  }
 }
 
 // A successor that cannot contact a worker counts its wait from the newest
@@ -388,11 +379,12 @@
     return;
   }
   const bool all_contacted = std::none_of(
-      cell_workers_.begin(), cell_workers_.end(),
-      [this](const auto& entry) { return IsUncontacted(entry.second); });
+      cell_workers_.begin(), cell_workers_.end(), [this](const auto& entry) {
+        return takeover_.IsUncontacted(entry.second);
+      });
   const bool in_turns = !contacts_waiting_.empty();
   if (!all_contacted && !in_turns &&
-      TimeLeading() < options_.first_contact_time) {
+      takeover_.TimeLeading(executor_.Now()) < options_.first_contact_time) {
     return;
   }
   if (!all_contacted && !in_turns) {
@@ -404,7 +396,7 @@
 
 void CellLeader::RenewLeaseBasis() {
   if (!journal_.is_held() && journal_.flow().in_flight() == 0 &&
-      executor_.Now() - lease_basis_.batch_sent() >=
+      executor_.Now() - order_limits_.basis().batch_sent() >=
           options_.lease_basis_interval) {
     journal_.RequestCommit();
   }
@@ -436,20 +428,13 @@
   const Instant extension_end = releasing_since_ != Instant{}
                                     ? std::min(order_deadline, releasing_since_)
                                     : order_deadline;
-  const bool is_blocked = cell_worker.renewals_blocked;
-  cell_worker.session->SetLeaseExtensionEnd(
-      is_blocked ? std::min(extension_end, blocked_orders_until_)
-                 : extension_end);
-  cell_worker.session->SetLeaseBasis(
-      is_blocked ? lease_basis_.outage_confirmed() : lease_basis_.time());
+  const LeaseLimits limits =
+      order_limits_.For(cell_worker.renewals_blocked, extension_end);
+  cell_worker.session->SetLeaseExtensionEnd(limits.extension_end);
+  cell_worker.session->SetLeaseBasis(limits.basis);
   cell_worker.session->SetLeadConfirmedUntil(proof_.confirmed_at());
 }
 
-bool CellLeader::MayExtendLeases(const CellWorker& cell_worker) const {
-  return !cell_worker.renewals_blocked ||
-         executor_.Now() < blocked_orders_until_;
-}
-
 void CellLeader::UpdateAllSessionLimits() const {
   const Instant order_deadline = OrderDeadline();
   for (const auto& [id, cell_worker] : cell_workers_) {
@@ -458,12 +443,11 @@
 }
 
 void CellLeader::OnLeadConfirmed(Instant sent) {
-  const bool begins_orders = lease_basis_.time() == Instant{};
-  lease_basis_.NoteBatchStored(sent);
+  const bool begins_orders = order_limits_.basis().time() == Instant{};
+  order_limits_.NoteBatchStored(sent);
   if (sent > proof_.confirmed_at()) {
     proof_.NoteConfirmed(sent);
   } else {
-    ExtendOrderDeadline();
     UpdateAllSessionLimits();
   }
   if (begins_orders && leading()) {
@@ -488,7 +472,7 @@
   if (!leading()) {
     return;
   }
-  ExtendOrderDeadline();
+  ApplyOutageStatements();
   const Instant order_deadline = OrderDeadline();
   std::vector<std::shared_ptr<WorkerSession>> waiting;
   for (const auto& [id, cell_worker] : cell_workers_) {
@@ -525,14 +509,14 @@
   const Instant now = executor_.Now();
   if (now - last_tick_ > options_.tick + kPauseThreshold &&
       !IsLeadConfirmed()) {
-    unconfirmed_after_pause_ = true;
+    order_limits_.set_unconfirmed_after_pause(true);
     log_.Write("warn", "cell",
                "this process was paused or delayed; starting no tasks and "
                "extending no leases until the lead is confirmed",
                {{"cell", options_.cell}});
   }
   if (IsLeadConfirmed()) {
-    unconfirmed_after_pause_ = false;
+    order_limits_.set_unconfirmed_after_pause(false);
   }
   last_tick_ = now;
   if (const LiveInstance* other = live_.FindInstanceReachingStore()) {
@@ -553,7 +537,7 @@
   RecordBoundedLeases();
   const Millis watching_wait = InterferencePollWait();
   std::vector<std::shared_ptr<WorkerSession>> sessions;
-  ExtendOrderDeadline();
+  ApplyOutageStatements();
   const Instant order_deadline = OrderDeadline();
   bool awaits_proof = false;
   for (const auto& [id, cell_worker] : cell_workers_) {
@@ -590,8 +574,8 @@
   PublishRecordedPlacements();
   // A predecessor whose key was removed while it lived may order upkeep of
   // other machines of a wave for this long.
-  if (all_runs_accounted_ && IsLeadConfirmed() &&
-      TimeLeading() >= options_.lead_confirmed_for) {
+  if (takeover_.finished() && IsLeadConfirmed() &&
+      takeover_.TimeLeading(executor_.Now()) >= options_.lead_confirmed_for) {
     upkeep_waves_.Tick();
   }
   ExpireCancels();
--- a/src/libdoorwood/cell/cell_placement_records.cpp
+++ b/src/libdoorwood/cell/cell_placement_records.cpp
@@ -75,7 +75,7 @@
 }
 
 bool CellLeader::ArePlacementsRecorded() const {
-  return (placements_valid_at_takeover_ || all_runs_accounted_) &&
+  return (placements_valid_at_takeover_ || takeover_.finished()) &&
          unrecorded_placements_.empty();
 }
 
--- a/src/libdoorwood/cell/cell_places.cpp
+++ b/src/libdoorwood/cell/cell_places.cpp
@@ -56,7 +56,9 @@
 
 bool CellLeader::MayReceiveStarts(const CellWorker& cell_worker) const {
   const WorkerSession& session = *cell_worker.session;
-  return IsIncarnationRecorded(cell_worker) && MayExtendLeases(cell_worker) &&
+  return IsIncarnationRecorded(cell_worker) &&
+         order_limits_.MayExtendLeases(cell_worker.renewals_blocked,
+                                       executor_.Now()) &&
          !cell_worker.starts_blocked && cell_worker.listed &&
          session.responsive() && !session.incarnation().draining &&
          executor_.Now() >= cell_worker.evacuated_until &&
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -198,7 +198,7 @@
   JobTable::RemoveUnconfirmedCrash(task, end.run);
   ApplyRunEnd(task, session, number, end.end, end.checkpoint, active_run);
   auto& reported_runs = task->reported_runs;
-  if (!all_runs_accounted_ &&
+  if (!takeover_.finished() &&
       std::find(reported_runs.begin(), reported_runs.end(), end.run) ==
           reported_runs.end()) {
     reported_runs.push_back(end.run);
@@ -265,7 +265,7 @@
   if (is_second) {
     NoteSecondAdoptedRun(task, active_run.run);
   } else {
-    task->adopted_run = all_runs_accounted_ ? 0 : active_run.run;
+    task->adopted_run = takeover_.finished() ? 0 : active_run.run;
   }
   task->may_have_unconfirmed_crash = false;
   JobTable::RemoveUnconfirmedCrash(task, active_run.run);
--- a/src/libdoorwood/cell/cell_worker_records.cpp
+++ b/src/libdoorwood/cell/cell_worker_records.cpp
@@ -70,10 +70,10 @@
     cell_worker.starts_blocked =
         cell_worker.starts_blocked || worker.tasks.has_value();
     cell_worker.submitted_record = worker;
-    cell_worker.submitted_as_closed = IsUncontacted(cell_worker)
+    cell_worker.submitted_as_closed = takeover_.IsUncontacted(cell_worker)
                                           ? worker.tasks.has_value()
                                           : IsClosedToNewWork(cell_worker);
-    cell_worker.submitted_version = IsUncontacted(cell_worker)
+    cell_worker.submitted_version = takeover_.IsUncontacted(cell_worker)
                                         ? CellWorker::kNeverSubmitted
                                         : cell_worker.session->tasks_version();
   }
@@ -101,7 +101,8 @@
 // become fewer: a task whose end there is recorded need not be held back.
 std::optional<std::vector<std::string>> CellLeader::TasksToRecord(
     const CellWorker& cell_worker) const {
-  if (IsUncontacted(cell_worker) || HasUnlistedEnds(cell_worker)) {
+  if (takeover_.IsUncontacted(cell_worker) ||
+      takeover_.HasUnlistedEnds(cell_worker)) {
     return cell_worker.inherited_tasks;
   }
   if (!IsClosedToNewWork(cell_worker)) {
@@ -128,7 +129,7 @@
 }
 
 bool CellLeader::HasUnrecordedTaskChanges(const CellWorker& cell_worker) const {
-  if (IsUncontacted(cell_worker)) {
+  if (takeover_.IsUncontacted(cell_worker)) {
     return false;
   }
   const bool closed = IsClosedToNewWork(cell_worker);
@@ -178,35 +179,27 @@
   }
 }
 
-bool CellLeader::IsUncontacted(const CellWorker& cell_worker) const {
-  return cell_worker.from_takeover && !all_runs_accounted_ &&
-         !cell_worker.session->fenced() &&
-         !cell_worker.session->confirmed_dead();
-}
-
-bool CellLeader::IsUnresponsive(const CellWorker& cell_worker) const {
-  const WorkerSession& session = *cell_worker.session;
-  return session.fenced() && session.is_unreachable();
-}
-
 bool CellLeader::IsLongUnresponsive(const CellWorker& cell_worker) const {
-  return IsUnresponsive(cell_worker) &&
-         executor_.Now() - cell_worker.session->last_lease_order_at() >=
+  const WorkerSession& session = *cell_worker.session;
+  return session.is_unreachable() &&
+         executor_.Now() - session.last_lease_order_at() >=
              options_.unresponsive_close_delay;
 }
 
 Millis CellLeader::DeductibleWaitToRecord(const CellWorker& cell_worker) const {
-  if (IsUncontacted(cell_worker)) {
+  if (takeover_.IsUncontacted(cell_worker)) {
     // Never zero: a successor that finds a TermEnd takes the worker as
     // contacted then.
-    return std::max(cell_worker.predecessors_waited + TimeLeading(), Millis(1));
+    return std::max(cell_worker.predecessors_waited +
+                        takeover_.TimeLeading(executor_.Now()),
+                    Millis(1));
   }
   // Once this leader has ended its orders, it extends no lease on a worker that
   // does not respond, however short the time without response.
   const WorkerSession& session = *cell_worker.session;
   const bool extends_no_more = orders_ended_ != Instant{} && session.fenced() &&
                                session.last_poll_failed();
-  if (!IsUnresponsive(cell_worker) && !extends_no_more) {
+  if (!session.is_unreachable() && !extends_no_more) {
     return Millis(0);
   }
   return std::max(std::chrono::duration_cast<Millis>(
@@ -214,28 +207,26 @@
                   Millis(1));
 }
 
-Millis CellLeader::TimeLeading() const {
-  return std::chrono::duration_cast<Millis>(executor_.Now() - led_since_);
-}
-
 // Lets the next leader deduct from its wait the time in which no lease was
 // extended, however soon this leader is lost.
 void CellLeader::RecordUnreachableWorkers() {
   const Instant now = executor_.Now();
-  if (now - lease_basis_.batch_sent() >= kMaxBatchAge ||
+  if (now - order_limits_.basis().batch_sent() >= kMaxBatchAge ||
       now < next_tasks_record_ ||
-      (!contacts_waiting_.empty() && TimeLeading() < kMaxContactingTime)) {
+      (!contacts_waiting_.empty() &&
+       takeover_.TimeLeading(executor_.Now()) < kMaxContactingTime)) {
     return;
   }
   bool is_new = false;
   bool any = false;
   for (const auto& [id, cell_worker] : cell_workers_) {
-    // For an unresponsive worker without runs, the time makes no difference to
+    // For an unreachable worker without runs, the time makes no difference to
     // a successor.
-    const bool unresponsive =
-        IsUnresponsive(cell_worker) && !cell_worker.session->runs().empty();
-    any = any || unresponsive || IsUncontacted(cell_worker);
-    is_new = is_new || (unresponsive && !cell_worker.renewals_blocked);
+    const WorkerSession& session = *cell_worker.session;
+    const bool unreachable =
+        session.is_unreachable() && !session.runs().empty();
+    any = any || unreachable || takeover_.IsUncontacted(cell_worker);
+    is_new = is_new || (unreachable && !cell_worker.renewals_blocked);
   }
   const bool is_due =
       now - unreachable_recorded_ >= options_.unreachable_record_interval;
@@ -254,8 +245,9 @@
 }
 
 bool CellLeader::HaveEarlierLeasesExpired() const {
-  return all_runs_accounted_ &&
-         TimeLeading() >= takeover_wait_.full_after_earlier_version();
+  return takeover_.finished() &&
+         takeover_.TimeLeading(executor_.Now()) >=
+             takeover_.wait().full_after_earlier_version();
 }
 
 void CellLeader::OnWorkersRecorded(const std::vector<KnownWorker>& workers) {
--- a/src/libdoorwood/cell/cell_workers.cpp
+++ b/src/libdoorwood/cell/cell_workers.cpp
@@ -421,7 +421,7 @@
     // so that a successor learns of them.
     const bool is_still_needed = !session.runs().empty() ||
                                  session.has_unrecorded_ends() ||
-                                 IsUncontacted(it->second);
+                                 takeover_.IsUncontacted(it->second);
     if (is_gone && !is_still_needed) {
       log_.Write(
           "info", "cell",
--- a/src/libdoorwood/cell/lease_basis.cpp
+++ b/src/libdoorwood/cell/takeover_wait.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
-#include "doorwood/lease_basis.h"
+#include "doorwood/takeover_wait.h"
+
+#include <algorithm>
 
 #include "doorwood/worker_session.h"
 
--- a/src/libdoorwood/membership/live_directory_test.cpp
+++ b/src/libdoorwood/membership/live_directory_test.cpp
@@ -235,7 +235,7 @@
         std::max(most_per_second, store.watches + store.lists - before);
   }
   BOOST_TEST(most_per_second <= 3000);
-  // Whoever leads has to know all others; see `OutageConfirmedUntil`.
+  // Whoever leads has to know all others; see `OutageStatements`.
   WriteLead(*members.front().live);
   time.Run(Millis(500));
   BOOST_TEST(members.front().live->follows_instances());
--- a/src/libdoorwood/membership/live_outage.cpp
+++ b/src/libdoorwood/membership/live_outage.cpp
@@ -59,19 +59,16 @@
   return answer_too_recent ? Instant{} : sent_at + options_.answer_validity;
 }
 
-Instant LiveDirectory::OutageConfirmedUntil() const {
-  return AnswersValidUntil(EarliestAnswer(not_reaching_store_at_));
-}
-
-bool LiveDirectory::AllRememberStatements() const {
-  return !KnowsInstance([this](const LiveInstance& instance) {
+StatedOutage LiveDirectory::OutageStatements() const {
+  const Instant asked = EarliestAnswer(not_reaching_store_at_);
+  const Instant valid_until = AnswersValidUntil(asked);
+  if (valid_until == Instant{}) {
+    return {};
+  }
+  const bool one_forgets = KnowsInstance([this](const LiveInstance& instance) {
     return instance.name != self_.name && !instance.remembers_statements;
   });
-}
-
-Instant LiveDirectory::OutageConfirmedAt() const {
-  const Instant until = OutageConfirmedUntil();
-  return until == Instant{} ? until : until - options_.answer_validity;
+  return {asked, valid_until, !one_forgets};
 }
 
 Instant LiveDirectory::UnrecordedStartsAgreedUntil() const {
