fix(cell): a worker lost after a leader's first contact is not waited for by an older lease

The first answer to a leader counts as if a lease had been extended then, for the longest lease that an earlier version granted (8.5 s). Where all leases count from batches, it is this version's (8.0 s), so such a worker is concluded 0.5 s sooner.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -348,6 +348,8 @@
   /// Sets `CellWorker::unlisted_since` for workers without a directory entry.
   void MarkUnlistedWorkers();
   void AddWorker(const WorkerIncarnation& incarnation, bool from_takeover);
+  /// Without leases of earlier versions if there are none.
+  WorkerSessionOptions SessionOptions() const;
   /// Opens the sessions that are waiting, as far as `CellOptions::max_contacts`
   /// allows, and schedules itself while further ones are waiting.
   void ContactWaitingWorkers();
--- a/src/libdoorwood/cell/cell_workers.cpp
+++ b/src/libdoorwood/cell/cell_workers.cpp
@@ -305,7 +305,7 @@
                            bool from_takeover) {
   CellWorker cell_worker;
   cell_worker.session = std::make_shared<WorkerSession>(
-      executor_, workers_, log_, *this, options_.sessions, incarnation,
+      executor_, workers_, log_, *this, SessionOptions(), incarnation,
       static_cast<uint64_t>(epoch_));
   cell_worker.session_number = ++session_count_;
   cell_worker.listed = !from_takeover;
@@ -330,6 +330,14 @@
   ContactWaitingWorkers();
 }
 
+WorkerSessionOptions CellLeader::SessionOptions() const {
+  WorkerSessionOptions options = options_.sessions;
+  if (leases_bounded_) {
+    options.earlier_run_lease = options.run_lease;
+  }
+  return options;
+}
+
 void CellLeader::ContactWaitingWorkers() {
   const Instant now = executor_.Now();
   std::erase_if(contacts_, [&](const Contact& contact) {
@@ -382,7 +390,7 @@
   ended->EndRunsIfWorkerLost();
   CellWorker next;
   next.session = std::make_shared<WorkerSession>(
-      executor_, workers_, log_, *this, options_.sessions,
+      executor_, workers_, log_, *this, SessionOptions(),
       ended->next_incarnation(), static_cast<uint64_t>(epoch_));
   next.session_number = ++session_count_;
   next.submitted_record = cell_worker->submitted_record;
