perf(membership): all instances together read the store's revision 100 times a second at most

Cause: with 97 instances, reads every 0.2 s made 500 calls a second. Change: the interval grows with the number of instances from 20 on. Nothing changes below.

--- a/src/libdoorwood/membership/live_directory.cpp
+++ b/src/libdoorwood/membership/live_directory.cpp
@@ -19,6 +19,9 @@
 // these keys a process that starts later learns which instances the store may
 // serve again.
 constexpr std::string_view kKnownInstanceFolder = "seen/";
+// Limit of the reads of the store's revision that all instances together send,
+// per second.
+constexpr int kMaxRevisionReadsPerSecond = 100;
 // Longer than any leader waits for a worker that is not yet contacted.
 constexpr Millis kRevisionTimesMaxAge{30'000};
 constexpr size_t kRevisionTimesMaxCount = 256;
@@ -622,7 +625,9 @@
     return;
   }
   executor_.Schedule(
-      std::max(options_.revision_read_interval, MinReadInterval()),
+      std::max(options_.revision_read_interval,
+               MinReadInterval() * (options_.max_reads_per_second /
+                                    kMaxRevisionReadsPerSecond)),
       [this] { ReadRevisionPeriodically(); });
   // A leader has no successor's wait to shorten, and while the store does not
   // answer, renewals find out when it does again.
