--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -18,7 +18,7 @@
 trap cleanup EXIT
 trap 'exit 2' INT TERM
 # The instances end with the stand-in that starts them.
-timeout -k 2 115 "$standin" crash "${TROUBLE:-1}" "$celld" "$folder" \
+timeout -k 2 115 "$standin" rack "${TROUBLE:-1}" "$celld" "$folder" \
   "$here/record.txt" &
 pid=$!
 wait "$pid"
