--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -17,6 +17,9 @@
 constexpr const char* kHost = "nony24.example";
 constexpr int64_t kVisibleMs = 3000;
 constexpr int64_t kFinishMs = 14'000;
+// A task that lasts is lost if it runs nowhere for 3 s, from 6 s after its last
+// run on.
+constexpr int64_t kLastingMs = 9000;
 // A pause after the start, longer than `contactMs`.
 constexpr int64_t kContactMs = 4000;
 
@@ -401,9 +404,10 @@
                    std::to_string(d.adviser().calls()) + " calls");
 }
 
-// Workers crash one after the other, each once, for 1.5 s.
-asio::awaitable<void> PlayCrash(Deployment& d, bool trouble) {
-  d.Begin({{"r-1", "/lohu930/"}}, 16, OneRack);
+// A worker with one of eight lasting tasks of a step with `sameRack` is lost
+// for good; its rack has no other place for the task, the next racks are empty.
+asio::awaitable<void> PlayRack(Deployment& d, bool trouble) {
+  d.Begin({{"r-1", "/lohu930/"}}, 24, OneRack);
   d.StartInstance("edge-plaka-1");
   d.StartInstance("edge-plaka-2");
   if (!co_await d.AwaitReady("edge-plaka-1", 15'000) ||
@@ -412,36 +416,57 @@
   }
   co_await Sleep(kContactMs);
   Step step;
-  step.work_ms = 40'000;
+  step.count = 8;
+  step.cpu = 6400;
+  step.work_ms = 0;
+  step.same_rack = true;
+  step.anti_affinity = 1;
   const std::string id = d.AddJob("/lohu930/", {step}).id;
   if (!co_await d.Submit(id, "edge-plaka-1", 10'000)) {
     throw NotPlayed("the job was not taken");
   }
-  co_await Sleep(2500);
-  std::string state;
-  const int64_t end = NowMs() + 60'000;
-  size_t next = 0;
-  int64_t next_at = NowMs();
-  std::deque<std::pair<int64_t, Worker*>> down;
-  while (NowMs() < end && state != "completed" && state != "failed") {
-    if (trouble && next < d.world().workers.size() && NowMs() >= next_at) {
-      Worker* worker = d.world().workers[next++].get();
-      next_at += 3000;
-      worker->Crash();
-      down.emplace_back(NowMs() + 1500, worker);
+  co_await Sleep(5000);
+  const auto runs = [&d](const std::string& task) {
+    return std::any_of(
+        d.world().workers.begin(), d.world().workers.end(),
+        [&task](const auto& worker) { return worker->Runs(task); });
+  };
+  std::map<std::string, int64_t> last_run;
+  for (int i = 0; i < step.count; ++i) {
+    const std::string task = id + ".0.0." + std::to_string(i);
+    if (!runs(task)) {
+      throw NotPlayed(task + " does not run");
     }
-    if (!down.empty() && NowMs() >= down.front().first) {
-      down.front().second->Boot();
-      down.pop_front();
+    last_run[task] = NowMs();
+  }
+  if (trouble) {
+    for (const auto& worker : d.world().workers) {
+      if (worker->Runs(id + ".0.0.3")) {
+        worker->Crash();
+        break;
+      }
     }
+  }
+  const int64_t end = NowMs() + 20'000;
+  std::set<std::string> broken;
+  while (NowMs() < end) {
     co_await Sleep(100);
-    state = co_await d.State("edge-plaka-2", id);
+    for (auto& [task, at] : last_run) {
+      if (runs(task)) {
+        at = NowMs();
+      } else if (NowMs() - at >= kLastingMs && broken.insert(task).second) {
+        d.record().Break("LOST",
+                         task +
+                             " is to last and has not run for 9 s, with "
+                             "16 empty workers");
+      }
+    }
   }
-  d.record().Write("GET " + id + ": " + state);
-  if (state == "failed") {
-    d.record().Break("LOST", "job " + id +
-                                 " is shown as failed; no run of it has ended "
-                                 "`failed`, and nobody has cancelled it");
+  for (const auto& [task, at] : last_run) {
+    if (NowMs() - at > 1000) {
+      d.record().Write(task + " has not run for " +
+                       std::to_string(NowMs() - at) + " ms at the end");
+    }
   }
 }
 
@@ -451,7 +476,7 @@
   const std::map<std::string, Case> cases = {{"gang", PlayGang},
                                              {"pending", PlayPending},
                                              {"advice", PlayAdvice},
-                                             {"crash", PlayCrash}};
+                                             {"rack", PlayRack}};
   const auto found = cases.find(setting.name);
   if (found == cases.end()) {
     std::cerr << "no case " << setting.name << "\n";
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -323,6 +323,7 @@
   bool gang = false;
   bool saves = false;
   bool speculative = false;
+  bool same_rack = false;
   int anti_affinity = 0;
   std::string label;
   std::vector<int> after;
@@ -363,6 +364,9 @@
       if (step.speculative) {
         row["speculative"] = true;
       }
+      if (step.same_rack) {
+        row["sameRack"] = true;
+      }
       if (step.work_ms == 0) {
         row["longRunning"] = true;
       }
