feat(log): lease ends are logged with the life on whose clock they count

No line told which lease end an order carried and on which life's clock, so that the hypotheses of the postmortem could not be told apart.

No further lines are written.

No logic has changed.

--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -390,6 +390,9 @@
   /// Orders after the times set with `SetLeaseExtensionEnd` and `SetLeaseBasis`
   /// count as sent at the earlier one. Zero: no such order was sent.
   Instant last_lease_order_at() const { return last_lease_order_at_; }
+  /// The latest lease end there, on the clock of this incarnation, that this
+  /// session reckons with; 0: none.
+  int64_t latest_lease_end() const { return latest_lease_end_; }
   /// When the worker last responded again after it was logged as unresponsive;
   /// zero: this has not happened.
   Instant responsive_since() const { return responsive_since_; }
@@ -442,6 +445,9 @@
   /// incarnation; if so, calls `MarkRestarted`.
   bool ShowsRestart(int64_t clock, int64_t clock_at_send);
   void LogFailedPoll(const SentPoll& poll, const WorkerReport& report) const;
+  /// Fields for logs: the latest lease end there, what it stems from, and the
+  /// clock on which it counts.
+  Json LeaseFields() const;
   /// Logs, once, that the worker lists the end numbered `listed` although the
   /// one before it in the session's account is not `listed` - 1.
   void NoteEndOutOfOrder(uint64_t listed, uint64_t before);
@@ -495,8 +501,10 @@
   /// unresponsive before.
   void NoteResponse(int64_t clock);
   /// Returns the lease end, on the worker's clock, for an order sent at `sent`,
-  /// and records it as granted. Returns 0 if the worker's clock is not known.
-  int64_t RecordLeaseGrant(Instant sent);
+  /// and records it as granted. `order` names the kind of order, for logs; its
+  /// text must outlive the session. Returns 0 if the worker's clock is not
+  /// known.
+  int64_t RecordLeaseGrant(Instant sent, std::string_view order);
   /// When, on this process's clock, all leases there have expired if no other
   /// leader extends them; empty: the worker's clock is not known.
   std::optional<Instant> LeasesExpireAt() const;
@@ -595,6 +603,8 @@
   /// first answered this one.
   int64_t latest_lease_end_ = 0;
   Instant last_lease_order_at_{};
+  /// What `latest_lease_end_` stems from.
+  std::string_view latest_lease_order_;
 };
 
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -427,10 +427,7 @@
       reliability_.AllowsStart(candidate->id, session->runs().size() + 1);
   const auto waited =
       std::chrono::duration_cast<Millis>(executor_.Now() - task->ready_since);
-  // Also written for a deferred start, whose order SendDeferredStarts sends
-  // later; `held` is then true.
-  log_.Write("info", "cell", "start ordered",
-             {{"task", run.task},
+  Json fields{{"task", run.task},
               {"run", number},
               {"worker", candidate->id},
               {"epoch", epoch_},
@@ -440,8 +437,14 @@
               {"serving", candidate->serving},
               {"held", run.start_deferred},
               {"copy", run.is_copy},
-              {"waited_ms", waited.count()}});
+              {"waited_ms", waited.count()}};
   session->Start(std::move(run), task->job->plan.payload, ticket);
+  // The lease end counts on the clock of the life that began at `started_ms`.
+  fields["lease_end"] = session->latest_lease_end();
+  fields["started_ms"] = session->started_at();
+  // Also written for a deferred start, whose order SendDeferredStarts sends
+  // later; `held` is then true.
+  log_.Write("info", "cell", "start ordered", fields);
   candidate->reserved = session->reserved();
   candidate->best_effort_cpu = session->best_effort_cpu();
   candidate->serving = session->serving_runs();
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -68,7 +68,7 @@
   StartArguments arguments{std::move(payload), std::move(ticket)};
   if (deferred) {
     // The lease is recorded as granted now, as if the order had been sent.
-    RecordLeaseGrant(now);
+    RecordLeaseGrant(now, "deferred start");
     deferred_starts_.emplace(task, std::move(arguments));
   } else {
     SendStart(FindRun(task), std::move(arguments));
@@ -96,7 +96,7 @@
   order.run = run->number;
   order.payload = std::move(arguments.payload);
   order.checkpoint = run->checkpoint;
-  order.lease_end = RecordLeaseGrant(executor_.Now());
+  order.lease_end = RecordLeaseGrant(executor_.Now(), "start");
   order.ticket = std::move(arguments.ticket);
   workers_.Start(
       incarnation_, order,
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -167,7 +167,7 @@
   }
 }
 
-int64_t WorkerSession::RecordLeaseGrant(Instant sent) {
+int64_t WorkerSession::RecordLeaseGrant(Instant sent, std::string_view order) {
   if (worker_clock_ == 0) {
     return 0;
   }
@@ -182,7 +182,10 @@
   const Millis age =
       elapsed > Millis(0) ? MinElapsedOnWorkerClock(elapsed) : elapsed;
   const int64_t until = worker_clock_ + (age + options_.run_lease).count();
-  latest_lease_end_ = std::max(latest_lease_end_, until);
+  if (until > latest_lease_end_) {
+    latest_lease_end_ = until;
+    latest_lease_order_ = order;
+  }
   last_lease_order_at_ = std::max(last_lease_order_at_, at);
   return until;
 }
@@ -237,7 +240,7 @@
   // expire if the worker stays unresponsive.
   const bool extend =
       !runs_.empty() && sent < lease_extension_end_ && !last_poll_failed();
-  order.lease_end = extend ? RecordLeaseGrant(sent) : 0;
+  order.lease_end = extend ? RecordLeaseGrant(sent, "poll") : 0;
   order.max_wait = wait;
   SentPoll poll{sequence,           sent,          incarnation_.address,
                 order.forget_up_to, worker_clock_, wait};
@@ -324,6 +327,7 @@
         std::max(options_.run_lease, options_.earlier_run_lease);
     latest_lease_end_ =
         std::max(latest_lease_end_, report.clock + longest.count());
+    latest_lease_order_ = "order of an earlier leader";
     last_lease_order_at_ = executor_.Now();
   }
   const bool lists_forgotten_ends =
@@ -373,6 +377,18 @@
   }
 }
 
+Json WorkerSession::LeaseFields() const {
+  const Instant now = executor_.Now();
+  return {{"worker", incarnation_.id},
+          {"runs", runs_.size()},
+          {"started_ms", answered_started_at_},
+          {"clock", worker_clock_},
+          {"clock_ms_ago", MillisBetween(worker_clock_at_, now)},
+          {"lease_end", latest_lease_end_},
+          {"lease_order", latest_lease_order_},
+          {"lease_order_ms_ago", MillisBetween(last_lease_order_at_, now)}};
+}
+
 void WorkerSession::LogFailedPoll(const SentPoll& poll,
                                   const WorkerReport& report) const {
   const Instant now = executor_.Now();
@@ -582,11 +598,9 @@
   next_incarnation_.id = incarnation_.id;
   next_incarnation_.address = address;
   next_incarnation_.started_at = started_at;
-  log_.Write("warn", "worker", "worker has started again under its id",
-             {{"worker", incarnation_.id},
-              {"started_ms", answered_started_at_},
-              {"started_again_ms", started_at},
-              {"runs", runs_.size()}});
+  Json fields = LeaseFields();
+  fields["started_again_ms"] = started_at;
+  log_.Write("warn", "worker", "worker has started again under its id", fields);
 }
 
 std::optional<Instant> WorkerSession::EndedSince() const {
@@ -609,15 +623,14 @@
       *ended_since >= lead_confirmed_until_) {
     return;
   }
-  log_.Write(
-      "warn", "worker",
-      dead_ ? "all runs of a replaced worker incarnation have ended"
-            : "the run lease of an unresponsive worker has expired",
-      {{"worker", incarnation_.id},
-       {"runs", runs_.size()},
-       {"heard_ms_ago", MillisBetween(last_response_at_, executor_.Now())},
-       {"over_ms_before_proof",
-        MillisBetween(*ended_since, lead_confirmed_until_)}});
+  Json fields = LeaseFields();
+  fields["heard_ms_ago"] = MillisBetween(last_response_at_, executor_.Now());
+  fields["over_ms_before_proof"] =
+      MillisBetween(*ended_since, lead_confirmed_until_);
+  log_.Write("warn", "worker",
+             dead_ ? "all runs of a replaced worker incarnation have ended"
+                   : "the run lease of an unresponsive worker has expired",
+             fields);
   EndAllRuns();
 }
 
