--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -261,7 +261,10 @@
     }
     target->Advance(world_.time().now_ms());
     WorkerReport report;
-    const auto error = target->model.Poll(order, &report);
+    PollOrder limited = order;
+    limited.lease_end =
+        std::min(order.lease_end, target->model.now() + kLongestLease.count());
+    const auto error = target->model.Poll(limited, &report);
     report.started_at = target->incarnation.started_at;
     if (!error && report.ended.empty() && order.max_wait > Millis(0)) {
       PollOrder rest = order;
