refactor(http): a call and the set of open calls in files of their own

HttpExchange (one call) and HttpOpenCalls (the open calls of a client and the silent connections) are moved out of it without a change of behaviour.

http_client_test, silent_connection_test and suspended_machine_test pass.

--- a/src/loop.adapter/http_client.h
+++ b/src/loop.adapter/http_client.h
@@ -15,7 +15,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -92,6 +91,8 @@
   size_t resent = 0;
 };
 
+class HttpOpenCalls;
+
 class HttpClient {
  public:
   /// Called exactly once. The error is PeerErrc::kNotSent if no connection
@@ -117,10 +118,7 @@
   bool IsReceiving(std::string_view address, std::string_view in_target) const;
 
  private:
-  class Calls;
-  class Exchange;
-
-  std::shared_ptr<Calls> calls_;
+  std::shared_ptr<HttpOpenCalls> calls_;
 };
 
 }  // namespace doorwood
