fix(http): calls can check a new connection first, and unanswered ones are reset

A server that starts again at its address takes requests that were meant for its earlier life, and a request that a network partition holds up arrives when the partition ends, although the call has failed long ago: the connection was closed in order, so the system kept sending it.

- HttpCall::preliminary is a request that is sent first on each new connection, also before a call is sent a second time, within the call's time limit.
Unless its reply is accepted, the call is not sent there and the connection is closed.
The error is kNotSent, or kNoAnswer if an earlier attempt may have arrived; HttpReply::declined tells a declined reply from none.
- A connection that is closed at a time limit, or because it is silent, while a request on it is unanswered is closed with a reset.
One that is still being opened has sent nothing, and is closed as before.

--- a/src/loop.adapter/http_client.h
+++ b/src/loop.adapter/http_client.h
@@ -9,6 +9,10 @@
 /// older connections to its address suspect. Idle ones are closed; once a new
 /// connection is answered, the calls that wait on such connections are sent
 /// again.
+///
+/// A connection that is closed while a request on it is unanswered is reset, so
+/// that the system doesn't deliver the request later, when a network partition
+/// ends.
 
 #ifndef DOORWOOD_LOOP_ADAPTER_HTTP_CLIENT_H_
 #define DOORWOOD_LOOP_ADAPTER_HTTP_CLIENT_H_
@@ -35,6 +39,9 @@
   /// server may have processed that first request or may still do so, so a
   /// refusal of the second one does not show the outcome of the first.
   bool sent_before = false;
+  /// On failure: the preliminary request was declined, and `status` and `body`
+  /// are those of its answer. The call was not sent on that connection.
+  bool declined = false;
   /// On failure: the machine refused the connection that was tried last, so no
   /// process listens at the address.
   bool refused = false;
@@ -43,6 +50,15 @@
   std::string problem;
 };
 
+/// Request that shows whether a new connection may be used for a call. It has
+/// the method and the headers of the call.
+struct HttpPreliminary {
+  std::string target;
+  std::string body;
+  /// Whether the call may be sent on the connection that gave this reply.
+  std::function<bool(const HttpReply&)> accepts;
+};
+
 struct HttpCall {
   /// IP address and port.
   std::string address;
@@ -53,7 +69,12 @@
   /// Sent instead of `body` on a new connection, also if the call is sent a
   /// second time.
   std::optional<std::string> first_body;
-  /// Calls share pooled connections only with calls of the same group.
+  /// Sent first on a new connection, also if the call is sent a second time,
+  /// and within the call's time limit. Only if it is accepted is the call
+  /// itself sent there; otherwise the connection is closed and the call fails.
+  std::optional<HttpPreliminary> preliminary;
+  /// Calls share pooled connections only with calls of the same group. If one
+  /// has a preliminary request, all of its group should have the same.
   std::string group;
   /// If set, the connection is pooled only if this returns true for the reply.
   std::function<bool(const HttpReply&)> accepts_reply;
@@ -95,10 +116,11 @@
 
 class HttpClient {
  public:
-  /// Called exactly once. The error is PeerErrc::kNotSent if no connection
-  /// could be opened and nothing was sent, and PeerErrc::kNoAnswer if the
-  /// request may have arrived but no complete response was received. The reply
-  /// of a failed call has only `problem`.
+  /// Called exactly once. The error is PeerErrc::kNotSent if nothing of the
+  /// call was sent, because no connection could be opened or its preliminary
+  /// request was not accepted, and PeerErrc::kNoAnswer if the request may have
+  /// arrived but no complete response was received. The reply of a failed call
+  /// has only the fields that say "on failure".
   using Callback = std::function<void(std::error_code, HttpReply)>;
   using SilenceHandler = std::function<void(const SilentConnections&)>;
 
--- a/src/loop.adapter/http_client_test.cpp
+++ b/src/loop.adapter/http_client_test.cpp
@@ -265,6 +265,13 @@
     const std::string answer = ScriptedServer::Answer("200 OK", body);
     boost::asio::write(*socket_, boost::asio::buffer(answer));
   }
+  // How the client has closed the connection.
+  boost::system::error_code ReadEnd() {
+    char byte = 0;
+    boost::system::error_code error;
+    socket_->read_some(boost::asio::buffer(&byte, 1), error);
+    return error;
+  }
   void Reset() {
     socket_->set_option(boost::asio::socket_base::linger(true, 0));
     socket_.reset();
@@ -361,6 +368,60 @@
   }
 }
 
+// Guards against a request that the system delivers when a network partition
+// ends, long after the call has failed or was sent again elsewhere.
+BOOST_AUTO_TEST_CASE(Send_ConnectionIsClosedAtDeadline_IsReset) {
+  for (const Millis first_byte_timeout : {Millis(0), Millis(100)}) {
+    boost::asio::io_context context;
+    BlockingServer server(context);
+    HttpClient client(context);
+    HttpCall call;
+    call.address = server.address();
+    call.method = "POST";
+    call.body = "{}";
+    call.timeout = Millis(300);
+    call.first_byte_timeout = first_byte_timeout;
+    std::optional<std::error_code> result;
+    const auto send = [&] {
+      result.reset();
+      client.Send(call, [&](std::error_code error, const HttpReply&) {
+        result = error;
+      });
+      server.ReceiveRequest();
+    };
+    send();
+    server.Answer("ok");
+    BOOST_TEST(WaitFor(context, result) == std::error_code());
+    send();
+    BOOST_TEST(WaitFor(context, result) ==
+               make_error_code(PeerErrc::kNoAnswer));
+    BOOST_TEST(client.connect_attempts() ==
+               (first_byte_timeout > Millis(0) ? 2U : 1U));
+    BOOST_TEST(server.ReadEnd() == boost::asio::error::connection_reset);
+  }
+}
+
+// Guards against a reset of a connection on which nothing is open: the server
+// would take it for a fault of the client.
+BOOST_AUTO_TEST_CASE(Send_AllAnswered_ConnectionIsClosedInOrder) {
+  boost::asio::io_context context;
+  BlockingServer server(context);
+  HttpClient client(context);
+  HttpCall call;
+  call.address = server.address();
+  call.method = "POST";
+  call.body = "{}";
+  call.accepts_reply = [](const HttpReply&) { return false; };
+  std::optional<std::error_code> result;
+  client.Send(call,
+              [&](std::error_code error, const HttpReply&) { result = error; });
+  server.ReceiveRequest();
+  server.Answer("ok");
+  BOOST_TEST(WaitFor(context, result) == std::error_code());
+  context.poll();
+  BOOST_TEST(server.ReadEnd() == boost::asio::error::eof);
+}
+
 // Guards against dropping answers that arrived in time because the loop was
 // busy until after the deadline. The loop hands out a limited number of ready
 // sockets at a time; an expired timer that comes before the others makes it
--- a/src/loop.adapter/http_connection_pool.cpp
+++ b/src/loop.adapter/http_connection_pool.cpp
@@ -18,21 +18,25 @@
 // otherwise use up the descriptors of the process.
 constexpr std::chrono::seconds kIdleCheckInterval{1};
 
-// Returns true if neither data nor end of stream has arrived since the last
-// response. Unread data would be taken for the response to the next call.
-bool HasNoUnreadData(HttpConnection* connection) {
-  if (connection->buffer.size() > 0) {
+}  // namespace
+
+bool HttpConnection::IsQuiet() {
+  if (buffer.size() > 0) {
     return false;
   }
   char byte = 0;
   error_code error;
-  connection->stream.socket().receive(boost::asio::buffer(&byte, sizeof byte),
-                                      boost::asio::socket_base::message_peek,
-                                      error);
+  stream.socket().receive(boost::asio::buffer(&byte, sizeof byte),
+                          boost::asio::socket_base::message_peek, error);
   return error == boost::asio::error::would_block;
 }
 
-}  // namespace
+void HttpConnection::Reset() {
+  error_code ignored;
+  stream.socket().set_option(boost::asio::socket_base::linger(true, 0),
+                             ignored);
+  stream.close();
+}
 
 std::shared_ptr<HttpConnection> HttpConnectionPool::Take(
     const std::string& address,
@@ -43,7 +47,7 @@
     auto connection = std::move(idle.back());
     idle.pop_back();
     if (now - connection->last_response_at < kIdleLifetime &&
-        HasNoUnreadData(connection.get())) {
+        connection->IsQuiet()) {
       return connection;
     }
   }
--- a/src/loop.adapter/http_connection_pool.h
+++ b/src/loop.adapter/http_connection_pool.h
@@ -23,6 +23,13 @@
 struct HttpConnection {
   explicit HttpConnection(boost::asio::io_context& context) : stream(context) {}
 
+  /// Whether neither data nor the end of the stream has arrived since the last
+  /// response. Unread data would be taken for the response to the next call.
+  bool IsQuiet();
+  /// Closes the connection with a reset. What the system has not yet delivered
+  /// is discarded; after an orderly close it would be sent until it arrives.
+  void Reset();
+
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   /// When the last response was complete or, before that, when the connection
--- a/src/loop.adapter/http_exchange.cpp
+++ b/src/loop.adapter/http_exchange.cpp
@@ -91,7 +91,7 @@
   const auto endpoint = ParseEndpoint(call_.address);
   if (!endpoint) {
     asio::post(calls_->context, [self = shared_from_this()] {
-      self->Finish(PeerErrc::kNotSent, "invalid address");
+      self->Finish("invalid address");
     });
     return;
   }
@@ -104,10 +104,7 @@
       *endpoint, [self = shared_from_this()](const error_code& error) {
         if (error) {
           self->refused_ = error == asio::error::connection_refused;
-          // An earlier attempt on a pooled connection may have reached the
-          // server.
-          self->Finish(self->sent_ ? PeerErrc::kNoAnswer : PeerErrc::kNotSent,
-                       "connecting: " + error.message());
+          self->Finish("connecting: " + error.message());
           return;
         }
         error_code ignored;
@@ -117,6 +114,7 @@
         // block.
         self->connection_->stream.socket().non_blocking(true, ignored);
         self->connection_->last_response_at = BootClock::now();
+        self->in_preliminary_ = self->call_.preliminary.has_value();
         self->Write();
       });
 }
@@ -127,20 +125,22 @@
 
 void HttpExchange::Abandon() {
   abandoned_ = true;
-  connection_->stream.close();
+  connection_->Reset();
 }
 
 void HttpExchange::Write() {
   const auto verb = http::string_to_verb(call_.method);
+  request_ = {};
   request_.method(verb);
-  request_.target(call_.target);
+  request_.target(in_preliminary_ ? call_.preliminary->target : call_.target);
   request_.version(11);
   request_.set(http::field::host, call_.address);
   for (const auto& [name, value] : call_.headers) {
     request_.set(name, value);
   }
   const bool is_first = !reused_ && call_.first_body;
-  request_.body() = is_first ? *call_.first_body : call_.body;
+  const std::string& body = is_first ? *call_.first_body : call_.body;
+  request_.body() = in_preliminary_ ? call_.preliminary->body : body;
   if (!request_.body().empty()) {
     request_.set(http::field::content_type, "application/json");
   }
@@ -149,7 +149,7 @@
   got_piece_ = false;
   last_progress_ = BootClock::now();
   AwaitDeadline(Deadline() - last_progress_);
-  sent_ = true;
+  sent_ = sent_ || !in_preliminary_;
   http::async_write(
       connection_->stream, request_,
       [self = shared_from_this()](const error_code& error, size_t) {
@@ -215,7 +215,7 @@
     return;
   }
   timed_out_ = true;
-  connection_->stream.close();  // Ends the pending operation.
+  connection_->Reset();  // Ends the pending operation.
 }
 
 void HttpExchange::OnPiece() {
@@ -288,13 +288,13 @@
       !timed_out_ && RemainingTime() > Instant::duration::zero();
   calls_->SetReceiving(this, false);
   if ((reused_ || abandoned_) && call_.repeatable && in_time) {
-    sent_before_ = true;
+    sent_before_ = sent_;
     first_problem_ = abandoned_ ? "silent connection" : std::move(problem);
     abandoned_ = false;
     Connect();
     return;
   }
-  Finish(PeerErrc::kNoAnswer, problem);
+  Finish(problem);
 }
 
 std::string HttpExchange::ReadProgress() const {
@@ -315,8 +315,12 @@
   reply.status = static_cast<int>(parser_->get().result_int());
   reply.body = std::move(parser_->get().body());
   reply.sent_before = sent_before_;
+  if (in_preliminary_) {
+    OnPreliminaryReply(std::move(reply));
+    return;
+  }
   const bool accepted = !call_.accepts_reply || call_.accepts_reply(reply);
-  if (accepted && parser_->get().keep_alive() && !timed_out_) {
+  if (accepted && keeps_connection()) {
     if (connection_->buffer.capacity() > kMaxIdleBuffer) {
       connection_->buffer.shrink_to_fit();
     }
@@ -325,22 +329,57 @@
   Complete({}, std::move(reply));
 }
 
+void HttpExchange::OnPreliminaryReply(HttpReply reply) {
+  calls_->SetReceiving(this, false);
+  if (!call_.preliminary->accepts(reply)) {
+    reply.declined = true;
+    reply.problem =
+        WithFirstProblem("declined, status " + std::to_string(reply.status));
+    Complete(FailureError(), std::move(reply));
+    return;
+  }
+  if (!keeps_connection() || !connection_->IsQuiet()) {
+    Finish("closed after the preliminary request");
+    return;
+  }
+  if (RemainingTime() <= Instant::duration::zero()) {
+    timed_out_ = true;
+    Finish("after the preliminary request");
+    return;
+  }
+  in_preliminary_ = false;
+  Write();
+}
+
+bool HttpExchange::keeps_connection() const {
+  return parser_->get().keep_alive() && !timed_out_;
+}
+
+// An earlier attempt on a pooled connection may have reached the server, too.
+std::error_code HttpExchange::FailureError() const {
+  return sent_ ? PeerErrc::kNoAnswer : PeerErrc::kNotSent;
+}
+
 // Uses the time since boot: the stream's timer does not advance while the
 // machine is suspended.
 Instant::duration HttpExchange::RemainingTime() const {
   return end_ - BootClock::now();
 }
 
-void HttpExchange::Finish(std::error_code error, const std::string& problem) {
+std::string HttpExchange::WithFirstProblem(const std::string& problem) const {
+  return first_problem_.empty() ? problem
+                                : first_problem_ + ", then " + problem;
+}
+
+void HttpExchange::Finish(const std::string& problem) {
   HttpReply reply;
-  reply.problem =
-      first_problem_.empty() ? problem : first_problem_ + ", then " + problem;
+  reply.problem = WithFirstProblem(problem);
   if (timed_out_) {
     reply.problem +=
         reused_ ? " (timed out on a pooled connection)" : " (timed out)";
   }
   reply.refused = refused_;
-  Complete(error, std::move(reply));
+  Complete(FailureError(), std::move(reply));
 }
 
 void HttpExchange::Complete(std::error_code error, HttpReply reply) {
--- a/src/loop.adapter/http_exchange.h
+++ b/src/loop.adapter/http_exchange.h
@@ -43,6 +43,7 @@
   Instant::duration MaxDuration() const;
   /// Ends the pending operation; OnConnectionError sends the call again.
   void Abandon();
+  /// Sends the preliminary request or the call.
   void Write();
   void AwaitDeadline(Instant::duration delay);
   /// Whether the call is to be sent again, on a new connection, if nothing
@@ -57,9 +58,18 @@
   void OnConnectionError(std::string problem);
   /// How much of the response arrived before the connection failed.
   std::string ReadProgress() const;
+  /// Of the preliminary request or the call.
   void OnReply();
+  void OnPreliminaryReply(HttpReply reply);
+  /// Whether the connection stays open after the response.
+  bool keeps_connection() const;
+  /// Error of a call that got no answer: whether it may have been sent.
+  std::error_code FailureError() const;
   Instant::duration RemainingTime() const;
-  void Finish(std::error_code error, const std::string& problem);
+  /// Adds what went wrong on the earlier connection.
+  std::string WithFirstProblem(const std::string& problem) const;
+  /// Completes a call that got no answer.
+  void Finish(const std::string& problem);
   void Complete(std::error_code error, HttpReply reply);
 
   std::shared_ptr<HttpOpenCalls> calls_;
@@ -83,10 +93,11 @@
   bool completed_ = false;
   std::shared_ptr<HttpConnection> connection_;
   bool reused_ = false;
-  /// Part of the request may have been sent, on this connection or an earlier
-  /// one.
+  /// The preliminary request is the one that is open on this connection.
+  bool in_preliminary_ = false;
+  /// Part of the call may have been sent, on this connection or an earlier one.
   bool sent_ = false;
-  /// The whole request may have arrived on an earlier connection.
+  /// The whole call may have arrived on an earlier connection.
   bool sent_before_ = false;
   bool refused_ = false;
   /// What went wrong on the earlier connection.
