--- a/src/build-scripts/run-tests.sh
+++ b/src/build-scripts/run-tests.sh
@@ -48,7 +48,8 @@
 }
 integration_tests=()
 for folder in testsuite/*/; do
-  integration_tests+=("$(basename "$folder")")
+  # A folder with cases runs alone, see below.
+  [ -f "$folder/cases.txt" ] || integration_tests+=("$(basename "$folder")")
 done
 # The ranges of up to 13 tests lie below 32768, where the ephemeral ports begin.
 port_base=19000
@@ -68,6 +69,23 @@
   cat "$log/$name.out" >>"$log/$name.err"
   record "testsuite/$name" "$code" "$log/$name.err"
 done
+
+# Each case of these is a test of its own, after all others and without any beside
+# it, because it loads the machine: testsuite/FOLDER/run.sh CASE.
+for cases in testsuite/*/cases.txt; do
+  folder=$(dirname "$cases")
+  while read -r case; do
+    name=$folder/$case
+    file=$log/$(basename "$folder")-$case
+    BIN="$PWD/$build/src" timeout 300 bash "$folder/run.sh" "$case" >"$file.out" 2>"$file.err" </dev/null
+    code=$?
+    if [ "$code" -eq 0 ] && ! diff -u "$folder/ref/out.txt" "$file.out" >>"$file.err"; then
+      code=1
+    fi
+    cat "$file.out" >>"$file.err"
+    record "$name" "$code" "$file.err"
+  done <"$cases"
+done
 [ "$red" -gt 0 ] && echo "$red known red, listed in KNOWN-RED.txt"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
