fix(http): the read buffer of a server's connection has a bound

Clients that sent a chunk-size line, a chunk extension or trailers without an end ended the process: out of memory.

The parser wants each of these whole and counts them in none of its limits; until one is complete the connection's flat_buffer, which had no maximum, grew with each read. It now holds at most the header's limit (`maxHeaderBytes`) and 1 KiB. A request with a larger part is answered with status 400, as one with too large a header always was.

--- a/src/loop.adapter/http_server.cpp
+++ b/src/loop.adapter/http_server.cpp
@@ -26,6 +26,9 @@
 constexpr int kBacklog = 512;
 constexpr int kBadRequest = 400;
 constexpr Millis kAcceptRetryDelay{100};
+// Room in the read buffer beside a part of `header_bytes`: the end of a chunk
+// and the last chunk-size line.
+constexpr size_t kChunkHeaderRoom = 1024;
 
 std::string_view ToView(beast::string_view text) {
   return {text.data(), text.size()};
@@ -73,6 +76,9 @@
     parser_.emplace();
     parser_->header_limit(static_cast<uint32_t>(shared_->limits.header_bytes));
     parser_->body_limit(shared_->limits.body_bytes);
+    // The parser's own limits leave out chunk-size lines and trailers.
+    buffer_.max_size(std::max(shared_->limits.header_bytes + kChunkHeaderRoom,
+                              buffer_.size()));
     stream_.expires_after(first_request_ ? shared_->limits.header_timeout
                                          : shared_->limits.idle_timeout);
     http::async_read_header(
--- a/src/loop.adapter/http_server.h
+++ b/src/loop.adapter/http_server.h
@@ -48,6 +48,8 @@
 /// slow, and those above `max_connections`, are closed; requests that are too
 /// large are answered with status 400.
 struct HttpServerLimits {
+  /// Start line and header; also each chunk-size line with its extensions, and
+  /// all trailers together.
   size_t header_bytes = 16 * 1024;
   size_t body_bytes = 1024 * 1024;
   Millis header_timeout{5000};
