fix(http): the read buffer of a client's connection has a bound

Answers with chunk extensions or trailers without an end ended the process: out of memory. The cause is that of the server: the parser counts these in none of its limits, and the flat_buffer of the connection had no maximum. It now holds at most 64 KiB, the size of the pieces in which bodies are read already; an answer with a larger part counts as no answer.

--- a/src/loop.adapter/http_connection_pool.h
+++ b/src/loop.adapter/http_connection_pool.h
@@ -21,7 +21,12 @@
 namespace doorwood {
 
 struct HttpConnection {
-  explicit HttpConnection(boost::asio::io_context& context) : stream(context) {}
+  /// Bounds each part of a response that is parsed as a whole: its header, a
+  /// chunk-size line with its extensions, its trailers.
+  static constexpr size_t kMaxReadBuffer = 64UL * 1024;
+
+  explicit HttpConnection(boost::asio::io_context& context)
+      : stream(context), buffer(kMaxReadBuffer) {}
 
   /// Whether neither data nor the end of the stream has arrived since the last
   /// response. Unread data would be taken for the response to the next call.
--- a/src/loop.adapter/http_exchange.cpp
+++ b/src/loop.adapter/http_exchange.cpp
@@ -21,9 +21,9 @@
 // unreachable does not refuse the connection, it does not reply at all.
 constexpr Millis kConnectTimeout{500};
 constexpr uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
-// Room for reading a body, at most. The body is read in pieces of this size;
-// the loop handles everything else that is due between two of them.
-constexpr size_t kMaxReadBuffer = 64UL * 1024;
+// The body is read in pieces of this size; the loop handles everything else
+// that is due between two of them.
+constexpr size_t kMaxReadBuffer = HttpConnection::kMaxReadBuffer;
 // Room that an idle connection keeps, at most.
 constexpr size_t kMaxIdleBuffer = 4096;
 // A response that arrived before the loop handled the deadline is still read:
