fix(http): a full server closes the connection that has waited longest

A crowd that only holds connections, idle or sending a header slowly, took all 1,500 places of an instance. Callers that came then were turned away, for up to the idle time-out.

A new connection above the limit was closed at once, whoever held the others. Now the one that has waited longest for its client is closed instead: for a request, for the rest of one, or for its response to be read. A connection whose request is being handled is never closed; if there are no others, the new one is, as before. The same is done when the process is out of file descriptors. A caller whose idle connection is closed sends again, as after any broken connection. The server knows nothing of who its clients are (many may share one address), so it prefers none by address. Counted in the metrics and logged once a second at most.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -22,7 +22,11 @@
 constexpr Millis kExitReserve{700};
 // The store is treated as unreachable after this time without an answer.
 constexpr Millis kStoreTimeout{6000};
+constexpr Millis kClosedConnectionsCheckInterval{1000};
 constexpr int kServiceUnavailable = 503;
+// Connections for readiness checks and for metrics; few processes ask for
+// these.
+constexpr size_t kMaxCheckConnections = 64;
 // Share of the network link for calls to the store and to workers. Callers and
 // other instances use the rest.
 constexpr double kCallsLinkShare = 0.95;
@@ -148,6 +152,7 @@
   WaitForReload();
   ReloadChangedSettingsPeriodically();
   FlushLogPeriodically();
+  LogClosedConnectionsPeriodically();
   FollowLeadersConfigPeriodically();
   context_.run();
   FlushLog();
@@ -229,6 +234,21 @@
   executor_.Schedule(kFlushInterval, [this] { FlushLogPeriodically(); });
 }
 
+void EntryDaemon::LogClosedConnectionsPeriodically() {
+  const HttpServerCounters& now = front_server_.counters();
+  if (now != logged_front_) {
+    log_.Write(
+        "warn", "front", "connections or requests of clients refused",
+        {{"closed_for_connections",
+          now.closed_for_connections - logged_front_.closed_for_connections},
+         {"unreadable", now.unreadable - logged_front_.unreadable},
+         {"connections", front_server_.connections()}});
+    logged_front_ = now;
+  }
+  executor_.Schedule(kClosedConnectionsCheckInterval,
+                     [this] { LogClosedConnectionsPeriodically(); });
+}
+
 void EntryDaemon::FollowLeadersConfigPeriodically() {
   config_.set_reads_sparsely(!live_.follows_instances());
   config_.set_leads(cell_.leading());
@@ -416,7 +436,11 @@
       {"doorwood_leading", cell_.leading() ? 1U : 0U},
       {"doorwood_lead_seen_ms_ago", MillisSinceLeadConfirmed()},
       {"doorwood_front_connections", front_server_.connections()},
-      {"doorwood_front_open_requests", front_server_.open_requests()}};
+      {"doorwood_front_open_requests", front_server_.open_requests()},
+      {"doorwood_front_connections_closed_total{reason=\"connections\"}",
+       front_server_.counters().closed_for_connections},
+      {"doorwood_front_requests_unreadable_total",
+       front_server_.counters().unreadable}};
   HttpResponse response;
   response.content_type = "text/plain; version=0.0.4";
   for (const auto& [name, value] : rows) {
--- a/src/celld/entry_daemon.h
+++ b/src/celld/entry_daemon.h
@@ -51,6 +51,8 @@
   void Reload(std::string_view cause);
   void ReloadChangedSettingsPeriodically();
   void FlushLogPeriodically();
+  /// Logs how many connections and requests of clients were refused, if any.
+  void LogClosedConnectionsPeriodically();
   /// Has the configuration read if a leader has a newer one in force.
   void FollowLeadersConfigPeriodically();
   void LogSilence(const SilentConnections& silent);
@@ -95,6 +97,8 @@
   HttpServer peer_server_;
   HttpServer metrics_server_;
   LineLimiter silence_lines_;
+  /// Counters of `front_server_` at the last log line about them.
+  HttpServerCounters logged_front_;
   bool stopping_ = false;
   bool lead_released_ = false;
   Instant stopping_since_{};
--- a/src/loop.adapter/http_server.cpp
+++ b/src/loop.adapter/http_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
+#include <list>
 #include <optional>
 #include <utility>
 
@@ -49,6 +50,12 @@
   bool draining = false;
   size_t open_requests = 0;
   size_t connections = 0;
+  HttpServerCounters counters;
+  // Connections that wait for their client, the longest waiting one first.
+  std::list<Session*> waiting;
+
+  // Returns false if all connections are being handled.
+  bool CloseLongestWaiting();
 };
 
 std::string_view HttpRequest::header(std::string_view name) const {
@@ -68,7 +75,7 @@
       : shared_(std::move(shared)), stream_(std::move(socket)) {
     ++shared_->connections;
   }
-  ~Session() { --shared_->connections; }
+  ~Session() { Release(); }
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
@@ -79,6 +86,7 @@
     // The parser's own limits leave out chunk-size lines and trailers.
     buffer_.max_size(std::max(shared_->limits.header_bytes + kChunkHeaderRoom,
                               buffer_.size()));
+    AwaitClient();
     stream_.expires_after(first_request_ ? shared_->limits.header_timeout
                                          : shared_->limits.idle_timeout);
     http::async_read_header(
@@ -88,17 +96,30 @@
         });
   }
 
+  // Ends the pending operation, with which the object goes.
+  void Close() {
+    Release();
+    stream_.close();
+  }
+
  private:
   void OnHeader(const error_code& error) {
+    if (closed_) {
+      return;
+    }
     if (error) {
       OnReadError(error);
       return;
     }
     first_request_ = false;
     stream_.expires_after(shared_->limits.header_timeout);
+    AwaitClient();
     http::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](const error_code& read_error, size_t) {
+          if (self->closed_) {
+            return;
+          }
           if (read_error) {
             self->OnReadError(read_error);
             return;
@@ -107,6 +128,28 @@
         });
   }
 
+  // The wait for the client begins; it counts as the latest one.
+  void AwaitClient() {
+    StopWaiting();
+    place_ = shared_->waiting.insert(shared_->waiting.end(), this);
+  }
+
+  void StopWaiting() {
+    if (place_) {
+      shared_->waiting.erase(*place_);
+      place_.reset();
+    }
+  }
+
+  void Release() {
+    if (closed_) {
+      return;
+    }
+    closed_ = true;
+    StopWaiting();
+    --shared_->connections;
+  }
+
   void OnReadError(const error_code& error) {
     const bool disconnected =
         error == http::error::end_of_stream || error == beast::error::timeout ||
@@ -115,6 +158,7 @@
     if (disconnected) {
       return;  // The client disconnected or was too slow.
     }
+    ++shared_->counters.unreadable;
     close_after_ = true;
     HttpResponse response;
     response.status = kBadRequest;
@@ -144,6 +188,7 @@
     };
     close_after_ = !message.keep_alive();
     request.body = std::move(parser_->get().body());
+    StopWaiting();
     stream_.expires_never();
     ++shared_->open_requests;
     auto answered = std::make_shared<bool>(false);
@@ -183,11 +228,12 @@
     response_.body() = std::move(response.body);
     response_.keep_alive(!close_after_ && !shared_->draining);
     response_.prepare_payload();
+    AwaitClient();
     stream_.expires_after(shared_->limits.idle_timeout);
     http::async_write(
         stream_, response_,
         [self = shared_from_this()](const error_code& error, size_t) {
-          if (error) {
+          if (error || self->closed_) {
             return;
           }
           if (!self->response_.keep_alive()) {
@@ -207,8 +253,21 @@
   http::response<http::string_body> response_;
   bool first_request_ = true;
   bool close_after_ = false;
+  // Set while this connection is in ServerState::waiting.
+  std::optional<std::list<Session*>::iterator> place_;
+  // No longer counted; the pending operation is being aborted.
+  bool closed_ = false;
 };
 
+bool HttpServer::ServerState::CloseLongestWaiting() {
+  if (waiting.empty()) {
+    return false;
+  }
+  ++counters.closed_for_connections;
+  waiting.front()->Close();
+  return true;
+}
+
 HttpServer::HttpServer(asio::io_context& context, Handler handler)
     : shared_(std::make_shared<ServerState>(context, std::move(handler))) {}
 
@@ -229,31 +288,36 @@
 }
 
 void HttpServer::Accept() {
-  shared_->acceptor.async_accept(
-      [this, shared = shared_](const error_code& error,
-                               asio::ip::tcp::socket socket) {
-        if (!shared->acceptor.is_open()) {
-          return;
-        }
-        if (!error && shared->connections < shared->limits.max_connections) {
-          error_code ignored;
-          socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-          std::make_shared<Session>(shared, std::move(socket))->Read();
-        }
-        if (!error) {
-          Accept();
-          return;
-        }
-        // Most likely the process is out of file descriptors, so the next
-        // attempt waits.
-        shared->accept_retry_timer.expires_after(kAcceptRetryDelay);
-        shared->accept_retry_timer.async_wait(
-            [this, shared](const error_code& cancelled) {
-              if (!cancelled && shared->acceptor.is_open()) {
-                Accept();
-              }
-            });
-      });
+  shared_->acceptor.async_accept([this, shared = shared_](
+                                     const error_code& error,
+                                     asio::ip::tcp::socket socket) {
+    if (!shared->acceptor.is_open()) {
+      return;
+    }
+    const bool has_place = shared->connections < shared->limits.max_connections;
+    if (!error && (has_place || shared->CloseLongestWaiting())) {
+      error_code ignored;
+      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      std::make_shared<Session>(shared, std::move(socket))->Read();
+    }
+    if (!error) {
+      Accept();
+      return;
+    }
+    if (error == asio::error::no_descriptors && shared->CloseLongestWaiting()) {
+      Accept();
+      return;
+    }
+    // Most likely the process is out of file descriptors that others use,
+    // so the next attempt waits.
+    shared->accept_retry_timer.expires_after(kAcceptRetryDelay);
+    shared->accept_retry_timer.async_wait(
+        [this, shared](const error_code& cancelled) {
+          if (!cancelled && shared->acceptor.is_open()) {
+            Accept();
+          }
+        });
+  });
 }
 
 void HttpServer::SetLimits(const HttpServerLimits& limits) {
@@ -277,4 +341,8 @@
   return shared_->connections;
 }
 
+const HttpServerCounters& HttpServer::counters() const {
+  return shared_->counters;
+}
+
 }  // namespace doorwood
--- a/src/loop.adapter/http_server.h
+++ b/src/loop.adapter/http_server.h
@@ -7,6 +7,7 @@
 #define DOORWOOD_LOOP_ADAPTER_HTTP_SERVER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -45,8 +46,7 @@
 };
 
 /// Limits on connections and requests. Connections of clients that are too
-/// slow, and those above `max_connections`, are closed; requests that are too
-/// large are answered with status 400.
+/// slow are closed; requests that are too large are answered with status 400.
 struct HttpServerLimits {
   /// Start line and header; also each chunk-size line with its extensions, and
   /// all trailers together.
@@ -54,9 +54,24 @@
   size_t body_bytes = 1024 * 1024;
   Millis header_timeout{5000};
   Millis idle_timeout{30000};
+  /// A connection above these closes the one that has waited longest: for a
+  /// request, for the rest of one, or for its client to read the response.
+  /// Connections whose request is being handled are not closed; if there are
+  /// no others, the new one is.
   size_t max_connections = 1500;
 };
 
+/// Since the start.
+struct HttpServerCounters {
+  /// Connections that were closed because of `max_connections` or because the
+  /// process was out of file descriptors.
+  uint64_t closed_for_connections = 0;
+  /// Requests that were malformed or larger than the limits.
+  uint64_t unreadable = 0;
+
+  bool operator==(const HttpServerCounters&) const = default;
+};
+
 class HttpServer {
  public:
   using Respond = std::function<void(HttpResponse)>;
@@ -78,6 +93,7 @@
 
   size_t open_requests() const;
   size_t connections() const;
+  const HttpServerCounters& counters() const;
 
  private:
   struct ServerState;
