fix(http): requests of all connections together have a bound on memory

Clients that each send a body within the limit, but hold its last byte back, took more memory than a machine has: 1,500 connections times `maxBodyBytes`.

Only single requests had limits. A server now counts read buffers, requests and responses of all its connections (`client_memory_mb`, 32 MB by default). Above that, connections that use more than an equal share of it (22 KB) and wait for their client are closed, the longest waiting one first: while the sum is above the bound, at least one connection is above the share, and no caller inside the limits of the platform is. If all of these are being handled, a request that needs more than a share is refused with 503 (not taken); smaller ones are served, so the sum stays below twice the bound. Bodies are read in pieces, so that what has arrived counts at once. A declared length counts as soon as the room for it is reserved.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -30,6 +30,7 @@
 // Share of the network link for calls to the store and to workers. Callers and
 // other instances use the rest.
 constexpr double kCallsLinkShare = 0.95;
+constexpr size_t kBytesPerMegabyte = 1024UL * 1024;
 
 int64_t UnixMillis() {
   return std::chrono::duration_cast<Millis>(
@@ -46,6 +47,13 @@
   return self;
 }
 
+HttpServerLimits MakeClientLimits(const EntrySettings& settings) {
+  HttpServerLimits limits;
+  limits.total_bytes =
+      static_cast<size_t>(settings.client_memory_mb) * kBytesPerMegabyte;
+  return limits;
+}
+
 }  // namespace
 
 EntryDaemon::EntryDaemon(EntrySettings settings, std::string settings_path)
@@ -125,6 +133,7 @@
 
 void EntryDaemon::Run() {
   std::signal(SIGPIPE, SIG_IGN);
+  front_server_.SetLimits(MakeClientLimits(settings_));
   front_server_.Listen(settings_.client_address);
   ready_server_.Listen(settings_.readiness_address);
   peer_server_.Listen(settings_.peer_address);
@@ -159,7 +168,7 @@
 }
 
 void EntryDaemon::ApplyTable(const std::shared_ptr<const QueueTable>& table) {
-  HttpServerLimits limits;
+  HttpServerLimits limits = MakeClientLimits(settings_);
   limits.header_bytes = table->limits().header_bytes;
   limits.body_bytes = table->limits().body_bytes;
   limits.header_timeout = table->limits().header_timeout;
@@ -241,6 +250,10 @@
         "warn", "front", "connections or requests of clients refused",
         {{"closed_for_connections",
           now.closed_for_connections - logged_front_.closed_for_connections},
+         {"closed_for_memory",
+          now.closed_for_memory - logged_front_.closed_for_memory},
+         {"refused_for_memory",
+          now.refused_for_memory - logged_front_.refused_for_memory},
          {"unreadable", now.unreadable - logged_front_.unreadable},
          {"connections", front_server_.connections()}});
     logged_front_ = now;
@@ -439,6 +452,11 @@
       {"doorwood_front_open_requests", front_server_.open_requests()},
       {"doorwood_front_connections_closed_total{reason=\"connections\"}",
        front_server_.counters().closed_for_connections},
+      {"doorwood_front_connections_closed_total{reason=\"memory\"}",
+       front_server_.counters().closed_for_memory},
+      {"doorwood_front_requests_refused_total{reason=\"memory\"}",
+       front_server_.counters().refused_for_memory},
+      {"doorwood_front_memory_bytes", front_server_.held_bytes()},
       {"doorwood_front_requests_unreadable_total",
        front_server_.counters().unreadable}};
   HttpResponse response;
--- a/src/include/doorwood/entry_settings.h
+++ b/src/include/doorwood/entry_settings.h
@@ -66,6 +66,9 @@
   /// Maximum number of submissions that wait in this instance while no leader
   /// accepts jobs; 0: none does.
   int max_held_submissions = 0;
+  /// Maximum memory for the requests and responses of all connections of
+  /// clients, in megabytes.
+  int client_memory_mb = 32;
   /// Largest share of a service's workers that is set aside because they fail
   /// or slow their runs; 0: none is.
   double set_aside_share = 0;
--- a/src/libdoorwood/config/parse_test.cpp
+++ b/src/libdoorwood/config/parse_test.cpp
@@ -191,6 +191,21 @@
                 ParseEntrySettings);
 }
 
+BOOST_AUTO_TEST_CASE(
+    ParseEntrySettings_InvalidClientMemory_IsRejectedWithLocation) {
+  const std::string good = kEntrySettings;
+  const std::string none = good + "client_memory_mb: 0\n";
+  const std::string many = good + "client_memory_mb: 4097\n";
+  CheckRejected({{none.c_str(), "f:8:19: client_memory_mb: must be"},
+                 {many.c_str(), "f:8:19: client_memory_mb: must be"}},
+                ParseEntrySettings);
+  Problems problems("f");
+  const auto settings =
+      ParseEntrySettings(good + "client_memory_mb: 1\n", &problems);
+  BOOST_REQUIRE_MESSAGE(settings, problems.text());
+  BOOST_TEST(settings->client_memory_mb == 1);
+}
+
 BOOST_AUTO_TEST_CASE(MakeIngressOptions_ValidSettings_TakesTheirValues) {
   Problems problems("f");
   const std::string good = kEntrySettings;
--- a/src/loop.adapter/http_server.cpp
+++ b/src/loop.adapter/http_server.cpp
@@ -26,10 +26,14 @@
 
 constexpr int kBacklog = 512;
 constexpr int kBadRequest = 400;
+constexpr int kServiceUnavailable = 503;
+constexpr Millis kRetryAfterRefusal{1000};
 constexpr Millis kAcceptRetryDelay{100};
 // Room in the read buffer beside a part of `header_bytes`: the end of a chunk
 // and the last chunk-size line.
 constexpr size_t kChunkHeaderRoom = 1024;
+// Read buffer that a connection keeps while its request is handled, at most.
+constexpr size_t kMaxIdleBuffer = 4096;
 
 std::string_view ToView(beast::string_view text) {
   return {text.data(), text.size()};
@@ -50,10 +54,15 @@
   bool draining = false;
   size_t open_requests = 0;
   size_t connections = 0;
+  size_t held_bytes = 0;
   HttpServerCounters counters;
   // Connections that wait for their client, the longest waiting one first.
   std::list<Session*> waiting;
 
+  // Memory of one connection if all have the same.
+  size_t EqualShare() const {
+    return limits.total_bytes / std::max<size_t>(limits.max_connections, 1);
+  }
   // Returns false if all connections are being handled.
   bool CloseLongestWaiting();
 };
@@ -86,6 +95,7 @@
     // The parser's own limits leave out chunk-size lines and trailers.
     buffer_.max_size(std::max(shared_->limits.header_bytes + kChunkHeaderRoom,
                               buffer_.size()));
+    CountMemory();
     AwaitClient();
     stream_.expires_after(first_request_ ? shared_->limits.header_timeout
                                          : shared_->limits.idle_timeout);
@@ -113,21 +123,37 @@
     }
     first_request_ = false;
     stream_.expires_after(shared_->limits.header_timeout);
+    parser_->eager(true);
     AwaitClient();
-    http::async_read(
+    ReadBody();
+  }
+
+  void ReadBody() {
+    CountMemory();
+    if (!MakeRoom()) {
+      Refuse();
+      return;
+    }
+    if (parser_->is_done()) {
+      Handle();
+      return;
+    }
+    http::async_read_some(
         stream_, buffer_, *parser_,
-        [self = shared_from_this()](const error_code& read_error, size_t) {
+        [self = shared_from_this()](const error_code& error, size_t) {
           if (self->closed_) {
             return;
           }
-          if (read_error) {
-            self->OnReadError(read_error);
+          if (error) {
+            self->OnReadError(error);
             return;
           }
-          self->Handle();
+          self->ReadBody();
         });
   }
 
+  // --- Limits on all connections together ---
+
   // The wait for the client begins; it counts as the latest one.
   void AwaitClient() {
     StopWaiting();
@@ -141,12 +167,50 @@
     }
   }
 
+  void CountMemory() {
+    const size_t body = parser_ ? parser_->get().body().capacity() : 0;
+    const size_t bytes = buffer_.capacity() + body + message_bytes_;
+    shared_->held_bytes -= counted_bytes_;
+    shared_->held_bytes += bytes;
+    counted_bytes_ = bytes;
+  }
+
+  // Closes other connections until the memory of all is within the limit.
+  // Returns false if this request must be refused instead.
+  bool MakeRoom() {
+    const size_t share = shared_->EqualShare();
+    auto next = shared_->waiting.begin();
+    while (shared_->held_bytes > shared_->limits.total_bytes) {
+      next = std::find_if(next, shared_->waiting.end(), [&](Session* other) {
+        return other != this && other->counted_bytes_ > share;
+      });
+      if (next == shared_->waiting.end()) {
+        return counted_bytes_ <= share;
+      }
+      Session* other = *next++;
+      ++shared_->counters.closed_for_memory;
+      other->Close();
+    }
+    return true;
+  }
+
+  void Refuse() {
+    ++shared_->counters.refused_for_memory;
+    close_after_ = true;
+    HttpResponse response;
+    response.status = kServiceUnavailable;
+    response.retry_after = kRetryAfterRefusal;
+    response.body = R"({"error":"too many large requests"})";
+    Write(std::move(response));
+  }
+
   void Release() {
     if (closed_) {
       return;
     }
     closed_ = true;
     StopWaiting();
+    shared_->held_bytes -= counted_bytes_;
     --shared_->connections;
   }
 
@@ -188,6 +252,12 @@
     };
     close_after_ = !message.keep_alive();
     request.body = std::move(parser_->get().body());
+    parser_.reset();
+    message_bytes_ = request.body.capacity();
+    if (buffer_.capacity() > kMaxIdleBuffer) {
+      buffer_.shrink_to_fit();
+    }
+    CountMemory();
     StopWaiting();
     stream_.expires_never();
     ++shared_->open_requests;
@@ -214,6 +284,7 @@
   }
 
   void Write(HttpResponse response) {
+    parser_.reset();
     response_ = {};
     response_.version(11);
     response_.result(static_cast<unsigned>(response.status));
@@ -228,6 +299,8 @@
     response_.body() = std::move(response.body);
     response_.keep_alive(!close_after_ && !shared_->draining);
     response_.prepare_payload();
+    message_bytes_ = response_.body().capacity();
+    CountMemory();
     AwaitClient();
     stream_.expires_after(shared_->limits.idle_timeout);
     http::async_write(
@@ -242,6 +315,8 @@
                 asio::ip::tcp::socket::shutdown_send, ignored);
             return;
           }
+          self->response_ = {};
+          self->message_bytes_ = 0;
           self->Read();
         });
   }
@@ -253,6 +328,10 @@
   http::response<http::string_body> response_;
   bool first_request_ = true;
   bool close_after_ = false;
+  // Of the request that is handled or the response that is written.
+  size_t message_bytes_ = 0;
+  // What this connection adds to ServerState::held_bytes.
+  size_t counted_bytes_ = 0;
   // Set while this connection is in ServerState::waiting.
   std::optional<std::list<Session*>::iterator> place_;
   // No longer counted; the pending operation is being aborted.
@@ -341,6 +420,10 @@
   return shared_->connections;
 }
 
+size_t HttpServer::held_bytes() const {
+  return shared_->held_bytes;
+}
+
 const HttpServerCounters& HttpServer::counters() const {
   return shared_->counters;
 }
--- a/src/loop.adapter/http_server.h
+++ b/src/loop.adapter/http_server.h
@@ -59,6 +59,11 @@
   /// Connections whose request is being handled are not closed; if there are
   /// no others, the new one is.
   size_t max_connections = 1500;
+  /// Read buffers, requests and responses of all connections. Above it,
+  /// connections that use more than an equal share of it are closed, the
+  /// longest waiting one first; if all of these are being handled, a request
+  /// that needs more than such a share is refused with status 503.
+  size_t total_bytes = 32UL * 1024 * 1024;
 };
 
 /// Since the start.
@@ -66,6 +71,10 @@
   /// Connections that were closed because of `max_connections` or because the
   /// process was out of file descriptors.
   uint64_t closed_for_connections = 0;
+  /// Connections that were closed, and requests that were refused, because of
+  /// `total_bytes`.
+  uint64_t closed_for_memory = 0;
+  uint64_t refused_for_memory = 0;
   /// Requests that were malformed or larger than the limits.
   uint64_t unreadable = 0;
 
@@ -93,6 +102,8 @@
 
   size_t open_requests() const;
   size_t connections() const;
+  /// Memory that counts toward HttpServerLimits::total_bytes.
+  size_t held_bytes() const;
   const HttpServerCounters& counters() const;
 
  private:
--- a/src/loop.adapter/http_server_test.cpp
+++ b/src/loop.adapter/http_server_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -66,12 +67,23 @@
   }
 
   // Sends a request that stays unanswered, and waits until it is handled.
-  tcp::socket ConnectAndHold() {
-    tcp::socket socket = Connect("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+  tcp::socket ConnectAndHold(
+      std::string_view request = "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n") {
+    tcp::socket socket = Connect(request);
     is_held_.get_future().wait();
     return socket;
   }
 
+  // Waits until the server holds so many bytes.
+  void AwaitHeldBytes(size_t bytes) {
+    size_t held = 0;
+    while (held < bytes) {
+      std::promise<size_t> promise;
+      asio::post(context_, [&] { promise.set_value(server_.held_bytes()); });
+      held = promise.get_future().get();
+    }
+  }
+
   // Returns what the server sends first; empty if it closes the connection.
   static std::string ReadSome(tcp::socket* socket) {
     std::string text(1024, '\0');
@@ -127,6 +139,58 @@
   BOOST_TEST(server().counters().closed_for_connections == 0U);
 }
 
+// Guards against bodies that together take more than the process's memory.
+BOOST_FIXTURE_TEST_CASE(HttpServer_BodiesAboveTotal_LongestWaitingIsClosed,
+                        ServerFixture) {
+  constexpr size_t kBody = 100'000;
+  HttpServerLimits limits;
+  limits.max_connections = 100;
+  limits.total_bytes = 250'000;
+  Start(limits);
+  const std::string start =
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(kBody) +
+      "\r\n\r\n";
+  tcp::socket idle = Connect(kRequest);
+  BOOST_TEST(ReadSome(&idle).starts_with("HTTP/1.1 200"));
+  tcp::socket oldest = Connect(start + std::string(kBody - 1, 'a'));
+  // The order of the waits is that in which their headers are read.
+  AwaitHeldBytes(kBody);
+  tcp::socket second = Connect(start + std::string(kBody - 1, 'a'));
+  AwaitHeldBytes(2 * kBody);
+  tcp::socket whole = Connect(start + std::string(kBody, 'a'));
+  BOOST_TEST(ReadSome(&whole).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(ReadSome(&oldest).empty());
+  asio::write(second, asio::buffer("a", 1));
+  BOOST_TEST(ReadSome(&second).starts_with("HTTP/1.1 200"));
+  asio::write(idle, asio::buffer(kRequest));
+  BOOST_TEST(ReadSome(&idle).starts_with("HTTP/1.1 200"));
+  Stop();
+  BOOST_TEST(server().counters().closed_for_memory == 1U);
+  BOOST_TEST(server().counters().refused_for_memory == 0U);
+}
+
+// Guards against requests that are being handled and together take more than
+// the process's memory.
+BOOST_FIXTURE_TEST_CASE(HttpServer_AllBodiesHandled_LargeRequestIsRefused,
+                        ServerFixture) {
+  constexpr size_t kBody = 100'000;
+  HttpServerLimits limits;
+  limits.max_connections = 100;
+  limits.total_bytes = 150'000;
+  Start(limits);
+  const std::string length =
+      "Host: a\r\nContent-Length: " + std::to_string(kBody) + "\r\n\r\n";
+  const tcp::socket handled = ConnectAndHold("POST /hold HTTP/1.1\r\n" +
+                                             length + std::string(kBody, 'a'));
+  tcp::socket large = Connect("POST / HTTP/1.1\r\n" + length);
+  asio::write(large, asio::buffer("a", 1));
+  BOOST_TEST(ReadSome(&large).starts_with("HTTP/1.1 503"));
+  tcp::socket ordinary = Connect(kRequest);
+  BOOST_TEST(ReadSome(&ordinary).starts_with("HTTP/1.1 200"));
+  Stop();
+  BOOST_TEST(server().counters().refused_for_memory == 1U);
+}
+
 // Guards against trailers without an end in the read buffer.
 BOOST_FIXTURE_TEST_CASE(HttpServer_TrailersAboveHeaderLimit_RequestIsRefused,
                         ServerFixture) {
