fix(http): answers that are being received have a bound on memory together

Workers whose answers have a body without an end ended the process: each answer had a limit (64 MB), all together had none.

A client now counts the bodies that it is receiving (`answer_memory_mb`, 64 MB by default). Above that, an answer that is larger than an equal share of it is given up, and its call fails as one that got no complete answer; a single answer may use the whole. Counted in the metrics.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -134,6 +134,8 @@
 void EntryDaemon::Run() {
   std::signal(SIGPIPE, SIG_IGN);
   front_server_.SetLimits(MakeClientLimits(settings_));
+  client_.set_max_response_bytes(
+      static_cast<size_t>(settings_.answer_memory_mb) * kBytesPerMegabyte);
   front_server_.Listen(settings_.client_address);
   ready_server_.Listen(settings_.readiness_address);
   peer_server_.Listen(settings_.peer_address);
@@ -450,6 +452,7 @@
       {"doorwood_lead_seen_ms_ago", MillisSinceLeadConfirmed()},
       {"doorwood_front_connections", front_server_.connections()},
       {"doorwood_front_open_requests", front_server_.open_requests()},
+      {"doorwood_answers_too_large_total", client_.oversized_responses()},
       {"doorwood_front_connections_closed_total{reason=\"connections\"}",
        front_server_.counters().closed_for_connections},
       {"doorwood_front_connections_closed_total{reason=\"memory\"}",
--- a/src/include/doorwood/entry_settings.h
+++ b/src/include/doorwood/entry_settings.h
@@ -69,6 +69,9 @@
   /// Maximum memory for the requests and responses of all connections of
   /// clients, in megabytes.
   int client_memory_mb = 32;
+  /// Maximum memory for the answers of the store, workers and other instances
+  /// that are being received, in megabytes.
+  int answer_memory_mb = 64;
   /// Largest share of a service's workers that is set aside because they fail
   /// or slow their runs; 0: none is.
   double set_aside_share = 0;
--- a/src/libdoorwood/config/entry_settings.cpp
+++ b/src/libdoorwood/config/entry_settings.cpp
@@ -12,7 +12,7 @@
 constexpr Range kStopMillis{0, 60'000};
 constexpr Range kRetentionMillis{1000, 86'400'000};
 constexpr Range kHeldSubmissions{0, 1000};
-constexpr Range kClientMemoryMegabytes{1, 4096};
+constexpr Range kMemoryMegabytes{1, 4096};
 constexpr double kSmallestShare = 0.001;
 constexpr double kLargestShare = 1024;
 constexpr double kLargestLinkMbps = 1e6;
@@ -78,8 +78,8 @@
               &settings.machine_holder_lease);
   reader.Read("max_held_submissions", kHeldSubmissions,
               &settings.max_held_submissions);
-  reader.Read("client_memory_mb", kClientMemoryMegabytes,
-              &settings.client_memory_mb);
+  reader.Read("client_memory_mb", kMemoryMegabytes, &settings.client_memory_mb);
+  reader.Read("answer_memory_mb", kMemoryMegabytes, &settings.answer_memory_mb);
   reader.Read("set_aside_share", 0, kLargestSetAsideShare,
               &settings.set_aside_share);
   reader.Read("backup_share", 0, kLargestBackupShare, &settings.backup_share);
--- a/src/loop.adapter/http_client.cpp
+++ b/src/loop.adapter/http_client.cpp
@@ -21,6 +21,14 @@
   calls_->on_silence = std::move(handler);
 }
 
+void HttpClient::set_max_response_bytes(size_t bytes) {
+  calls_->max_response_bytes = bytes;
+}
+
+uint64_t HttpClient::oversized_responses() const {
+  return calls_->oversized;
+}
+
 uint64_t HttpClient::connect_attempts() const {
   return calls_->connects;
 }
--- a/src/loop.adapter/http_client.h
+++ b/src/loop.adapter/http_client.h
@@ -132,6 +132,12 @@
   void Send(HttpCall call, Callback done);
   /// Called whenever silent connections are confirmed.
   void set_on_silence(SilenceHandler handler);
+  /// Bounds the bodies of all responses that are being received, 64 MB by
+  /// default. Above it, a response that is larger than an equal share of it is
+  /// given up; its call fails as one that got no complete response.
+  void set_max_response_bytes(size_t bytes);
+  /// Responses that were given up because of it.
+  uint64_t oversized_responses() const;
   /// Number of attempts to open a connection so far.
   uint64_t connect_attempts() const;
   const SilentConnectionCounters& silent_connections() const;
--- a/src/loop.adapter/http_client_test.cpp
+++ b/src/loop.adapter/http_client_test.cpp
@@ -126,6 +126,29 @@
   BOOST_TEST(client.connect_attempts() == 1U);
 }
 
+// Guards against answers that together take more than the process's memory.
+BOOST_AUTO_TEST_CASE(Send_ResponseAboveTotal_IsGivenUp) {
+  boost::asio::io_context context;
+  HttpServer server(
+      context, [](const HttpRequest&, const HttpServer::Respond& respond) {
+        constexpr size_t kBytes = 4UL * 1024 * 1024;
+        respond({200, std::string(kBytes, 'a'), "text/plain", Millis(0)});
+      });
+  tcp::acceptor probe(
+      context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  HttpCall call;
+  call.address = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+  call.timeout = Millis(60'000);
+  probe.close();
+  server.Listen(call.address);
+  HttpClient client(context);
+  BOOST_TEST(SendAndRun(context, client, call) == std::error_code());
+  client.set_max_response_bytes(1024UL * 1024);
+  BOOST_TEST(SendAndRun(context, client, call) ==
+             make_error_code(PeerErrc::kNoAnswer));
+  BOOST_TEST(client.oversized_responses() == 1U);
+}
+
 // A submission that waits in an instance must not outlive its caller's
 // connection, and its caller's time limit arrives in a header.
 BOOST_AUTO_TEST_CASE(Handle_ClientCloses_IsSeenWhileRequestIsOpen) {
--- a/src/loop.adapter/http_exchange.cpp
+++ b/src/loop.adapter/http_exchange.cpp
@@ -20,7 +20,6 @@
 // Bounds the wait for a connection: a machine that a network partition makes
 // unreachable does not refuse the connection, it does not reply at all.
 constexpr Millis kConnectTimeout{500};
-constexpr uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
 // The body is read in pieces of this size; the loop handles everything else
 // that is due between two of them.
 constexpr size_t kMaxReadBuffer = HttpConnection::kMaxReadBuffer;
@@ -250,12 +249,19 @@
     OnReply();
     return;
   }
+  calls_->SetReceiving(this, true);
+  CountBody(parser_->get().body().capacity());
+  if (!calls_->HasRoom(body_bytes_)) {
+    ++calls_->oversized;
+    connection_->stream.close();
+    Finish("the responses are too large");
+    return;
+  }
   const uint64_t length =
       parser_->content_length_remaining().value_or(kMaxReadBuffer);
   // Without room, the body is read in pieces of 512 bytes.
   connection_->buffer.reserve(
       std::min<uint64_t>(length + connection_->buffer.size(), kMaxReadBuffer));
-  calls_->SetReceiving(this, true);
   http::async_read_some(
       connection_->stream, connection_->buffer, *parser_,
       [self = shared_from_this()](const error_code& error, size_t) {
@@ -268,6 +274,12 @@
       });
 }
 
+void HttpExchange::CountBody(size_t bytes) {
+  calls_->response_bytes -= body_bytes_;
+  calls_->response_bytes += bytes;
+  body_bytes_ = bytes;
+}
+
 // A short body has usually come with the header; it is not worth another turn
 // of the loop.
 void HttpExchange::ParseBuffered(error_code* error) {
@@ -287,6 +299,8 @@
   const bool in_time =
       !timed_out_ && RemainingTime() > Instant::duration::zero();
   calls_->SetReceiving(this, false);
+  CountBody(0);
+  parser_.reset();
   if ((reused_ || abandoned_) && call_.repeatable && in_time) {
     sent_before_ = sent_;
     first_problem_ = abandoned_ ? "silent connection" : std::move(problem);
@@ -331,6 +345,7 @@
 
 void HttpExchange::OnPreliminaryReply(HttpReply reply) {
   calls_->SetReceiving(this, false);
+  CountBody(0);
   if (!call_.preliminary->accepts(reply)) {
     reply.declined = true;
     reply.problem =
@@ -385,6 +400,7 @@
 void HttpExchange::Complete(std::error_code error, HttpReply reply) {
   completed_ = true;
   calls_->Remove(this);
+  CountBody(0);
   deadline_timer_.cancel();
   done_(error, std::move(reply));
 }
--- a/src/loop.adapter/http_exchange.h
+++ b/src/loop.adapter/http_exchange.h
@@ -61,6 +61,8 @@
   /// Of the preliminary request or the call.
   void OnReply();
   void OnPreliminaryReply(HttpReply reply);
+  /// Counts `bytes` of body for this call, in place of what it counted before.
+  void CountBody(size_t bytes);
   /// Whether the connection stays open after the response.
   bool keeps_connection() const;
   /// Error of a call that got no answer: whether it may have been sent.
@@ -106,6 +108,8 @@
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
       parser_;
+  /// What this call adds to `HttpOpenCalls::response_bytes`.
+  size_t body_bytes_ = 0;
 };
 
 }  // namespace doorwood
--- a/src/loop.adapter/http_open_calls.cpp
+++ b/src/loop.adapter/http_open_calls.cpp
@@ -65,6 +65,11 @@
   }
 }
 
+bool HttpOpenCalls::HasRoom(size_t bytes) const {
+  return response_bytes <= max_response_bytes ||
+         bytes <= max_response_bytes / std::max<size_t>(receiving_.size(), 1);
+}
+
 bool HttpOpenCalls::IsReceiving(std::string_view address,
                                 std::string_view in_target) const {
   const Instant now = BootClock::now();
--- a/src/loop.adapter/http_open_calls.h
+++ b/src/loop.adapter/http_open_calls.h
@@ -22,6 +22,9 @@
 
 class HttpExchange;
 
+/// Largest body of a response, and by default of all that are being received.
+inline constexpr size_t kMaxResponseBytes = 64UL * 1024 * 1024;
+
 class HttpOpenCalls {
  public:
   explicit HttpOpenCalls(boost::asio::io_context& context) : context(context) {}
@@ -30,6 +33,9 @@
   void Remove(HttpExchange* exchange);
   /// A part of the response to the call has arrived and the rest has not.
   void SetReceiving(HttpExchange* exchange, bool receiving);
+  /// Whether a response with a body of `bytes` may go on. While all of them
+  /// together exceed `max_response_bytes`, one above an equal share may not.
+  bool HasRoom(size_t bytes) const;
   /// Of a call to `address` whose target contains `in_target`; empty: any.
   bool IsReceiving(std::string_view address, std::string_view in_target) const;
   /// A call that was sent at `sent` got no part of a response on a pooled
@@ -41,6 +47,10 @@
   boost::asio::io_context& context;
   HttpConnectionPool pool;
   uint64_t connects = 0;
+  /// Of the bodies that are being received.
+  size_t response_bytes = 0;
+  size_t max_response_bytes = kMaxResponseBytes;
+  uint64_t oversized = 0;
   SilentConnectionCounters silent;
   HttpClient::SilenceHandler on_silence;
 
