fix(http): what doorwoodd reads of requests has a bound

Clients that sent a line without an end (header, chunk extension, trailer) or a chunked body without an end took all memory of a doorwoodd: cpp-httplib reads lines of any length and any number of them, and limits only bodies with a declared length. Bodies held one byte before their end did the same: 96 connections times `largest_body`.

Connections are now read through a stream of our own, which the library's server lets a subclass put in place. Reading fails, and the connection is closed, after 64 KiB of lines without a piece of a body between, after `largest_body` of one body, and, while the bodies of all requests exceed `body_memory` (32 MB by default), for a body above an equal share of it. What remains of a pipelined request is kept for the next one on the connection.

--- a/src/doorwoodd/daemon.cpp
+++ b/src/doorwoodd/daemon.cpp
@@ -63,6 +63,7 @@
   front.peer_token = settings.peer_token;
   front.connections = static_cast<size_t>(settings.connections);
   front.max_body_bytes = static_cast<size_t>(settings.max_body_bytes);
+  front.total_body_bytes = static_cast<size_t>(settings.total_body_bytes);
   front_ = std::make_unique<HttpFrontend>(
       front, router_, static_cast<HttpFrontendEnvironment&>(*this), log_);
 }
--- a/src/http.adapter/http_frontend.cpp
+++ b/src/http.adapter/http_frontend.cpp
@@ -81,6 +81,12 @@
   server_.set_keep_alive_max_count(1'000'000);
   server_.set_read_timeout(kReadWriteTimeoutSeconds);
   server_.set_write_timeout(kReadWriteTimeoutSeconds);
+  RequestLimits limits;
+  limits.body_bytes = options_.max_body_bytes;
+  limits.total_body_bytes = options_.total_body_bytes;
+  limits.max_connections = options_.connections;
+  limits.timeout = std::chrono::seconds(kReadWriteTimeoutSeconds);
+  server_.set_limits(limits);
   AddRoutes();
   AddOperatorRoutes();
   const size_t colon = options_.listen.rfind(':');
--- a/src/http.adapter/http_frontend.h
+++ b/src/http.adapter/http_frontend.h
@@ -16,6 +16,7 @@
 
 #include "doorwood/instance.h"
 #include "doorwood/router.h"
+#include "http.adapter/bounded_stream.h"
 
 namespace doorwood {
 
@@ -27,6 +28,8 @@
   /// Maximum number of connections served at a time.
   size_t connections = 96;
   size_t max_body_bytes = 8 * 1024 * 1024;
+  /// Bodies of all requests together; see RequestLimits.
+  size_t total_body_bytes = 32UL * 1024 * 1024;
   Millis default_deadline{10000};
   Millis max_deadline{60000};
   /// Maximum duration of an operator's call; the reply is then 504.
@@ -80,7 +83,7 @@
   Router& router_;
   HttpFrontendEnvironment& environment_;
   EventLog& log_;
-  httplib::Server server_;
+  BoundedServer server_;
   std::thread thread_;
   std::atomic<uint64_t> next_request_ = 0;
   std::string request_prefix_;
--- a/src/include/doorwood/settings.h
+++ b/src/include/doorwood/settings.h
@@ -34,6 +34,9 @@
   int connections = 96;
   /// Maximum size of a request body, in bytes.
   int64_t max_body_bytes = 8 * 1024 * 1024;
+  /// Maximum size of the bodies of all requests of callers together; at least
+  /// one body of the largest size is taken.
+  int64_t total_body_bytes = 32 * 1024 * 1024;
   /// Maximum number of calls to the key-value service per second.
   int kv_calls = 50;
   /// Maximum time, from the start of a planned shutdown, to wait until all
--- a/src/libdoorwood/config/settings.cpp
+++ b/src/libdoorwood/config/settings.cpp
@@ -131,6 +131,7 @@
   settings.log_level = kLevels[level];
   reader.Read("connections", kConnections, &settings.connections);
   reader.Read("largest_body", kBody, &settings.max_body_bytes);
+  reader.Read("body_memory", kBody, &settings.total_body_bytes);
   reader.Read("kv_calls", kKvCalls, &settings.kv_calls);
   reader.Read("shard_count", kShards, &settings.shard_count);
   ReadDurations(&reader, &settings);
