fix(doorwoodd): bodies that are freed go back to the system

With the bodies of all requests bounded, 24 clients whose bodies have no end still drove a doorwoodd to 334 MB: each of its threads has an arena of its own, and glibc raises the size from which blocks are mapped separately with the first large one that is freed, so the arenas kept what the bodies had used. The size is now fixed at 64 KiB.

--- a/src/doorwoodd/main.cpp
+++ b/src/doorwoodd/main.cpp
@@ -2,6 +2,8 @@
 
 // doorwoodd: daemon that runs one entry instance.
 
+#include <malloc.h>
+
 #include <CLI/CLI.hpp>
 #include <iostream>
 
@@ -13,10 +15,14 @@
 
 constexpr int kBadSettings = 2;
 constexpr int kCannotRun = 1;
+// Larger blocks, such as the bodies of requests, go back to the system as soon
+// as they are freed. By default, each thread would keep some.
+constexpr int kLargeBlockBytes = 64 * 1024;
 
 }  // namespace
 
 int main(int argc, char** argv) {
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
   CLI::App app{"doorwoodd: an entry instance of the doorwood scheduler"};
   std::string file;
   std::string level;
