fix(celld): connections of other instances have a memory bound of their own

The server for other instances gets `peer_memory_mb`, 96 MB by default. It is not open to callers. parse_test has the setting's range.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -47,10 +47,9 @@
   return self;
 }
 
-HttpServerLimits MakeClientLimits(const EntrySettings& settings) {
+HttpServerLimits MakeLimits(int memory_mb) {
   HttpServerLimits limits;
-  limits.total_bytes =
-      static_cast<size_t>(settings.client_memory_mb) * kBytesPerMegabyte;
+  limits.total_bytes = static_cast<size_t>(memory_mb) * kBytesPerMegabyte;
   return limits;
 }
 
@@ -133,7 +132,8 @@
 
 void EntryDaemon::Run() {
   std::signal(SIGPIPE, SIG_IGN);
-  front_server_.SetLimits(MakeClientLimits(settings_));
+  front_server_.SetLimits(MakeLimits(settings_.client_memory_mb));
+  peer_server_.SetLimits(MakeLimits(settings_.peer_memory_mb));
   client_.set_max_response_bytes(
       static_cast<size_t>(settings_.answer_memory_mb) * kBytesPerMegabyte);
   front_server_.Listen(settings_.client_address);
@@ -170,7 +170,7 @@
 }
 
 void EntryDaemon::ApplyTable(const std::shared_ptr<const QueueTable>& table) {
-  HttpServerLimits limits = MakeClientLimits(settings_);
+  HttpServerLimits limits = MakeLimits(settings_.client_memory_mb);
   limits.header_bytes = table->limits().header_bytes;
   limits.body_bytes = table->limits().body_bytes;
   limits.header_timeout = table->limits().header_timeout;
--- a/src/include/doorwood/entry_settings.h
+++ b/src/include/doorwood/entry_settings.h
@@ -69,6 +69,9 @@
   /// Maximum memory for the requests and responses of all connections of
   /// clients, in megabytes.
   int client_memory_mb = 32;
+  /// The same for connections of other instances, which may all read the
+  /// configuration of this one.
+  int peer_memory_mb = 96;
   /// Maximum memory for the answers of the store, workers and other instances
   /// that are being received, in megabytes.
   int answer_memory_mb = 64;
--- a/src/libdoorwood/config/entry_settings.cpp
+++ b/src/libdoorwood/config/entry_settings.cpp
@@ -79,6 +79,7 @@
   reader.Read("max_held_submissions", kHeldSubmissions,
               &settings.max_held_submissions);
   reader.Read("client_memory_mb", kMemoryMegabytes, &settings.client_memory_mb);
+  reader.Read("peer_memory_mb", kMemoryMegabytes, &settings.peer_memory_mb);
   reader.Read("answer_memory_mb", kMemoryMegabytes, &settings.answer_memory_mb);
   reader.Read("set_aside_share", 0, kLargestSetAsideShare,
               &settings.set_aside_share);
--- a/src/libdoorwood/config/parse_test.cpp
+++ b/src/libdoorwood/config/parse_test.cpp
@@ -196,9 +196,11 @@
   const std::string good = kEntrySettings;
   const std::string none = good + "client_memory_mb: 0\n";
   const std::string many = good + "client_memory_mb: 4097\n";
+  const std::string peers = good + "peer_memory_mb: 0\n";
   const std::string answers = good + "answer_memory_mb: 0\n";
   CheckRejected({{none.c_str(), "f:8:19: client_memory_mb: must be"},
                  {many.c_str(), "f:8:19: client_memory_mb: must be"},
+                 {peers.c_str(), "f:8:17: peer_memory_mb: must be"},
                  {answers.c_str(), "f:8:19: answer_memory_mb: must be"}},
                 ParseEntrySettings);
   Problems problems("f");
