test(platform): odd entries in the lists and watches of the entry instances

Checked for doorwood-celld, and found sound without a change of the code:

- upkeep waves;
- `live/`: instances, leads and known instances, as events of a watch and in a list; instances whose own key is overwritten register again;
- a process of doorwood-celld beside the stand-in's store, with such values under six prefixes and in `op/config`: it goes on, reads the next configuration, runs a job, and does so again after a restart.

--- a/src/libdoorwood/membership/live_directory_test.cpp
+++ b/src/libdoorwood/membership/live_directory_test.cpp
@@ -372,6 +372,108 @@
   }
 }
 
+std::vector<std::string> OddValues() {
+  const auto nested = [](size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+  };
+  std::vector<std::string> values = {"",
+                                     "7",
+                                     "null",
+                                     "[]",
+                                     "{}",
+                                     "\xff",
+                                     nested(65),
+                                     nested(1'000'000),
+                                     "{\"nonce\":",
+                                     "NaN",
+                                     R"({"\ud800":1})",
+                                     std::string(100'000, '{')};
+  const Json valid = {{"data_centre", "plaka"}, {"address", "10.0.0.9:1"},
+                      {"instance", "i9"},       {"nonce", 7U},
+                      {"cpu_share", 1.0},       {"agreeing_since", 1},
+                      {"predecessors", {1, 2}}, {"leaving", false}};
+  for (const char* field : {"data_centre", "address", "instance", "nonce",
+                            "cpu_share", "agreeing_since", "leaving"}) {
+    for (const std::string& value :
+         {std::string("1e400"), std::string(300, '9'), std::string("null"),
+          std::string("[-1]"), std::string("18446744073709551616"),
+          std::string("\"\\ud800\""), std::string("\"a\\r\\nb\""),
+          nested(100'000)}) {
+      Json entry = valid;
+      entry.erase(field);
+      std::string text = entry.dump();
+      text.pop_back();
+      values.push_back(text + ",\"" + field + "\":" + value + "}");
+    }
+  }
+  return values;
+}
+
+// Guards against an instance that ends, or follows the others no longer,
+// because of one odd entry.
+BOOST_AUTO_TEST_CASE(Watch_OddEntries_LaterOnesAreFollowed) {
+  StartInstances(3);
+  time.Run(Millis(3000));
+  const auto put = [this](const std::string& key, const std::string& value) {
+    StoreTransaction transaction;
+    transaction.puts.push_back({key, value, 0});
+    StoreCommit commit;
+    BOOST_TEST(!store.model.Commit(transaction, &commit));
+  };
+  int written = 0;
+  for (const std::string& odd : OddValues()) {
+    BOOST_TEST_CONTEXT(odd.substr(0, 200)) {
+      for (const std::string& key :
+           {InstanceKey("odd"), KnownInstanceKey("odd"), LeadKey("odd"),
+            std::string(kLivePrefix), std::string(kLivePrefix) + "odd",
+            InstanceKey(""), LeadKey("a b"), LeadKey("\xff"),
+            DeductibleWaitsKey("odd")}) {
+        put(key, odd);
+      }
+      // Every other value is read from a list instead of a watch.
+      if (++written % 2 == 0) {
+        store.model.Compact();
+      }
+      const std::string address = "10.0.0.9:" + std::to_string(1000 + written);
+      put(InstanceKey("good"),
+          Json{{"data_centre", "plaka"}, {"address", address}}.dump());
+      put(LeadKey("good"),
+          Json{{"instance", "i0"}, {"address", address}, {"nonce", 7U}}.dump());
+      time.Run(Millis(1500));
+      for (const Member& member : members) {
+        const auto& instances = member.live->instances();
+        const auto& leads = member.live->leads();
+        BOOST_TEST((instances.contains("good") &&
+                    instances.at("good").address == address));
+        BOOST_TEST(
+            (leads.contains("good") && leads.at("good").address == address));
+      }
+    }
+  }
+}
+
+// Guards against instances that stay unknown, or leads that stay in force,
+// after their keys were overwritten.
+BOOST_AUTO_TEST_CASE(Watch_KeysOverwrittenByOddEntries_InstancesRegisterAgain) {
+  StartInstances(3);
+  time.Run(Millis(3000));
+  for (const std::string& odd :
+       {std::string("[]"), std::string(100'000, '['),
+        std::string(R"({"data_centre":"plaka","address":1e400})")}) {
+    WriteLead(*members[0].live);
+    StoreTransaction transaction;
+    transaction.puts.push_back({InstanceKey("i1"), odd, 0});
+    transaction.puts.push_back({LeadKey(kCell), odd, 0});
+    StoreCommit commit;
+    BOOST_TEST(!store.model.Commit(transaction, &commit));
+    time.Run(Millis(3000));
+    for (const Member& member : members) {
+      BOOST_TEST(member.live->instances().size() == 3U);
+      BOOST_TEST(!member.live->leads().contains(kCell));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/testsuite/platform-bad-input/run.sh
+++ b/testsuite/platform-bad-input/run.sh
@@ -53,6 +53,48 @@
 is_ready a1 && echo "still ready"
 echo "rejected entries logged: $(grep -c 'rejected a directory entry' "$WORK/a1.log")"
 
+# Odd values of other writers in every list and key that the process follows: it
+# goes on following them, also after a restart.
+repeat() { head -c "$1" /dev/zero | tr '\0' "$2"; }
+entry='"service":"pool","zone":"plaka","state":"ready","capacity":{"cpu":4000,"memMb":4096}'
+at='"address":"127.0.0.1:9"'
+odd_values=(
+  "$(repeat 50000 '[')"
+  "$(repeat 40000 '[')$(repeat 40000 ']')"
+  "{$entry,$at,\"labels\":$(repeat 20000 '[')$(repeat 20000 ']')}"
+  "{$entry,$at,\"remainingMs\":1e400}"
+  "{$entry,$at,\"slots\":18446744073709551616}"
+  "{$entry,$at,\"born\":$(repeat 300 9)}"
+  "{$entry,\"address\":\"127.0.0.1:65536\"}"
+  "{$entry,\"address\":\"127.0.0.1:99999999999\"}"
+)
+for prefix in servers/ doorwood/live/instance/ doorwood/live/lead/ doorwood/live/seen/ op/wave/ op/evacuate/; do
+  for n in "${!odd_values[@]}"; do
+    put "${prefix}odd-$n" "${odd_values[n]}"
+  done
+done | sort | uniq -c | tr -s ' '
+until_true refused 11
+put op/config "${odd_values[1]}"
+until_true grep -q 'configuration cannot be decoded' "$WORK/a1.log"
+put op/config "$(sed 's/"version":1/"version":2/; s/\({"name":"jobs".*}\)\],"services"/\1,{"name":"more","host":"queue.example","pathPrefix":"\/more\/","service":"pool"}],"services"/' \
+  "$here/../platform-job/config.json")"
+serves_more() { [ "$(call a1 GET /more/)" = '{"pending":0} 200' ]; }
+until_true serves_more
+runs_job() {
+  call a1 POST "/jobs/$1" '{"spec":"ms=50","steps":[{"count":3,"cpu":500,"memMb":64,"estRuntimeMs":50}]}'
+  until_true state_is a1 "$1" completed
+  refused 11
+}
+runs_job 00000000000000b3
+kill -0 "${PID[a1]}" && echo "still the same process"
+kill -KILL "${PID[a1]}"
+run_entry a1
+until_true leads a1
+until_true serves_more
+until_true refused 11
+runs_job 00000000000000b4
+kill -0 "${PID[a1]}" && echo "still the same process"
+
 sed 's/^instance:.*/instence: a1/' "$WORK/a1.yaml" >"$WORK/bad.yaml"
 "$BIN/doorwood-celld" --settings "$WORK/bad.yaml" 2>&1 | sed "s#$WORK/##"
 { cat "$WORK/a1.yaml"; echo "set_aside_share: 0.7"; } >"$WORK/range.yaml"
