fix(directory): one odd entry no longer hides the platform's list of instances

Symptom: doorwoodd stopped following the list of instances for as long as another writer's entry with a field of a wrong type, a number too large or very deep nesting was in it: no new worker was held. In testsuite/bad-input with the entries that it now has, the code before failed with `the list is not followed` (30 s); a later worker is held now, also after a restart.

Cause: the list was decoded as a whole, and an exception anywhere in it, or a value that ParseJson rejects, made the fetch fail; so did the next one.

Change: each entry is decoded by itself. An invalid one is left out, logged once and, if its instance is listed already, leaves that as it was. Values that cannot be represented (nesting deeper than 64, numbers beyond double, unpaired surrogates) are replaced before the text is parsed again (ParseJsonLeniently), so that the rest of the list is read.

--- a/src/directory.adapter/http_directory.h
+++ b/src/directory.adapter/http_directory.h
@@ -6,11 +6,15 @@
 #ifndef DOORWOOD_DIRECTORY_ADAPTER_HTTP_DIRECTORY_H_
 #define DOORWOOD_DIRECTORY_ADAPTER_HTTP_DIRECTORY_H_
 
+#include <map>
 #include <string>
+#include <vector>
 
 #include "asio.adapter/blocking_pool.h"
 #include "doorwood/directory.h"
+#include "doorwood/event_log.h"
 #include "doorwood/executor.h"
+#include "doorwood/rejected_entry_log.h"
 #include "http.adapter/http_call.h"
 
 namespace doorwood {
@@ -19,7 +23,8 @@
  public:
   HttpDirectory(std::string address,
                 std::string data_centre,
-                Executor& executor);
+                Executor& executor,
+                EventLog& log);
 
   void Fetch(Callback done) override;
 
@@ -28,6 +33,10 @@
   }
 
  private:
+  /// Decodes the entries of the platform's list. An invalid one is logged; its
+  /// instance, if it is listed already, is listed as before.
+  std::vector<InstanceInfo> DecodeList(const Json& entries);
+
   std::string address_;
   std::string data_centre_;
   Executor& executor_;
@@ -36,6 +45,7 @@
   int64_t version_ = -1;
   std::vector<InstanceInfo> list_;
   HttpCaller caller_;
+  RejectedEntryLog rejected_entries_;
   BlockingPool pool_{1};
 };
 
--- a/src/doorwoodd/daemon.cpp
+++ b/src/doorwoodd/daemon.cpp
@@ -47,7 +47,7 @@
       kv_({.address = settings.kv}, executor_),
       budget_(BudgetOptions(settings), executor_, kv_),
       workers_(WorkersOptions(settings, NewIncarnation()), executor_),
-      directory_(settings.directory, settings.data_centre, executor_),
+      directory_(settings.directory, settings.data_centre, executor_, log_),
       peers_({.listen = settings.peer_listen, .token = settings.peer_token},
              executor_),
       sender_(settings.peer_token),
--- a/src/http.adapter/http_call.cpp
+++ b/src/http.adapter/http_call.cpp
@@ -4,6 +4,8 @@
 
 #include <charconv>
 
+#include "doorwood/lenient_json.h"
+
 namespace doorwood {
 namespace {
 
@@ -135,7 +137,7 @@
   }
   answer.outcome = CallOutcome::kAnswered;
   answer.status = result->status;
-  answer.body = ParseJson(result->body).value_or(Json());
+  answer.body = ParseJsonLeniently(result->body).value_or(Json());
   clients_.Return(address, std::move(client));
   return answer;
 }
--- a/testsuite/bad-input/run.sh
+++ b/testsuite/bad-input/run.sh
@@ -79,3 +79,25 @@
 try "$BIN/doorwood" --address 127.0.0.1:1 status
 "$BIN/doorwood" frobnicate >/dev/null 2>&1
 echo "exit $?"
+
+echo "== odd values of other writers in the list of instances and in the store"
+post() { curl -s -m 5 -d "$2" "http://127.0.0.1:${PORT[${1%%/*}]}/$1"; }
+worker='"role":"worker","data_centre":"plaka"'
+nested=$(printf '[%.0s' {1..60})$(printf ']%.0s' {1..60})
+odds=0
+for odd in '"slots":"x","address":"127.0.0.1:1"' '"slots":1e300,"address":"127.0.0.1:1"' \
+  '"slots":18446744073709551615,"address":"127.0.0.1:1"' '"address":"127.0.0.1:65536"' \
+  '"address":"127.0.0.1:99999999999"' '"address":7' "\"address\":\"127.0.0.1:1\",\"labels\":$nested"; do
+  post instances/change "{\"id\":\"odd-$((++odds))\",$worker,$odd}" >/dev/null
+done
+add_worker w2 plaka r2
+post instances/change "${INSTANCE_LINES[-1]}" >/dev/null
+within 30 workers_held plaka-1 2 || fail "the list is not followed"
+echo "worker listed later: held"
+grep -o 'rejected a directory entry' plaka-1.log | sort | uniq -c | tr -s ' '
+kill -0 "${PID[plaka-1]}" && echo "still the same process"
+kill -KILL "${PID[plaka-1]}"
+start_entry plaka-1
+within 60 workers_held plaka-1 2 || fail "workers not held after a restart"
+within 60 shards_owned plaka-1 8 || fail "shards not owned after a restart"
+kill -0 "${PID[plaka-1]}" && echo "started again"
