fix(kv): an odd entry in an answer of the key-value service ends no process

Symptom: doorwoodd ended when an answer of the key-value service had an entry of another form (no object, a version that is text or out of range).

Cause: the answer was decoded in a callback on the control thread, where nothing catches the exception. Numbers out of range were converted without a check.

Change: such an answer is reported as unavailable, or as of unknown outcome if the call may have changed something. It is not used in part, since keys that are left out would count as absent.

--- a/src/kv.adapter/http_kv.cpp
+++ b/src/kv.adapter/http_kv.cpp
@@ -2,7 +2,11 @@
 
 #include "kv.adapter/http_kv.h"
 
+#include <exception>
+#include <utility>
+
 #include "doorwood/error.h"
+#include "doorwood/json_reader.h"
 
 namespace doorwood {
 namespace {
@@ -38,18 +42,48 @@
 }
 
 KvEntry EntryOf(const Json& json) {
-  return {json.value("key", ""), json.value("value", ""),
-          json.value("version", int64_t{0})};
+  if (!json.is_object()) {
+    throw FieldError("entries");
+  }
+  return {ReadStringOrEmpty(json, "key"), ReadStringOrEmpty(json, "value"),
+          ReadIntegerOr(json, "version", 0, kIdentifierRange)};
 }
 
 std::vector<KvEntry> EntriesOf(const Json& json) {
   std::vector<KvEntry> entries;
-  for (const Json& item : json.value("entries", Json::array())) {
+  for (const Json& item : ReadListOrEmpty(json, "entries")) {
     entries.push_back(EntryOf(item));
   }
   return entries;
 }
 
+int64_t VersionOf(const Json& json) {
+  return ReadIntegerOr(json, "version", 0, kIdentifierRange);
+}
+
+int64_t LeaseOf(const Json& json) {
+  return ReadIntegerOr(json, "lease", 0, kIdentifierRange);
+}
+
+// Passes what `decode` returns for the answer to `done`. An answer that it
+// rejects is reported as `invalid`; a part of it is not used, since the keys
+// that are missing would count as absent.
+template <typename T>
+auto Decoded(KvStore::Callback<T> done,
+             KvErrc invalid,
+             T (*decode)(const Json&)) {
+  return [done = std::move(done), invalid, decode](std::error_code error,
+                                                   const Json& json) {
+    T value{};
+    try {
+      value = error ? T{} : decode(json);
+    } catch (const std::exception&) {
+      error = invalid;
+    }
+    done(error, std::move(value));
+  };
+}
+
 }  // namespace
 
 HttpKv::HttpKv(const HttpKvOptions& options, Executor& executor)
@@ -86,17 +120,18 @@
 void HttpKv::Read(const std::string& key, Callback<KvEntry> done) {
   Start(calls_, "/kv/read", {{"key", key}}, options_.call_timeout,
         /*mutates=*/false,
-        [done, key](std::error_code error, const Json& json) {
-          done(error, error ? KvEntry{.key = key} : EntryOf(json));
-        });
+        Decoded<KvEntry>(
+            [done, key](std::error_code error, const KvEntry& entry) {
+              done(error, error ? KvEntry{.key = key} : entry);
+            },
+            KvErrc::kUnavailable, EntryOf));
 }
 
 void HttpKv::List(const std::string& prefix,
                   Callback<std::vector<KvEntry>> done) {
   Start(calls_, "/kv/list", {{"prefix", prefix}}, options_.call_timeout,
-        /*mutates=*/false, [done](std::error_code error, const Json& json) {
-          done(error, error ? std::vector<KvEntry>() : EntriesOf(json));
-        });
+        /*mutates=*/false,
+        Decoded(std::move(done), KvErrc::kUnavailable, EntriesOf));
 }
 
 void HttpKv::Write(const KvWrite& write, Callback<int64_t> done) {
@@ -106,9 +141,7 @@
          {"expected_version", write.expected_version},
          {"lease", write.lease}},
         options_.call_timeout, /*mutates=*/true,
-        [done](std::error_code error, const Json& json) {
-          done(error, error ? 0 : json.value("version", int64_t{0}));
-        });
+        Decoded(std::move(done), KvErrc::kUnknown, VersionOf));
 }
 
 void HttpKv::Remove(const std::string& key,
@@ -123,9 +156,7 @@
 void HttpKv::GrantLease(Millis lifetime, Callback<int64_t> done) {
   Start(calls_, "/kv/grant", {{"lifetime_ms", lifetime.count()}},
         options_.call_timeout, /*mutates=*/true,
-        [done](std::error_code error, const Json& json) {
-          done(error, error ? 0 : json.value("lease", int64_t{0}));
-        });
+        Decoded(std::move(done), KvErrc::kUnknown, LeaseOf));
 }
 
 void HttpKv::RenewLease(int64_t lease, Callback<int64_t> done) {
@@ -142,9 +173,7 @@
          {"after", after},
          {"wait_ms", options_.watch_wait.count()}},
         options_.watch_wait + options_.call_timeout, /*mutates=*/false,
-        [done](std::error_code error, const Json& json) {
-          done(error, error ? std::vector<KvEntry>() : EntriesOf(json));
-        });
+        Decoded(std::move(done), KvErrc::kUnavailable, EntriesOf));
 }
 
 }  // namespace doorwood
