fix(config): an odd value in the keys of the configuration ends no process

Symptom: with a value of another form in `config/current` or `config/drained`, such as a revision that is text, each doorwoodd of the data centre ended, and again at each start: `[json.exception.type_error.302] type must be number, but is string`.

Cause: the watch's callback decoded the value, and nothing catches an exception there.

Change: a value that is not of the form that instances write is ignored, and the next one is followed. A change of the drained workers begins from those that are drained here if the stored value is invalid.

--- a/src/libdoorwood/config/config_keeper.cpp
+++ b/src/libdoorwood/config/config_keeper.cpp
@@ -3,8 +3,12 @@
 #include "doorwood/config_keeper.h"
 
 #include <algorithm>
+#include <optional>
+#include <string_view>
+#include <utility>
 
 #include "doorwood/error.h"
+#include "doorwood/json_reader.h"
 
 namespace doorwood {
 namespace {
@@ -18,6 +22,46 @@
 constexpr size_t kMaxTextBytes = 64 * 1024;
 constexpr int kMaxTries = 5;
 
+// Throws `FieldError` if the fields of a revision do not have the types that
+// instances write.
+void CheckRevision(const Json& revision) {
+  if (!revision.is_object()) {
+    throw FieldError("history");
+  }
+  ReadIntegerOr(revision, "revision", 0);
+  for (const char* field : {"operation", "author", "text"}) {
+    ReadStringOrEmpty(revision, field);
+  }
+}
+
+// Returns the stored revision with its history. Any program may have written
+// the value; returns nothing if it is not of the form that instances write.
+std::optional<Json> ParseStored(std::string_view value) {
+  return DecodeObject(value, [](const Json& json) {
+    CheckRevision(json);
+    for (const Json& earlier : ReadListOrEmpty(json, "history")) {
+      CheckRevision(earlier);
+    }
+    return json;
+  });
+}
+
+// Returns nothing if the value is not a list of names.
+std::optional<std::set<std::string>> ParseDrained(std::string_view value) {
+  const auto json = ParseJson(value);
+  if (!json || !json->is_array()) {
+    return std::nullopt;
+  }
+  std::set<std::string> drained;
+  for (const Json& worker : *json) {
+    if (!worker.is_string()) {
+      return std::nullopt;
+    }
+    drained.insert(worker.get<std::string>());
+  }
+  return drained;
+}
+
 uint64_t RevisionOf(const Json& stored) {
   return stored.value("revision", uint64_t{0});
 }
@@ -116,8 +160,8 @@
 }
 
 void ConfigKeeper::AdoptIfNewer(const std::string& value) {
-  const auto stored = ParseJson(value);
-  if (!stored || !stored->is_object() || RevisionOf(*stored) <= revision_) {
+  const auto stored = ParseStored(value);
+  if (!stored || RevisionOf(*stored) <= revision_) {
     return;
   }
   const std::string text = stored->value("text", "");
@@ -137,14 +181,13 @@
 }
 
 void ConfigKeeper::AdoptDrained(const std::string& value, int64_t version) {
-  const auto stored = ParseJson(value);
-  if (!stored || !stored->is_array() || version <= drained_version_) {
+  auto drained = ParseDrained(value);
+  if (!drained || version <= drained_version_) {
     return;
   }
   drained_version_ = version;
-  auto drained = stored->get<std::set<std::string>>();
-  if (drained != drained_) {
-    drained_ = std::move(drained);
+  if (*drained != drained_) {
+    drained_ = std::move(*drained);
     on_change_();
   }
 }
@@ -198,7 +241,7 @@
                                const KvEntry& entry,
                                int tries_left,
                                std::function<void(ConfigOutcome)> done) {
-  const Json before = ParseJson(entry.value).value_or(Json::object());
+  const Json before = ParseStored(entry.value).value_or(Json::object());
   const uint64_t created_revision =
       RevisionOfOperation(before, change.operation);
   if (created_revision != 0) {
@@ -244,7 +287,7 @@
                                  std::function<void(ConfigOutcome)> done) {
   kv_.Read(kCurrentKey, [self = shared_from_this(), change, done](
                             std::error_code error, const KvEntry& entry) {
-    const auto stored = error ? std::nullopt : ParseJson(entry.value);
+    const auto stored = error ? std::nullopt : ParseStored(entry.value);
     const uint64_t created_revision =
         stored ? RevisionOfOperation(*stored, change.operation) : 0;
     if (created_revision == 0) {
@@ -266,8 +309,9 @@
       done(CoreErrc::kStoreUnavailable);
       return;
     }
-    const Json before = ParseJson(entry.value).value_or(Json::array());
-    auto workers = before.get<std::set<std::string>>();
+    // If the value is invalid, the workers that are drained here remain so.
+    auto workers = error ? std::set<std::string>()
+                         : ParseDrained(entry.value).value_or(self->drained_);
     if (drained) {
       workers.insert(worker);
     } else {
--- a/testsuite/bad-input/run.sh
+++ b/testsuite/bad-input/run.sh
@@ -90,6 +90,14 @@
   '"address":"127.0.0.1:99999999999"' '"address":7' "\"address\":\"127.0.0.1:1\",\"labels\":$nested"; do
   post instances/change "{\"id\":\"odd-$((++odds))\",$worker,$odd}" >/dev/null
 done
+# overwrite KEY VALUE
+overwrite() {
+  local version
+  version=$(post kv/read "{\"key\":\"$1\"}" | sed -n 's/.*"version":\([0-9]*\).*/\1/p')
+  post kv/write "{\"key\":\"$1\",\"value\":\"${2//\"/\\\"}\",\"expected_version\":${version:-0},\"lease\":0}" >/dev/null
+}
+overwrite config/current '{"revision":"x"}'
+overwrite config/drained '[1]'
 add_worker w2 plaka r2
 post instances/change "${INSTANCE_LINES[-1]}" >/dev/null
 within 30 workers_held plaka-1 2 || fail "the list is not followed"
