fix(owner): odd keys and values in a shard's log end no process

Cause: std::stoll on the last part of a key, and decoding in callbacks, where nothing catches an exception.

shard_log_test: both new cases ended with an exception before; they pass now.

--- a/src/libdoorwood/owner/shard_log.cpp
+++ b/src/libdoorwood/owner/shard_log.cpp
@@ -12,6 +12,7 @@
 namespace doorwood {
 
 using pvt::EpochOf;
+using pvt::ParseHead;
 
 std::string AliveKey(const std::string& data_centre,
                      const std::string& instance) {
@@ -407,8 +408,7 @@
       return;
     }
     self->head_version_ = head.version;
-    const auto json = ParseJson(head.value);
-    const bool closed = json && json->value("owner", "").empty();
+    const bool closed = ParseHead(head).owner.empty();
     self->FinishClose(closed ? std::error_code()
                              : make_error_code(KvErrc::kUnavailable));
   });
--- a/src/libdoorwood/owner/shard_log_test.cpp
+++ b/src/libdoorwood/owner/shard_log_test.cpp
@@ -298,6 +298,103 @@
   BOOST_TEST(pair.Append(pair.first, "a", true) == std::error_code());
 }
 
+// Values of another form than owners write into the head, the log or the
+// snapshot.
+std::vector<std::string> OddValues() {
+  const std::string deep =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  const std::string unknown_phase =
+      R"({"position":1,"state":{"jobs":[{"id":"j","member":"m",)"
+      R"("home":"h","cancelled":false,"tasks":[{"spec":{},"phase":9,)"
+      R"("failures":0,"evictions":0,"checkpoint":"","last_ended":[0,0]}]}],)"
+      R"("finished":[],"claims":[]}})";
+  return {"",
+          "7",
+          "null",
+          "[]",
+          "{}",
+          "\"text\"",
+          "\xff",
+          deep,
+          R"({"owner":7,"epoch":1})",
+          R"({"owner":"x","epoch":"1"})",
+          R"({"owner":"x","epoch":-1})",
+          R"({"owner":"x","epoch":1e300})",
+          R"({"owner":"x","epoch":1e400})",
+          R"({"owner":"x","epoch":18446744073709551615})",
+          R"({"owner":"x","epoch":1,"incarnation":-0.5})",
+          R"({"epoch":1,"records":7})",
+          R"({"epoch":1,"records":{"a":1}})",
+          R"({"position":"1","state":{}})",
+          R"({"position":1e300,"state":{}})",
+          R"({"position":1,"state":7})",
+          R"({"position":1,"state":{"jobs":7,"finished":[],"claims":[]}})",
+          R"({"position":1,"state":{"jobs":[7],"finished":[],"claims":[]}})",
+          unknown_phase};
+}
+
+void Overwrite(TwoOwners& pair, std::string key, const std::string& value) {
+  key.insert(0, "shard/" + ToString(ShardId{"plaka", 0}) + "/");
+  KvEntry before;
+  pair.model.Read(key, pair.time.now_ms(), &before);
+  int64_t version = 0;
+  BOOST_TEST(!pair.model.Write(
+      {.key = key, .value = value, .expected_version = before.version},
+      pair.time.now_ms(), &version));
+}
+
+// Guards against an exception that ends the process, again at each start.
+BOOST_AUTO_TEST_CASE(Open_OddValueStored_RecordsAreReplayed) {
+  for (const char* key :
+       {"head", "snapshot", "log/", "log/odd", "log/-1", "log/1x",
+        "log/99999999999999999999", "log/000000000003"}) {
+    for (const std::string& odd : OddValues()) {
+      BOOST_TEST_CONTEXT(key << " " << odd.substr(0, 200)) {
+        TwoOwners pair;
+        BOOST_TEST(!pair.Open(pair.first));
+        BOOST_TEST(pair.Append(pair.first, "a", true) == std::error_code());
+        Overwrite(pair, key, odd);
+        BOOST_CHECK_NO_THROW(pair.Append(pair.first, "b", true));
+        // The owner's epochs rise to that of the log with each attempt.
+        std::error_code error;
+        for (int attempt = 0; attempt < 4; ++attempt) {
+          BOOST_REQUIRE_NO_THROW(error = pair.Open(pair.second));
+          if (!error) {
+            break;
+          }
+        }
+        BOOST_TEST(!error);
+        BOOST_TEST(pair.HasClaim(pair.second, "a"));
+        BOOST_TEST(pair.Append(pair.second, "c", true) == std::error_code());
+        BOOST_CHECK_NO_THROW(
+            pair.first.log->VerifyOwnership([](std::error_code) {}));
+        BOOST_CHECK_NO_THROW(pair.time.Run(kRunDuration));
+        BOOST_CHECK_NO_THROW(pair.Append(pair.first, "d", false));
+        BOOST_TEST(!pair.HasClaim(pair.second, "d"));
+      }
+    }
+  }
+}
+
+// Guards against records that are dropped silently because one of a batch
+// cannot be decoded.
+BOOST_AUTO_TEST_CASE(Open_RecordCannotBeDecoded_ShardIsNotOpened) {
+  for (const char* record :
+       {"7", "{}", R"({"claim":7,"request":"r"})", R"({"cancel":null})",
+        R"({"end":["j","t"],"attempt":[-1],"how":"lost","checkpoint":""})"}) {
+    BOOST_TEST_CONTEXT(record) {
+      TwoOwners pair;
+      BOOST_TEST(!pair.Open(pair.first));
+      BOOST_TEST(pair.Append(pair.first, "a", true) == std::error_code());
+      Overwrite(pair, "log/000000000002",
+                R"({"epoch":1,"owner":"first","incarnation":1,"records":[)" +
+                    std::string(record) + "]}");
+      BOOST_TEST(pair.Open(pair.second) ==
+                 make_error_code(CoreErrc::kStoreUnavailable));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/libdoorwood/owner/shard_state.cpp
+++ b/src/libdoorwood/owner/shard_state.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 
+#include "doorwood/json_reader.h"
+
 namespace doorwood {
 namespace {
 
@@ -77,7 +79,9 @@
 TaskState ParseTask(const Json& json) {
   TaskState task;
   json.at("spec").get_to(task.spec);
-  task.phase = static_cast<TaskPhase>(json.at("phase").get<int>());
+  task.phase = static_cast<TaskPhase>(
+      ToInteger(json.at("phase"), "phase",
+                {0, static_cast<int64_t>(kPhases.size()) - 1}));
   json.at("failures").get_to(task.failures);
   json.at("evictions").get_to(task.evictions);
   json.at("checkpoint").get_to(task.checkpoint);
--- a/src/libdoorwood/owner/shard_takeover.cpp
+++ b/src/libdoorwood/owner/shard_takeover.cpp
@@ -4,6 +4,10 @@
 // replay the entries.
 
 #include <algorithm>
+#include <exception>
+#include <optional>
+#include <utility>
+#include <vector>
 
 #include "doorwood/error.h"
 #include "doorwood/shard_log.h"
@@ -12,12 +16,53 @@
 namespace doorwood {
 
 using pvt::EpochOf;
+using pvt::LogHead;
+using pvt::ParseHead;
 using pvt::PositionOf;
 
 namespace {
 
 constexpr int kMaxTakeoverRetries = 5;
 
+struct Snapshot {
+  int64_t position = 0;
+  ShardState state;
+};
+
+// Returns an empty snapshot if the value is none.
+Snapshot ParseSnapshot(const KvEntry& entry) {
+  auto snapshot = DecodeObject(entry.value, [](const Json& json) {
+    return Snapshot{ReadInteger(json, "position"),
+                    ShardState::FromSnapshot(json.at("state"))};
+  });
+  return snapshot ? std::move(*snapshot) : Snapshot{};
+}
+
+// Returns no records if the value is not a batch, and nothing if it is one with
+// a record that cannot be decoded.
+std::optional<std::vector<LogRecord>> ParseBatch(const KvEntry& entry) {
+  const auto json = ParseJson(entry.value);
+  std::vector<LogRecord> records;
+  if (!json || !json->is_object() || !json->contains("records") ||
+      !json->at("records").is_array()) {
+    return records;
+  }
+  try {
+    for (const Json& record : json->at("records")) {
+      records.push_back(ParseLogRecord(record));
+    }
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  return records;
+}
+
+// Other programs may have written under the prefix of the log.
+void RemoveForeignKeys(std::vector<KvEntry>* entries) {
+  std::erase_if(*entries,
+                [](const KvEntry& entry) { return !PositionOf(entry); });
+}
+
 }  // namespace
 
 void ShardLog::Open(Done done) {
@@ -32,11 +77,7 @@
 }
 
 void ShardLog::TakeHeadUnlessOwnerAlive(const KvEntry& head, Done done) {
-  const auto json = ParseJson(head.value);
-  const std::string owner = json ? json->value("owner", "") : "";
-  const uint64_t epoch = json ? json->value("epoch", uint64_t{0}) : 0;
-  const uint64_t incarnation =
-      json ? json->value("incarnation", uint64_t{0}) : 0;
+  const auto [owner, epoch, incarnation] = ParseHead(head);
   const bool free = owner.empty() || owner == instance_;
   if (free) {
     TakeHead(head.version, epoch + 1, done);
@@ -44,8 +85,9 @@
   }
   // The store removes the owner's registration when its lease expires.
   kv_.Read(AliveKey(shard_.data_centre, owner),
-           [self = shared_from_this(), version = head.version, epoch,
-            incarnation, done](std::error_code error, const KvEntry& alive) {
+           [self = shared_from_this(), version = head.version, epoch = epoch,
+            incarnation = incarnation,
+            done](std::error_code error, const KvEntry& alive) {
              if (error == KvErrc::kNotFound) {
                self->TakeHead(version, epoch + 1, done);
                return;
@@ -89,11 +131,10 @@
 void ShardLog::ConfirmHead(uint64_t epoch, Done done) {
   kv_.Read(HeadKey(), [self = shared_from_this(), epoch, done](
                           std::error_code error, const KvEntry& head) {
-    const auto json = error ? std::nullopt : ParseJson(head.value);
-    const bool mine =
-        json && json->value("owner", "") == self->instance_ &&
-        json->value("incarnation", uint64_t{0}) == self->incarnation_ &&
-        json->value("epoch", uint64_t{0}) == epoch;
+    const LogHead found = error ? LogHead{} : ParseHead(head);
+    const bool mine = found.owner == self->instance_ &&
+                      found.incarnation == self->incarnation_ &&
+                      found.epoch == epoch;
     if (!mine) {
       done(error ? ToCoreError(error) : make_error_code(CoreErrc::kConflict));
       return;
@@ -111,23 +152,23 @@
       done(ToCoreError(error));
       return;
     }
-    const auto json = ParseJson(snapshot.value);
-    const int64_t after = json ? json->value("position", int64_t{0}) : 0;
-    self->kv_.List(
-        self->LogPrefix(), [self, after, done](std::error_code list_error,
-                                               std::vector<KvEntry> entries) {
-          if (list_error) {
-            done(ToCoreError(list_error));
-            return;
-          }
-          if (!entries.empty() && EpochOf(entries.back()) > self->epoch_) {
-            // A newer owner sealed the log while this one was delayed.
-            done(CoreErrc::kConflict);
-            return;
-          }
-          const int64_t last = entries.empty() ? 0 : PositionOf(entries.back());
-          self->WriteSeal(std::max(last, after) + 1, done);
-        });
+    const int64_t after = ParseSnapshot(snapshot).position;
+    self->kv_.List(self->LogPrefix(), [self, after, done](
+                                          std::error_code list_error,
+                                          std::vector<KvEntry> entries) {
+      if (list_error) {
+        done(ToCoreError(list_error));
+        return;
+      }
+      RemoveForeignKeys(&entries);
+      if (!entries.empty() && EpochOf(entries.back()) > self->epoch_) {
+        // A newer owner sealed the log while this one was delayed.
+        done(CoreErrc::kConflict);
+        return;
+      }
+      const int64_t last = entries.empty() ? 0 : *PositionOf(entries.back());
+      self->WriteSeal(std::max(last, after) + 1, done);
+    });
   });
 }
 
@@ -178,6 +219,7 @@
                        done(ToCoreError(list_error));
                        return;
                      }
+                     RemoveForeignKeys(&entries);
                      self->ReplayEntries(snapshot, entries, done);
                    });
   });
@@ -186,14 +228,10 @@
 void ShardLog::ReplayEntries(const KvEntry& snapshot,
                              const std::vector<KvEntry>& entries,
                              Done done) {
-  state_ = ShardState();
-  snapshot_position_ = 0;
+  Snapshot parsed = ParseSnapshot(snapshot);
   snapshot_version_ = snapshot.version;
-  const auto json = ParseJson(snapshot.value);
-  if (json) {
-    snapshot_position_ = json->at("position").get<int64_t>();
-    state_ = ShardState::FromSnapshot(json->at("state"));
-  }
+  snapshot_position_ = parsed.position;
+  state_ = std::move(parsed.state);
   if (ApplyEntries(entries)) {
     open_ = true;
     done(std::error_code());
@@ -209,23 +247,25 @@
   Replay(done);
 }
 
-// Applies the entries after the snapshot. Returns false if they have a gap or
-// if the last one is not at the position of this owner's seal.
+// Applies the entries after the snapshot. Returns false if they have a gap, if
+// the last one is not at the position of this owner's seal, or if a record
+// cannot be decoded.
 bool ShardLog::ApplyEntries(const std::vector<KvEntry>& entries) {
   int64_t next = snapshot_position_ + 1;
   for (const KvEntry& entry : entries) {
-    const int64_t position = PositionOf(entry);
+    const int64_t position = *PositionOf(entry);
     if (position < next) {
       continue;
     }
     if (position != next) {
       return false;
     }
-    const auto json = ParseJson(entry.value);
-    if (json) {
-      for (const Json& record : json->at("records")) {
-        state_.Apply(ParseLogRecord(record));
-      }
+    const auto records = ParseBatch(entry);
+    if (!records) {
+      return false;
+    }
+    for (const LogRecord& record : *records) {
+      state_.Apply(record);
     }
     ++next;
   }
