fix(cell): a job whose starts were all refused counts as pending

Cause: a job counted as begun when a start was placed, and stayed so when the start was refused or never sent.

Now a job has begun once a worker has accepted a start, lists a run as active or lists an end. cell_restarted_in_place_test Cell_StartsAreRefused_JobIsPending fails without the change (15 checks); the tests of sessions pass.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -165,6 +165,7 @@
   const LeadProof& proof() const { return proof_; }
 
   // WorkerSessionListener
+  void OnRunBegan(WorkerSession& session, const Run& run) override;
   void OnRunEnded(WorkerSession& session,
                   const Run& run,
                   RunEnd end,
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -233,7 +233,8 @@
   std::string reason;
   /// Milliseconds since 1970; 0: not finished.
   int64_t finished_at = 0;
-  /// A task of the job has been placed, or a run of one adopted.
+  /// A run of one of the job's tasks is known to have begun, here or according
+  /// to an earlier leader's record. A start that was refused does not count.
   bool started = false;
   int repetitions_done = 0;
   /// A change that must be recorded was made since the state was last encoded
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -185,6 +185,9 @@
  public:
   virtual ~WorkerSessionListener() = default;
 
+  /// The worker has accepted the run's start, or lists the run as active for
+  /// the first time. Not called for adopted runs.
+  virtual void OnRunBegan(WorkerSession& session, const Run& run) = 0;
   /// The run has ended and is removed from the session. `end` is one of:
   /// - what the worker reported;
   /// - kStopped, if the start was deferred and never sent;
--- a/src/libdoorwood/cell/cell_restarted_in_place_test.cpp
+++ b/src/libdoorwood/cell/cell_restarted_in_place_test.cpp
@@ -307,6 +307,28 @@
   ExpectNoCompletedTaskStarts();
 }
 
+// Guards against jobs that are missing from the pending ones although each of
+// their starts was refused.
+BOOST_FIXTURE_TEST_CASE(Cell_StartsAreRefused_JobIsPending,
+                        RestartedWorkerFixture) {
+  for (const char* id : {"w1", "w2", "w3"}) {
+    world.RestartWorkerInPlace(id, Millis(10), EntryWhileDown::kKept);
+  }
+  world.RunExactly(Millis(20));
+  CellLeader& cell = *world.Leader()->cell;
+  cell.Submit(fakes::MakePlan(fakes::kFixtureJob, 1, 1, "ms=4000"),
+              [](std::error_code, AcceptOutcome) {});
+  bool was_refused = false;
+  while (world.starts(std::string(fakes::kFixtureJob) + ".0.0.0") == 0) {
+    BOOST_TEST(State() != "running");
+    was_refused = was_refused || cell.counters().starts_refused > 0;
+    world.RunExactly(Millis(10));
+  }
+  BOOST_TEST(was_refused);
+  world.Run(Millis(200));
+  BOOST_TEST(State() == "running");
+}
+
 // Guards against a directory entry of the earlier life, which says that it
 // drains, and by which the new life's work would be moved.
 BOOST_FIXTURE_TEST_CASE(Cell_EntryOfEarlierLifeDrains_WorkStays,
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -86,6 +86,12 @@
   }
 }
 
+void CellLeader::OnRunBegan(WorkerSession&, const Run& run) {
+  if (const Task* task = jobs_.FindTask(run.task)) {
+    task->job->started = true;
+  }
+}
+
 void CellLeader::OnRunEnded(WorkerSession& session,
                             const Run& run,
                             RunEnd end,
@@ -94,6 +100,9 @@
   if (task == nullptr) {
     return;
   }
+  // The end may be listed before the start is answered.
+  task->job->started =
+      task->job->started || (reported_by_worker && !run.start_deferred);
   const uint32_t remaining = JobTable::EndPlacedRun(task, run.number);
   JobTable::RemoveTrialNote(task);
   starts_awaiting_record_.erase(run.task);
@@ -180,6 +189,7 @@
   if (task == nullptr) {
     return;
   }
+  task->job->started = true;
   // Successive leaders that read the same records assign the same run numbers,
   // so this may be the end of a different run than the one that is placed now.
   // It is therefore counted under a lower number than that of the placed run.
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -419,7 +419,6 @@
       run.long_running && !RequestPlacementRecord(task, cell_worker->first);
   task->last_run = number;
   JobTable::SetPlaced(task, true);
-  task->job->started = true;
   ++counters_.starts;
   quarantine_.OnStart(std::string(candidate->id), executor_.Now());
   candidate->accepts_work =
--- a/src/libdoorwood/cell/worker_address_test.cpp
+++ b/src/libdoorwood/cell/worker_address_test.cpp
@@ -103,6 +103,7 @@
     incarnation.capacity = {32'000, 1000, 0};
     return incarnation;
   }
+  void OnRunBegan(WorkerSession&, const Run&) override {}
   void OnRunEnded(WorkerSession&, const Run&, RunEnd, bool) override {
     ++ended;
   }
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -139,6 +139,7 @@
     run->confirmed = executor_.Now();
     if (run->phase == RunPhase::kStarting) {
       run->phase = RunPhase::kRunning;
+      listener_.OnRunBegan(*this, *run);
     }
     return;
   }
--- a/src/libdoorwood/cell/worker_overtaking_test.cpp
+++ b/src/libdoorwood/cell/worker_overtaking_test.cpp
@@ -124,6 +124,7 @@
 
   // Checks only ends that the session infers; those that the worker reports are
   // true.
+  void OnRunBegan(WorkerSession&, const Run&) override {}
   void OnRunEnded(WorkerSession&, const Run&, RunEnd, bool reported) override {
     ended = true;
     wrong = wrong || (!reported && workers.MayRun());
--- a/src/libdoorwood/cell/worker_restart_test.cpp
+++ b/src/libdoorwood/cell/worker_restart_test.cpp
@@ -127,6 +127,7 @@
     time.Run(Millis(30));
   }
 
+  void OnRunBegan(WorkerSession&, const Run&) override {}
   void OnRunEnded(WorkerSession&,
                   const Run& run,
                   RunEnd end,
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -567,6 +567,7 @@
       // later may have been answered before the run began, and its report must
       // not be taken as proof that the run has ended.
       run->confirmed = executor_.Now();
+      listener_.OnRunBegan(*this, *run);
     }
     run->progress = row.progress;
     run->progress_at = executor_.Now();
--- a/src/libdoorwood/cell/worker_session_test.cpp
+++ b/src/libdoorwood/cell/worker_session_test.cpp
@@ -133,6 +133,7 @@
   SessionFixture(const SessionFixture&) = delete;
   SessionFixture& operator=(const SessionFixture&) = delete;
 
+  void OnRunBegan(WorkerSession&, const Run&) override {}
   void OnRunEnded(WorkerSession&,
                   const Run& run,
                   RunEnd end,
