fix(http): a full doorwoodd closes the connection that has waited longest

A crowd of connections that send a header slowly took all 96 places of a doorwoodd. All others went to one thread that refuses them, after it has read the request of each in turn, so ordinary callers got neither an answer nor a refusal.

A further connection now ends the longest wait of those that are served, counted from when the server was ready for its request, and is served next. Connections whose request is being handled are never closed; if there are no others, or 96 wait already, the new one is refused as before.

--- a/src/http.adapter/bounded_queue.cpp
+++ b/src/http.adapter/bounded_queue.cpp
@@ -9,20 +9,22 @@
 
 }  // namespace
 
-BoundedQueue::BoundedQueue(size_t threads)
+BoundedQueue::BoundedQueue(size_t threads, std::function<bool()> make_room)
     : max_threads_(threads),
+      make_room_(std::move(make_room)),
       refusal_thread_([this]() { RunRefusalThread(); }) {}
 
 void BoundedQueue::enqueue(std::function<void()> fn) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (busy_ + queue_.size() >= max_threads_) {
+  const bool full = busy_ + queue_.size() >= max_threads_;
+  if (full && (queue_.size() >= max_threads_ || !make_room_())) {
     refused_.push_back(std::move(fn));
     refusals_.notify_one();
     return;
   }
   queue_.push_back(std::move(fn));
   const bool idle_thread = threads_.size() >= busy_ + queue_.size();
-  if (!idle_thread) {
+  if (!idle_thread && threads_.size() < max_threads_) {
     threads_.emplace_back([this]() { RunServingThread(); });
   }
   work_.notify_one();
--- a/src/http.adapter/bounded_queue.h
+++ b/src/http.adapter/bounded_queue.h
@@ -19,12 +19,13 @@
 namespace doorwood {
 
 /// Serves up to `threads` connections at a time, each on its own thread;
-/// threads are started when first needed. Further connections are handled by
+/// threads are started when first needed. For a further connection, `make_room`
+/// is to end another one; if it returns false, the connection is handled by
 /// one extra thread, on which `IsOverloadThread` returns true and the server
 /// refuses every request.
 class BoundedQueue : public httplib::TaskQueue {
  public:
-  explicit BoundedQueue(size_t threads);
+  BoundedQueue(size_t threads, std::function<bool()> make_room);
   ~BoundedQueue() override = default;
 
   void enqueue(std::function<void()> fn) override;
@@ -38,6 +39,7 @@
   void RunRefusalThread();
 
   size_t max_threads_;
+  std::function<bool()> make_room_;
   std::mutex mutex_;
   std::condition_variable work_;
   std::condition_variable refusals_;
--- a/src/http.adapter/bounded_stream.cpp
+++ b/src/http.adapter/bounded_stream.cpp
@@ -12,6 +12,8 @@
 #include <cerrno>
 #include <cstring>
 
+#include "http.adapter/bounded_queue.h"
+
 namespace doorwood {
 namespace {
 
@@ -36,13 +38,40 @@
 
 }  // namespace
 
-// --- BoundedStream
-// ------------------------------------------------------------
+// --- WaitingStreams ---
+
+void WaitingStreams::Add(BoundedStream* stream) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  waits_.emplace(stream->began_at(), stream);
+}
+
+void WaitingStreams::Remove(BoundedStream* stream) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  waits_.erase({stream->began_at(), stream});
+}
+
+bool WaitingStreams::EndLongest() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (waits_.empty()) {
+    return false;
+  }
+  // Its thread closes the socket, after Remove.
+  ::shutdown(waits_.begin()->second->socket(), SHUT_RDWR);
+  waits_.erase(waits_.begin());
+  return true;
+}
+
+// --- BoundedStream ---
 
 BoundedStream::BoundedStream(socket_t socket,
                              const RequestLimits& limits,
-                             HeldBodies* held_bodies)
-    : socket_(socket), limits_(limits), held_bodies_(held_bodies) {}
+                             HeldBodies* held_bodies,
+                             WaitingStreams* waiting)
+    : socket_(socket),
+      limits_(limits),
+      held_bodies_(held_bodies),
+      waiting_(waiting),
+      began_at_(std::chrono::steady_clock::now()) {}
 
 BoundedStream::~BoundedStream() {
   BeginRequest();
@@ -52,6 +81,7 @@
   *held_bodies_ -= body_bytes_;
   body_bytes_ = 0;
   line_bytes_ = 0;
+  began_at_ = std::chrono::steady_clock::now();
 }
 
 bool BoundedStream::Await(short events) const {
@@ -71,9 +101,21 @@
   return Await(POLLOUT);
 }
 
+bool BoundedStream::AwaitInput() {
+  if (waiting_ != nullptr) {
+    waiting_->Add(this);
+  }
+  const bool arrived = Await(POLLIN);
+  if (waiting_ != nullptr) {
+    waiting_->Remove(this);
+  }
+  return arrived;
+}
+
 ssize_t BoundedStream::read(char* data, size_t size) {
   if (!HasUnreadData()) {
-    if (!Await(POLLIN)) {
+    const bool arrived = AwaitInput();
+    if (!arrived) {
       return -1;
     }
     ssize_t count = 0;
@@ -143,31 +185,41 @@
 // --- BoundedServer
 // ------------------------------------------------------------
 
-bool BoundedServer::AwaitRequest(const BoundedStream& stream) const {
-  if (stream.HasUnreadData()) {
+bool BoundedServer::AwaitRequest(BoundedStream* stream) {
+  stream->BeginRequest();
+  if (stream->HasUnreadData()) {
     return true;
   }
+  const bool refused = BoundedQueue::IsOverloadThread();
+  if (!refused) {
+    waiting_.Add(stream);
+  }
+  bool arrived = false;
   const auto end = std::chrono::steady_clock::now() +
                    std::chrono::seconds(keep_alive_timeout_sec_);
   while (svr_sock_ != INVALID_SOCKET &&
-         std::chrono::steady_clock::now() < end) {
-    pollfd polled{stream.socket(), POLLIN, 0};
-    if (::poll(&polled, 1, static_cast<int>(kStopCheckInterval.count())) > 0) {
-      return true;
-    }
+         std::chrono::steady_clock::now() < end && !arrived) {
+    pollfd polled{stream->socket(), POLLIN, 0};
+    arrived =
+        ::poll(&polled, 1, static_cast<int>(kStopCheckInterval.count())) > 0;
+  }
+  if (!refused) {
+    waiting_.Remove(stream);
   }
-  return false;
+  return arrived;
 }
 
 bool BoundedServer::process_and_close_socket(socket_t socket) {
   bool succeeded = true;
   {
-    BoundedStream stream(socket, limits_, &held_bodies_);
+    // Ending the wait of a connection that is being refused makes no room.
+    BoundedStream stream(
+        socket, limits_, &held_bodies_,
+        BoundedQueue::IsOverloadThread() ? nullptr : &waiting_);
     bool connection_closed = false;
     for (size_t left = keep_alive_max_count_;
-         left > 0 && succeeded && !connection_closed && AwaitRequest(stream);
+         left > 0 && succeeded && !connection_closed && AwaitRequest(&stream);
          --left) {
-      stream.BeginRequest();
       succeeded = process_request(stream, left == 1, connection_closed, {});
     }
   }
--- a/src/http.adapter/bounded_stream.h
+++ b/src/http.adapter/bounded_stream.h
@@ -14,7 +14,10 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <mutex>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace doorwood {
 
@@ -33,19 +36,41 @@
 /// Bytes of the bodies that all connections hold.
 using HeldBodies = std::atomic<size_t>;
 
+class BoundedStream;
+
+/// The connections that wait for bytes from their client, the longest waiting
+/// one first, counted from when the server was ready for the request. Called on
+/// all threads of the server.
+class WaitingStreams {
+ public:
+  void Add(BoundedStream* stream);
+  void Remove(BoundedStream* stream);
+  /// Ends the longest wait; its connection is then closed. Returns false if
+  /// none waits.
+  bool EndLongest();
+
+ private:
+  using Instant = std::chrono::steady_clock::time_point;
+
+  std::mutex mutex_;
+  std::set<std::pair<Instant, BoundedStream*>> waits_;
+};
+
 /// A connection. Reading fails once a request exceeds a limit, upon which the
 /// library closes the connection.
 class BoundedStream : public httplib::Stream {
  public:
   BoundedStream(socket_t socket,
                 const RequestLimits& limits,
-                HeldBodies* held_bodies);
+                HeldBodies* held_bodies,
+                WaitingStreams* waiting);
   ~BoundedStream() override;
   BoundedStream(const BoundedStream&) = delete;
   BoundedStream& operator=(const BoundedStream&) = delete;
 
-  /// The next request begins.
+  /// The server is ready for the next request.
   void BeginRequest();
+  std::chrono::steady_clock::time_point began_at() const { return began_at_; }
   bool HasUnreadData() const { return begin_ < end_; }
 
   bool is_readable() const override;
@@ -58,12 +83,15 @@
 
  private:
   bool Await(short events) const;
+  bool AwaitInput();
   /// Counts bytes that were read; returns false if a limit is exceeded.
   bool Count(size_t requested, size_t bytes);
 
   const socket_t socket_;
   const RequestLimits& limits_;
   HeldBodies* held_bodies_;
+  WaitingStreams* waiting_;
+  std::chrono::steady_clock::time_point began_at_;
   std::array<char, 4096> buffer_{};
   size_t begin_ = 0;
   size_t end_ = 0;
@@ -77,14 +105,18 @@
  public:
   /// Before listening.
   void set_limits(const RequestLimits& limits) { limits_ = limits; }
+  /// Closes the connection that has waited longest for its client. Returns
+  /// false if the requests of all are being handled.
+  bool CloseLongestWaiting() { return waiting_.EndLongest(); }
 
  private:
   bool process_and_close_socket(socket_t socket) override;
   /// Returns false if no request comes in time or the server stops.
-  bool AwaitRequest(const BoundedStream& stream) const;
+  bool AwaitRequest(BoundedStream* stream);
 
   RequestLimits limits_;
   HeldBodies held_bodies_ = 0;
+  WaitingStreams waiting_;
 };
 
 }  // namespace doorwood
--- a/src/http.adapter/http_frontend.cpp
+++ b/src/http.adapter/http_frontend.cpp
@@ -73,7 +73,8 @@
     : options_(options), router_(router), environment_(environment), log_(log) {
   request_prefix_ = std::to_string(std::random_device()()) + "-";
   server_.new_task_queue = [this]() {
-    return new BoundedQueue(options_.connections);
+    return new BoundedQueue(options_.connections,
+                            [this] { return server_.CloseLongestWaiting(); });
   };
   server_.set_tcp_nodelay(true);
   server_.set_payload_max_length(options_.max_body_bytes);
