refactor(cell): the first contacts with workers are a class of their own

WorkerContacts opens the sessions of a leader, a limited number at a time; it was spread over four members of CellLeader. CellOptions::contacts has its options. No change of behaviour: cell_group_takeover_test, which sets the limit by its new name, cell_large_takeover_test, cell_leader_test and cell_next_life_test pass.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -10,7 +10,6 @@
 #define DOORWOOD_CELL_LEADER_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,6 +46,7 @@
 #include "doorwood/ticket_book.h"
 #include "doorwood/unaccounted_workers.h"
 #include "doorwood/upkeep_wave_controller.h"
+#include "doorwood/worker_contacts.h"
 #include "doorwood/worker_session.h"
 
 namespace doorwood {
@@ -217,11 +217,6 @@
   enum class Stage { kStandby, kCampaigning, kReading, kLeading, kShutDown };
   /// Name of a task, and a note of a worker crash to be added to the task.
   using TaskCrashNote = std::pair<std::string, CrashNote>;
-  /// A worker that was asked for its first report of this leader's term.
-  struct Contact {
-    std::shared_ptr<WorkerSession> session;
-    Instant began{};
-  };
   /// A caller that waits for a cancellation to be recorded.
   struct PendingCancel {
     CancelCallback done;
@@ -359,10 +354,6 @@
   void RaiseTokensOfLaterLives();
   /// Without leases of earlier versions if there are none.
   WorkerSessionOptions SessionOptions() const;
-  /// Opens the sessions that are waiting, as far as `CellOptions::max_contacts`
-  /// allows, and schedules itself while further ones are waiting.
-  void ContactWaitingWorkers();
-  void StopContacting();
   /// Opens sessions with the next incarnations of workers that have started
   /// again under their ids. What concerns the worker's row in the store stays;
   /// what concerns the incarnation begins anew.
@@ -1047,11 +1038,7 @@
   /// Jobs of earlier leaders whose runs may be outside of their groups, and
   /// that the store does not have as open to all workers yet.
   std::set<std::string> jobs_to_spread_;
-  /// Sessions of added workers that are not opened yet, in order.
-  std::deque<std::shared_ptr<WorkerSession>> contacts_waiting_;
-  /// Opened sessions that count towards `CellOptions::max_contacts`.
-  std::vector<Contact> contacts_;
-  Executor::TimerId contact_timer_ = 0;
+  WorkerContacts contacts_{executor_, options_.contacts};
   bool workers_record_requested_ = false;
   /// Number of sessions opened so far; see `CellWorker::session_number`.
   uint64_t session_count_ = 0;
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -17,6 +17,7 @@
 #include "doorwood/lead_proof.h"
 #include "doorwood/lead_vacancy.h"
 #include "doorwood/upkeep_wave_controller.h"
+#include "doorwood/worker_contacts.h"
 #include "doorwood/worker_groups.h"
 #include "doorwood/worker_session.h"
 
@@ -99,12 +100,7 @@
   /// is limited to `WorkerSessionOptions::long_poll_wait`, so a very large cell
   /// exceeds the rate. A poll costs a leader about 60 us.
   int max_interference_polls = 700;
-  /// Maximum number of workers at a time that are contacted for the first time,
-  /// without those that have not answered for `contact_patience`. A leader that
-  /// contacts thousands of workers at once handles their answers only after the
-  /// time-outs of the connections, and would have to begin again.
-  size_t max_contacts = 128;
-  Millis contact_patience{200};
+  WorkerContactOptions contacts;
   /// Upper bound of the platform on the time that a worker takes to stop a run.
   Millis longest_stop{900};
   /// The platform removes an entry that its worker has not written again for
--- a/src/libdoorwood/cell/cell_group_takeover_test.cpp
+++ b/src/libdoorwood/cell/cell_group_takeover_test.cpp
@@ -155,7 +155,7 @@
   GroupFixture fixture;
   CellWorld& world = fixture.world;
   world.options().groups.group_size = 64;
-  world.options().max_contacts = 16;
+  world.options().contacts.max_contacts = 16;
   fixture.AddWorkers(workers);
   fixture.Begin();
   for (int job = 0; job < 12; ++job) {
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -151,7 +151,7 @@
   for (auto& [id, cell_worker] : cell_workers_) {
     cell_worker.session->Close();
   }
-  StopContacting();
+  contacts_.Clear();
   // Sessions may be on the call stack, so they are destroyed later.
   executor_.Post([members = std::move(cell_workers_)] {});
   cell_workers_.clear();
@@ -387,7 +387,7 @@
       cell_workers_.begin(), cell_workers_.end(), [this](const auto& entry) {
         return takeover_.IsUncontacted(entry.second);
       });
-  const bool in_turns = !contacts_waiting_.empty();
+  const bool in_turns = contacts_.are_waiting();
   if (!all_contacted && !in_turns &&
       takeover_.TimeLeading(executor_.Now()) < options_.first_contact_time) {
     return;
--- a/src/libdoorwood/cell/cell_worker_records.cpp
+++ b/src/libdoorwood/cell/cell_worker_records.cpp
@@ -218,7 +218,7 @@
   const Instant now = executor_.Now();
   if (now - order_limits_.basis().batch_sent() >= kMaxBatchAge ||
       now < next_tasks_record_ ||
-      (!contacts_waiting_.empty() &&
+      (contacts_.are_waiting() &&
        takeover_.TimeLeading(executor_.Now()) < kMaxContactingTime)) {
     return;
   }
--- a/src/libdoorwood/cell/cell_workers.cpp
+++ b/src/libdoorwood/cell/cell_workers.cpp
@@ -14,8 +14,6 @@
 // A list of workers is logged as late if it is older than this, or if reading
 // it failed, when it is read again.
 constexpr Millis kLateListAge{1500};
-// Interval at which further workers are contacted while some are waiting.
-constexpr Millis kContactInterval{5};
 
 bool AreSetAndDiffer(const std::string& known, const std::string& reported) {
   return !known.empty() && !reported.empty() && known != reported;
@@ -314,9 +312,9 @@
     cell_worker.recorded_unsettled = recorded->unsettled;
     cell_worker.session->MarkVerified();
   }
-  contacts_waiting_.push_back(cell_worker.session);
+  const auto session = cell_worker.session;
   cell_workers_.emplace(incarnation.id, std::move(cell_worker));
-  ContactWaitingWorkers();
+  contacts_.Add(session);
 }
 
 // Each batch that the store has taken expects the lead key, so every later
@@ -357,38 +355,6 @@
   return options;
 }
 
-void CellLeader::ContactWaitingWorkers() {
-  const Instant now = executor_.Now();
-  std::erase_if(contacts_, [&](const Contact& contact) {
-    return contact.session->fenced() || contact.session->last_poll_failed() ||
-           now - contact.began >= options_.contact_patience;
-  });
-  while (!contacts_waiting_.empty() &&
-         contacts_.size() < options_.max_contacts) {
-    const auto session = std::move(contacts_waiting_.front());
-    contacts_waiting_.pop_front();
-    if (!session->closed()) {
-      contacts_.push_back({session, now});
-      session->Open();
-    }
-  }
-  if (!contacts_waiting_.empty() && contact_timer_ == 0) {
-    contact_timer_ = executor_.Schedule(kContactInterval, [this] {
-      contact_timer_ = 0;
-      ContactWaitingWorkers();
-    });
-  }
-}
-
-void CellLeader::StopContacting() {
-  contacts_waiting_.clear();
-  contacts_.clear();
-  if (contact_timer_ != 0) {
-    executor_.Cancel(contact_timer_);
-    contact_timer_ = 0;
-  }
-}
-
 void CellLeader::ReplaceRestartedWorkers() {
   bool any = false;
   for (auto& [id, cell_worker] : cell_workers_) {
