--- a/src/libdoorwood/cell/cell_workers_record_test.cpp
+++ b/src/libdoorwood/cell/cell_workers_record_test.cpp
@@ -119,6 +119,34 @@
   }
 }
 
+// Guards against a successor that does not learn that a worker may have granted
+// longer leases, or takes a row that no leader wrote to say so.
+BOOST_AUTO_TEST_CASE(Workers_Unsettled_AreReadAsWritten) {
+  for (const bool with_others : {false, true}) {
+    KnownWorker worker = MakeWorker("w1", Millis(0), std::nullopt);
+    worker.unsettled = true;
+    if (with_others) {
+      worker.tasks = Names{"x"};
+      worker.started_at = 5;
+      worker.evidence = RunEvidence{20.5, 7, 12, -1.5, 3};
+      worker.group = 3;
+    }
+    const auto read = DecodeWorkers(EncodeWorkers({worker}));
+    BOOST_REQUIRE(read.size() == 1U);
+    BOOST_TEST(ToText(read) == ToText({worker}));
+    BOOST_TEST(read[0].unsettled);
+    BOOST_TEST(read[0].evidence.has_value() == with_others);
+    BOOST_TEST(read[0].group == worker.group);
+  }
+  for (const char* unsettled : {"false", "null", "1", "\"true\"", "[]"}) {
+    const auto rows = DecodeWorkers(R"([["w","a",0,null,7,null,0,)" +
+                                    std::string(unsettled) + "]]");
+    BOOST_REQUIRE(rows.size() == 1U);
+    BOOST_TEST(!rows[0].unsettled);
+    BOOST_TEST(rows[0].started_at == 7);
+  }
+}
+
 // Task names that contain characters which must be escaped.
 BOOST_AUTO_TEST_CASE(Workers_NamesWithEscapes_AreReadAsWritten) {
   const std::vector<KnownWorker> workers = {MakeWorker(
--- a/src/libdoorwood/cell/worker_restart_test.cpp
+++ b/src/libdoorwood/cell/worker_restart_test.cpp
@@ -21,6 +21,7 @@
 constexpr int64_t kFirstStart = 1'700'000'000'000;
 constexpr int64_t kSecondStart = kFirstStart + 60'000;
 constexpr int64_t kClock = 50'000;
+constexpr uint64_t kToken = 5;
 
 // Calls that the test answers.
 class ManualWorkers : public RunWorkerClient {
@@ -99,9 +100,14 @@
   }
   std::shared_ptr<WorkerSession> OpenSession(
       const WorkerIncarnation& incarnation,
-      std::vector<Run> unsettled) {
-    auto opened = std::make_shared<WorkerSession>(
-        executor, workers, log, *this, WorkerSessionOptions{}, incarnation, 5);
+      std::vector<Run> unsettled,
+      std::optional<uint64_t> earlier_token = std::nullopt) {
+    auto opened = std::make_shared<WorkerSession>(executor, workers, log, *this,
+                                                  WorkerSessionOptions{},
+                                                  incarnation, kToken);
+    if (earlier_token) {
+      opened->FollowEarlierLife(*earlier_token);
+    }
     opened->SetLeaseExtensionEnd(Instant::max());
     opened->SetLeadConfirmedUntil(Instant::max());
     opened->AddUnsettledRuns(std::move(unsettled));
@@ -115,6 +121,14 @@
     session->Close();
     session = OpenSession(session->next_incarnation(), std::move(unsettled));
   }
+  // The same, for orders to the earlier life that had the token `kToken`.
+  void OpenFencedNext() {
+    session->Tick();
+    auto unsettled = session->TakeUnsettledRuns();
+    session->Close();
+    session =
+        OpenSession(session->next_incarnation(), std::move(unsettled), kToken);
+  }
   void AnswerPoll(const WorkerReport& report) {
     workers.polls.back()({}, report);
     time.Run(Millis(30));
@@ -360,9 +374,9 @@
               {0, false}};
   for (const auto& row : rows) {
     session->Close();
-    session = std::make_shared<WorkerSession>(executor, workers, log, *this,
-                                              WorkerSessionOptions{},
-                                              MakeIncarnation(row.recorded), 5);
+    session = std::make_shared<WorkerSession>(
+        executor, workers, log, *this, WorkerSessionOptions{},
+        MakeIncarnation(row.recorded), kToken);
     session->MarkVerified();
     session->Open();
     AnswerPoll(MakeReport(kSecondStart, 100, {}));
@@ -386,5 +400,86 @@
   BOOST_TEST(session->next_incarnation().address == "a2");
 }
 
+// Guards against a fence that is closed by an answer to a poll with the token
+// of the orders that it has to keep out.
+BOOST_FIXTURE_TEST_CASE(Fence_PollWithEarlierToken_StaysOpen, RestartFixture) {
+  AnswerPoll(MakeReport(kFirstStart, kClock, {}));
+  AnswerPoll(MakeReport(kSecondStart, 100, {}));
+  OpenFencedNext();
+  AnswerPoll(MakeReport(kSecondStart, 120, {}));
+  BOOST_TEST(session->fenced());
+  BOOST_TEST(!session->is_fenced_from_earlier_life());
+  BOOST_TEST(session->NeedsHigherToken());
+  const size_t polls = workers.poll_orders.size();
+  session->RaiseToken(kToken + 1);
+  BOOST_REQUIRE(workers.poll_orders.size() == polls + 1);
+  BOOST_TEST(workers.poll_orders.back().token == kToken + 1);
+  BOOST_TEST(!session->is_fenced_from_earlier_life());
+  AnswerPoll(MakeReport(kSecondStart, 150, {}));
+  BOOST_TEST(session->is_fenced_from_earlier_life());
+  BOOST_TEST(!session->NeedsHigherToken());
+  BOOST_TEST(!session->settled());
+  const WorkerSessionOptions options;
+  time.Run(MaxOnLocalClock(options.longest_lease - options.run_lease) +
+           Millis(10));
+  BOOST_TEST(session->settled());
+}
+
+// Guards against an answer to an older poll, which arrives after the newer poll
+// was sent and is taken as proof that the worker knows the higher token.
+BOOST_FIXTURE_TEST_CASE(Fence_AnswerToPollBeforeRaise_StaysOpen,
+                        RestartFixture) {
+  AnswerPoll(MakeReport(kFirstStart, kClock, {}));
+  AnswerPoll(MakeReport(kSecondStart, 100, {}));
+  OpenFencedNext();
+  const size_t before = workers.polls.size() - 1;
+  session->RaiseToken(kToken + 1);
+  workers.polls[before]({}, MakeReport(kSecondStart, 120, {}));
+  BOOST_TEST(!session->is_fenced_from_earlier_life());
+}
+
+// Guards against a task that starts elsewhere while a run has the longest lease
+// of its worker, granted by an order that was meant for the earlier life.
+BOOST_FIXTURE_TEST_CASE(Restart_NextLifeFallsSilent_LongestLeaseCounts,
+                        RestartFixture) {
+  AnswerPoll(MakeReport(kFirstStart, kClock, {}));
+  Start("t");
+  workers.starts[0](RunErrc::kNoAnswer, 0);
+  AnswerPoll(MakeReport(kSecondStart, 100, {}));
+  OpenFencedNext();
+  session->RaiseToken(kToken + 1);
+  const Instant answered = executor.Now();
+  AnswerPoll(MakeReport(kSecondStart, 120, {"t"}));
+  const Millis longest = MaxOnLocalClock(WorkerSessionOptions{}.longest_lease);
+  while (executor.Now() < answered + longest) {
+    BOOST_TEST_REQUIRE(ends.empty());
+    time.Run(Millis(50));
+    session->Tick();
+  }
+  time.Run(Millis(500));
+  session->Tick();
+  BOOST_TEST(ends == "t lapsed;");
+}
+
+// Guards against a task that is held back for ever, or that starts elsewhere
+// too soon, because the next life of its worker never answers.
+BOOST_FIXTURE_TEST_CASE(Restart_NextLifeNeverAnswers_RunEndsAfterLongestLease,
+                        RestartFixture) {
+  AnswerPoll(MakeReport(kFirstStart, kClock, {}));
+  Start("t");
+  workers.starts[0](RunErrc::kNoAnswer, 0);
+  AnswerPoll(MakeReport(kSecondStart, 100, {}));
+  OpenFencedNext();
+  const Instant opened = executor.Now();
+  const Millis longest = MaxOnLocalClock(WorkerSessionOptions{}.longest_lease);
+  constexpr Millis kForEver{60'000};
+  while (ends.empty() && executor.Now() < opened + kForEver) {
+    time.Run(Millis(50));
+    session->Tick();
+  }
+  BOOST_TEST(ends == "t lapsed;");
+  BOOST_TEST((executor.Now() >= opened + longest));
+}
+
 }  // namespace
 }  // namespace doorwood
