fix(cell): a worker listed again long after its removal keeps its leader

Cause: a session for a next life has a token above the epoch, and the worker keeps it. Once the worker had been removed for 30 s, its token was forgotten, and the session for its new entry had the epoch: the worker refused it as fenced, and the leader stepped down. Change: each session is opened with the newest token of the leader.

--- a/src/libdoorwood/cell/cell_next_life_orders_test.cpp
+++ b/src/libdoorwood/cell/cell_next_life_orders_test.cpp
@@ -154,5 +154,26 @@
   BOOST_TEST(Refuses(epoch));
 }
 
+// Guards against a leader that is fenced off by its own higher token, since the
+// worker was removed long before it is listed again.
+BOOST_FIXTURE_TEST_CASE(NextLife_RemovedAndListedMuchLater_LeaderStays,
+                        NextLifeOrdersFixture) {
+  AddWorker();
+  const uint64_t epoch = Epoch();
+  RunTask();
+  Restart();
+  RunTask();
+  BOOST_REQUIRE(Refuses(epoch));
+  worker().listed = false;
+  world.Run(Millis(40'000));
+  BOOST_REQUIRE(world.log_count("removed a worker that is dead or has no valid "
+                                "directory entry") == 1);
+  worker().listed = true;
+  world.Run(Millis(3000));
+  BOOST_TEST(Epoch() == epoch);
+  BOOST_TEST(world.log_count("a worker has seen the fencing token of a newer "
+                             "leader") == 0);
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/cell/cell_workers.cpp
+++ b/src/libdoorwood/cell/cell_workers.cpp
@@ -327,10 +327,11 @@
 std::shared_ptr<WorkerSession> CellLeader::MakeSession(
     const WorkerIncarnation& incarnation,
     std::optional<uint64_t> earlier_token) {
-  const uint64_t token =
-      earlier_token ? NewestToken() : static_cast<uint64_t>(epoch_);
-  auto session = std::make_shared<WorkerSession>(
-      executor_, workers_, log_, *this, SessionOptions(), incarnation, token);
+  // Also without an earlier life: the worker may have had a session with a
+  // higher token than the epoch before it was removed.
+  auto session = std::make_shared<WorkerSession>(executor_, workers_, log_,
+                                                 *this, SessionOptions(),
+                                                 incarnation, NewestToken());
   if (earlier_token) {
     session->FollowEarlierLife(*earlier_token);
   }
