fix(cell): a poll overtaken by one with a higher token ends no lead

Cause: a session that gives its orders a higher token polls at once, while an earlier poll may be under way. If that one reaches the worker later, the worker refuses it as fenced, which was taken for a newer leader: the leader stepped down. Change: a refusal of a poll with a lower token than the session's is ignored; the poll with the higher one is under way or answered. Result: the new case fails without the change and passes with it; worker_restart_test, worker_session_test and cell_next_life_orders_test pass.

--- a/src/libdoorwood/cell/worker_restart_test.cpp
+++ b/src/libdoorwood/cell/worker_restart_test.cpp
@@ -150,6 +150,7 @@
             (reported ? " reported" : "") + ";";
   }
   void OnWorkerLost(WorkerSession&) override { ++losses; }
+  void OnHigherTokenSeen(WorkerSession&) override { ++higher_tokens_seen; }
 
   fakes::VirtualTime time;
   fakes::FakeExecutor executor;
@@ -159,6 +160,7 @@
   std::shared_ptr<WorkerSession> session;
   std::string ends;
   int losses = 0;
+  int higher_tokens_seen = 0;
 };
 
 // Guards against runs of the earlier life that are taken for active, and
@@ -481,5 +483,23 @@
   BOOST_TEST((executor.Now() >= opened + longest));
 }
 
+// Guards against a leader that steps down because a poll with its own lower
+// token reaches the worker after one with its higher token.
+BOOST_FIXTURE_TEST_CASE(Fence_EarlierPollRefusedAfterRaise_LeaderStays,
+                        RestartFixture) {
+  AnswerPoll(MakeReport(kFirstStart, kClock, {}));
+  AnswerPoll(MakeReport(kSecondStart, 100, {}));
+  OpenFencedNext();
+  const size_t before = workers.polls.size() - 1;
+  session->RaiseToken(kToken + 1);
+  workers.polls[before](RunErrc::kFenced, {});
+  BOOST_TEST(higher_tokens_seen == 0);
+  AnswerPoll(MakeReport(kSecondStart, 120, {}));
+  BOOST_TEST(session->is_fenced_from_earlier_life());
+  session->CheckIncarnation();
+  workers.polls.back()(RunErrc::kFenced, {});
+  BOOST_TEST(higher_tokens_seen == 1);
+}
+
 }  // namespace
 }  // namespace doorwood
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -314,6 +314,9 @@
     MarkDead();
     return;
   }
+  if (error == make_error_code(RunErrc::kFenced) && poll.token < token_) {
+    return;  // A later poll of this session has overtaken it.
+  }
   if (error == make_error_code(RunErrc::kFenced)) {
     if (!higher_token_reported_) {
       higher_token_reported_ = true;
