--- a/src/libdoorwood/cell/null_session_listener.h
+++ b/src/libdoorwood/cell/null_session_listener.h
@@ -13,6 +13,7 @@
 namespace doorwood::fakes {
 
 struct NullSessionListener : public WorkerSessionListener {
+  void OnRunBegan(WorkerSession&, const Run&) override {}
   void OnRunEnded(WorkerSession&, const Run&, RunEnd, bool) override {}
   void OnWorkerLost(WorkerSession&) override {}
   void OnPollFailed(WorkerSession&) override {}
