fix(cell): slow answers of the adviser are used, and it gets one call at a time

Callers saw: of 24 jobs of a queue with advice that came at once, three ran; the others never did, with all workers empty.

Cause: four calls were open at an adviser that handles one at a time (760 ms for 30 workers), and each was given up after 3 s, just before its answer. A call given up keeps the adviser busy all the same, and its step asks again, so no answer was ever used. Where one came in time, its tickets counted from the call. A call named 30 workers for one task, with and without room, and refusals were forgotten with the tickets, so that late workers of a long list were never asked.

Now one call is open at a time; an overdue call stays open and its answer is used; further calls go out beside it ever more rarely, since it may be lost. Calls name the workers on which the step would be placed, as many as its tasks need by the share permitted so far. Tickets count from the answer; a refused ticket is dropped. Every second call goes round the waiting steps. So no work of the adviser is wasted, whatever its speed, and no step is passed over for good.

--- a/src/fakes/cell_world.cpp
+++ b/src/fakes/cell_world.cpp
@@ -33,7 +33,11 @@
   }
 }
 
-CellWorld::CellWorld(uint64_t seed) : random_(seed) {}
+CellWorld::CellWorld(uint64_t seed) : random_(seed) {
+  adviser_->permits = [](const std::string&, const std::string& worker) {
+    return !worker.ends_with("x");
+  };
+}
 
 CellWorld::~CellWorld() = default;
 
@@ -55,7 +59,8 @@
   self.directory = MakeWorldDirectory(*this, self);
   self.workers = MakeWorldWorkers(*this, self);
   self.peer_calls = MakeWorldPeers(*this, self);
-  self.adviser = MakeWorldAdviser(self);
+  self.adviser =
+      std::make_unique<SerialAdviser>(time_, *self.executor, adviser_);
   self.machines = MakeWorldMachines(*this, self);
   self.log = MakeWorldLog(*this, name);
   LiveInstance live;
@@ -327,6 +332,10 @@
       steps_with_copies_.insert(plan.id + "." + std::to_string(step));
     }
   }
+  const Queue* queue = table_ ? table_->FindByName(plan.queue) : nullptr;
+  if (queue != nullptr && queue->advice) {
+    advised_jobs_.insert(plan.id);
+  }
   auto accepted = std::make_shared<bool>(false);
   leader->cell->Submit(
       stamped,
@@ -350,6 +359,18 @@
   return found == tickets_.end() ? "" : found->second;
 }
 
+bool CellWorld::AcceptsTicket(const std::string& worker,
+                              const StartOrder& order) const {
+  if (!advised_jobs_.contains(order.task.substr(0, order.task.find('.')))) {
+    return true;
+  }
+  const std::string step = order.task.substr(0, order.task.rfind('.'));
+  return std::any_of(
+      instances_.begin(), instances_.end(), [&](const auto& instance) {
+        return instance->adviser->IsValid(order.ticket, step, worker);
+      });
+}
+
 void CellWorld::OnStarted(const std::string& worker,
                           const StartOrder& order,
                           bool late) {
--- a/src/fakes/cell_world.h
+++ b/src/fakes/cell_world.h
@@ -23,6 +23,7 @@
 #include "doorwood/paced_workers.h"
 #include "fakes/fakes.h"
 #include "fakes/limited_link.h"
+#include "fakes/serial_adviser.h"
 #include "standin/record_store_model.h"
 #include "standin/run_worker_model.h"
 
@@ -62,7 +63,7 @@
   std::unique_ptr<MeteredStore> metered_store;
   std::unique_ptr<PacedWorkers> paced_workers;
   std::unique_ptr<StoreAnswerPort> peer_calls;
-  std::unique_ptr<Adviser> adviser;
+  std::unique_ptr<SerialAdviser> adviser;
   std::unique_ptr<MachinePlatform> machines;
   std::unique_ptr<EventLog> log;
   std::unique_ptr<LiveDirectory> live;
@@ -265,10 +266,16 @@
   int runs_lost_to_upkeep() const { return runs_lost_to_upkeep_; }
   /// Ticket that the task's latest start carried.
   std::string latest_ticket(const std::string& task) const;
+  /// The adviser, which handles the calls of each instance in a queue of its
+  /// own. By default it decides at once, and permits every worker whose id does
+  /// not end in "x". Workers refuse starts for queues with advice without a
+  /// valid ticket.
+  SerialAdviser::Behavior& adviser() { return *adviser_; }
   /// Writes the line to stderr if DOORWOOD_TRACE is set in the environment.
   void Trace(const std::string& line) const;
 
   // Called by the fake ports.
+  bool AcceptsTicket(const std::string& worker, const StartOrder& order) const;
   void StartUpkeep(const std::string& machine, int64_t wave);
   void OnStarted(const std::string& worker, const StartOrder& order, bool late);
   /// Advances the models of the store and of all workers to the current virtual
@@ -311,6 +318,10 @@
   /// Steps of submitted jobs whose tasks may have two runs.
   std::set<std::string> steps_with_copies_;
   std::map<std::string, std::string> tickets_;
+  std::shared_ptr<SerialAdviser::Behavior> adviser_ =
+      std::make_shared<SerialAdviser::Behavior>();
+  /// Submitted jobs of queues with advice.
+  std::set<std::string> advised_jobs_;
   std::map<std::string, int> crashes_while_running_;
   std::map<std::string, int> starts_after_three_crashes_;
   std::set<std::string> crashing_machines_;
--- a/src/fakes/cell_world_ports.cpp
+++ b/src/fakes/cell_world_ports.cpp
@@ -190,6 +190,9 @@
     Order(worker, order.life, std::move(done),
           [this, order, id = worker.id](WorldWorker& target, bool late) {
             const bool already_running = target.model.IsRunning(order.task);
+            if (!already_running && !world_.AcceptsTicket(id, order)) {
+              return make_error_code(RunErrc::kInvalidTicket);
+            }
             StartOrder limited = order;
             limited.lease_end = std::min(
                 order.lease_end, target.model.now() + kLongestLease.count());
@@ -463,29 +466,6 @@
   WorldInstance& self_;
 };
 
-// Permits every worker whose id does not end in "x".
-class WorldAdviser : public Adviser {
- public:
-  explicit WorldAdviser(WorldInstance& self) : self_(self) {}
-
-  void RequestTickets(const std::string& step,
-                      const std::vector<std::string>& workers,
-                      Callback done) override {
-    TicketGrant advice;
-    advice.valid_for = Millis(2000);
-    for (const std::string& worker : workers) {
-      if (!worker.ends_with("x")) {
-        advice.tickets.push_back({worker, step + "@" + worker});
-      }
-    }
-    self_.executor->DeliverAnswer(
-        kStoreDelay, [advice, done = std::move(done)] { done({}, advice); });
-  }
-
- private:
-  WorldInstance& self_;
-};
-
 class WorldMachines : public MachinePlatform {
  public:
   WorldMachines(CellWorld& world, WorldInstance& self)
@@ -576,10 +556,6 @@
   return std::make_unique<WorldPeers>(world, self);
 }
 
-std::unique_ptr<Adviser> MakeWorldAdviser(WorldInstance& self) {
-  return std::make_unique<WorldAdviser>(self);
-}
-
 std::unique_ptr<MachinePlatform> MakeWorldMachines(CellWorld& world,
                                                    WorldInstance& self) {
   return std::make_unique<WorldMachines>(world, self);
--- a/src/fakes/cell_world_ports.h
+++ b/src/fakes/cell_world_ports.h
@@ -22,8 +22,6 @@
                                                     WorldInstance& self);
 std::unique_ptr<StoreAnswerPort> MakeWorldPeers(CellWorld& world,
                                                 WorldInstance& self);
-/// An adviser that permits every worker whose id does not end in "x".
-std::unique_ptr<Adviser> MakeWorldAdviser(WorldInstance& self);
 std::unique_ptr<MachinePlatform> MakeWorldMachines(CellWorld& world,
                                                    WorldInstance& self);
 std::unique_ptr<EventLog> MakeWorldLog(CellWorld& world, std::string name);
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -844,11 +844,24 @@
                  uint32_t number,
                  CandidateWorker* candidate,
                  const std::string& ticket);
-  /// Returns a copy of `candidates` in which workers without a ticket for the
-  /// step are closed, and requests tickets for those of them that were open.
-  std::vector<CandidateWorker> CandidatesWithTickets(
-      const ReadyStep& ready,
-      const std::vector<CandidateWorker*>& candidates);
+  // cell_tickets.cpp: tickets for steps of queues with an adviser.
+  /// Requests tickets for one of the steps, which are in order of urgency, if
+  /// the adviser is idle.
+  void RequestTickets(
+      const std::vector<ReadyStep>& ready,
+      const std::map<WorkerGroup, std::vector<CandidateWorker*>>& by_group);
+  TicketDemand TicketDemandOf(const ReadyStep& ready,
+                              const std::vector<CandidateWorker*>& candidates);
+  void ForgetTicketsOfDoneStep(const Task& task);
+  /// Whether the step needs tickets and has none. Counts and logs it as
+  /// waiting.
+  bool AwaitsTickets(const ReadyStep& ready,
+                     const std::vector<CandidateWorker*>& candidates);
+  /// Returns a copy of `candidates` with `CandidateWorker::has_ticket` set for
+  /// the step.
+  std::vector<CandidateWorker> MarkTickets(
+      const std::string& step,
+      const std::vector<CandidateWorker*>& candidates) const;
   /// After a report of the worker: updates the interference model, sets the
   /// paces of best-effort runs, and calls `MoveStuckBestEffortRuns`.
   void UpdatePaces(WorkerSession& session);
@@ -1028,6 +1041,7 @@
   /// When a step that found no placement was last logged.
   Instant waiting_logged_{};
   TicketBook tickets_;
+  TicketTurns ticket_turns_;
   UpkeepWaveController upkeep_waves_;
   std::map<std::string, CellWorker> cell_workers_;
   WorkerGroups groups_;
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -154,6 +154,8 @@
   std::vector<ServingUtilization> serving_utilizations;
   /// Whether the worker accepts new work.
   bool accepts_work = true;
+  /// Whether there is a ticket for the step on the worker, or none is needed.
+  bool has_ticket = true;
   /// The worker fails or slows its runs; see `WorkerReliability`.
   bool set_aside = false;
   /// The last scheduling pass that found the worker changed.
@@ -189,14 +191,17 @@
   /// Not checked again: the worker could not take a task of the same kind that
   /// was no larger, and has not changed since.
   kUnchanged,
+  /// The adviser has given no ticket for the worker, which is suitable
+  /// otherwise.
+  kNoTicket,
 };
 
 std::string_view ToString(PlaceProblem problem);
 
 /// Returns the first problem found that keeps `worker` from taking the task, or
-/// kNone. Checks state, service, tasks of the step, label, rack, free capacity
-/// and the effect on serving tasks. `tasks_on_worker` is the number of the
-/// step's tasks there, which the caller counts.
+/// kNone. Checks state, service, tasks of the step, label, rack, free capacity,
+/// the effect on serving tasks and, last, the ticket. `tasks_on_worker` is the
+/// number of the step's tasks there, which the caller counts.
 PlaceProblem FindPlaceProblem(const StepPlan& step,
                               const TaskRequirements& need,
                               const CandidateWorker& worker,
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -78,6 +78,7 @@
     ++counters_.ends_lost;
   }
   task->ready_since = executor_.Now();
+  ForgetTicketsOfDoneStep(*task);
   const bool job_ended = was_open && job->outcome != JobOutcome::kOpen;
   if (job_ended) {
     OnJobEnded(job);
@@ -312,7 +313,8 @@
               {"worker", session.incarnation().id},
               {"error", error.message()}});
   const auto cell_worker = cell_workers_.find(session.incarnation().id);
-  if (cell_worker != cell_workers_.end() && !not_sent) {
+  const bool invalid_ticket = error == make_error_code(RunErrc::kInvalidTicket);
+  if (cell_worker != cell_workers_.end() && !not_sent && !invalid_ticket) {
     const bool busy = error == make_error_code(RunErrc::kBusy);
     cell_worker->second.backoff_until =
         executor_.Now() + (busy ? kBusyPause : kRefusalPause);
@@ -325,7 +327,9 @@
     task->no_copy_before = executor_.Now() + kRefusalPause;
   }
   unrecorded_placements_.erase(run.task);
-  if (!not_sent) {
+  if (invalid_ticket) {
+    tickets_.Drop(run.step, session.incarnation().id);
+  } else if (!not_sent) {
     task->avoided_worker = session.incarnation().id;
   }
   RequestSchedulingPass();
@@ -358,6 +362,7 @@
 
 void CellLeader::OnJobEnded(Job* job) {
   job->finished_at = unix_millis_();
+  tickets_.ForgetSteps(job->plan.id + ".");
   StopRunsOfJob(*job);
   JournalIfDirty(job, /*urgent=*/true);
 }
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -180,39 +180,24 @@
       PlaceStep(step, candidates);
     }
   }
+  RequestTickets(ready, by_group);
 }
 
 bool CellLeader::IsLinkFull() const {
   return workers_.OrderDelay() > kMaxOrderDelay;
 }
 
-std::vector<CandidateWorker> CellLeader::CandidatesWithTickets(
-    const ReadyStep& ready,
-    const std::vector<CandidateWorker*>& candidates) {
-  const std::string step = StepName(*ready.job, ready.repetition, ready.step);
-  std::vector<CandidateWorker> permitted = CopyCandidates(candidates);
-  std::vector<std::string> without_ticket;
-  for (CandidateWorker& candidate : permitted) {
-    const std::string worker(candidate.id);
-    if (candidate.accepts_work && tickets_.Find(step, worker).empty()) {
-      candidate.accepts_work = false;
-      without_ticket.push_back(worker);
-    }
-  }
-  tickets_.RequestTickets(step, without_ticket);
-  return permitted;
-}
-
 void CellLeader::PlaceStep(const ReadyStep& ready,
                            const std::vector<CandidateWorker*>& candidates) {
   const Queue* queue = QueueOf(*ready.job);
   const StepPlan& plan = ready.job->plan.steps[ready.step];
   auto& tasks =
       ready.job->repetitions.at(ready.repetition).steps[ready.step].tasks;
-  if (queue == nullptr) {
+  if (queue == nullptr || AwaitsTickets(ready, candidates)) {
     return;
   }
   const bool advised = queue->advice.has_value();
+  const std::string step = StepName(*ready.job, ready.repetition, ready.step);
   const WorkerGroup group = MayStartIn(*ready.job);
   // Failures in one group of workers say nothing of another.
   const std::string pool = group == 0
@@ -222,7 +207,7 @@
       advised ? 0 : failed_placements_.LastFailedPass(plan, pool);
   std::vector<CandidateWorker> permitted;
   if (advised) {
-    permitted = CandidatesWithTickets(ready, candidates);
+    permitted = MarkTickets(step, candidates);
   }
   const std::vector<CandidateWorker*> permitted_pointers =
       PointersTo(&permitted);
@@ -242,7 +227,6 @@
   size_t visited = 0;
   EvaluatePlaces(ready, need, usable_candidates, last_failed_pass, enough,
                  &visited, &places);
-  const std::string step = StepName(*ready.job, ready.repetition, ready.step);
   for (Task& task : tasks) {
     if (!IsReady(task)) {
       continue;
@@ -280,11 +264,9 @@
     }
     CandidateWorker* candidate = candidates[place];
     const std::string ticket =
-        advised ? tickets_.Find(step, std::string(candidate->id)) : "";
+        advised ? tickets_.Find(step, candidate->id) : "";
     if (advised && ticket.empty()) {
-      // The ticket for the reserved worker has expired.
-      trials_.End(task.name());
-      continue;
+      continue;  // The ticket for the reserved worker has to be renewed.
     }
     StartTask(&task, task.last_run + 1, candidate, ticket);
     if (suspect) {
@@ -313,15 +295,15 @@
   const bool all_ready =
       std::all_of(tasks.begin(), tasks.end(),
                   [this](const Task& task) { return IsReady(task); });
-  if (queue == nullptr || !all_ready) {
+  if (queue == nullptr || !all_ready || AwaitsTickets(ready, candidates)) {
     return;
   }
   // All tasks of a gang are started, or none, so they are first placed on a
   // copy of the candidates. The tasks share one run number and one checkpoint.
   const bool advised = queue->advice.has_value();
+  const std::string step = StepName(*ready.job, ready.repetition, ready.step);
   std::vector<CandidateWorker> planned_candidates =
-      advised ? CandidatesWithTickets(ready, candidates)
-              : CopyCandidates(candidates);
+      advised ? MarkTickets(step, candidates) : CopyCandidates(candidates);
   const std::vector<CandidateWorker*> planned_pointers =
       PointersTo(&planned_candidates);
   const std::string rack =
@@ -367,12 +349,11 @@
       checkpoint = task.checkpoint;
     }
   }
-  const std::string step = StepName(*ready.job, ready.repetition, ready.step);
   for (size_t i = 0; i < tasks.size(); ++i) {
     tasks[i].checkpoint = checkpoint;
     CandidateWorker* candidate = candidates[chosen[i]];
     StartTask(&tasks[i], run + 1, candidate,
-              advised ? tickets_.Find(step, std::string(candidate->id)) : "");
+              advised ? tickets_.Find(step, candidate->id) : "");
     if (suspect) {
       BeginTrial(tasks[i],
                  cell_workers_.at(std::string(candidate->id)).session);
--- a/src/libdoorwood/cell/ticket_book.cpp
+++ b/src/libdoorwood/cell/ticket_book.cpp
@@ -2,9 +2,33 @@
 
 #include "doorwood/ticket_book.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace doorwood {
+namespace {
+
+// Share of a new observation in `slowdown_`.
+constexpr double kObservationWeight = 0.5;
+constexpr double kMaxSlowdown = 1000;
+// Decisions that are stated to be shorter say little about how slow the adviser
+// is: the time on the network counts for more.
+constexpr Millis kShortestMeasured{20};
+constexpr Millis kLongestValidity = std::chrono::hours(24);
+constexpr int kMaxDoublings = 10;
+constexpr int kAbandonFactor = 4;
+constexpr Millis kLongestTimeLimit{600'000};
+
+Millis Multiply(Millis time, double factor) {
+  return Millis(std::llround(static_cast<double>(time.count()) * factor));
+}
+
+Millis Doubled(Millis time, int times, Millis longest) {
+  return std::min(longest, time * (1 << std::min(times, kMaxDoublings)));
+}
+
+}  // namespace
 
 TicketBook::TicketBook(Executor& executor,
                        Adviser* adviser,
@@ -17,108 +41,256 @@
       options_(options),
       on_change_(std::move(on_change)) {}
 
-std::string TicketBook::Find(const std::string& step,
-                             const std::string& worker) const {
+bool TicketBook::IsUsable(const Answer& answer) const {
+  return !answer.token.empty() && executor_.Now() < answer.expires_at;
+}
+
+std::string TicketBook::Find(std::string_view step,
+                             std::string_view worker) const {
   const auto found = steps_.find(step);
   if (found == steps_.end()) {
     return "";
   }
   const auto answer = found->second.answers.find(worker);
-  const bool is_valid =
-      answer != found->second.answers.end() &&
-      executor_.Now() + options_.expiry_margin < answer->second.expires_at;
-  return is_valid ? answer->second.token : "";
+  return answer != found->second.answers.end() && IsUsable(answer->second)
+             ? answer->second.token
+             : "";
 }
 
-void TicketBook::RequestTickets(const std::string& step,
-                                const std::vector<std::string>& workers) {
-  Step& entry = steps_[step];
-  const Instant now = executor_.Now();
-  if (adviser_ == nullptr || entry.request_pending || now < entry.retry_at ||
-      pending_requests_ >= options_.max_pending_requests) {
-    return;
+bool TicketBook::HasTicket(std::string_view step) const {
+  const auto found = steps_.find(step);
+  return found != steps_.end() &&
+         std::any_of(
+             found->second.answers.begin(), found->second.answers.end(),
+             [this](const auto& entry) { return IsUsable(entry.second); });
+}
+
+bool TicketBook::IsIdle() const {
+  return adviser_ != nullptr && executor_.Now() >= next_request_;
+}
+
+Instant TicketBook::last_request(std::string_view step) const {
+  const auto found = steps_.find(step);
+  return found == steps_.end() ? Instant{} : found->second.requested_at;
+}
+
+Permission TicketBook::PermissionOf(const Step& step,
+                                    const std::string& worker) const {
+  const auto answer = step.answers.find(worker);
+  if (answer == step.answers.end()) {
+    return Permission::kUnknown;
   }
-  std::vector<std::string> requested;
-  for (const std::string& worker : workers) {
-    const auto answer = entry.answers.find(worker);
-    const bool stale =
-        answer == entry.answers.end() ||
-        answer->second.expires_at <= now + options_.expiry_margin;
-    if (stale && requested.size() < options_.workers_per_request) {
-      requested.push_back(worker);
-    }
+  return answer->second.permitted ? Permission::kPermitted
+                                  : Permission::kRefused;
+}
+
+// --- Calls ---
+
+Millis TicketBook::PatienceFor(Millis stated) const {
+  const Millis expected = Multiply(stated, slowdown_);
+  return expected + expected / 2 +
+         Doubled(options_.patience, overdue_, options_.longest_patience);
+}
+
+bool TicketBook::Request(TicketDemand demand) {
+  if (!IsIdle()) {
+    return false;
   }
-  if (requested.empty()) {
-    return;
+  Step& step = steps_[demand.step];
+  const Instant now = executor_.Now();
+  std::erase_if(demand.candidates, [&](TicketCandidate& candidate) {
+    candidate.permission = PermissionOf(step, candidate.worker);
+    return candidate.permission == Permission::kRefused &&
+           now - step.answers.at(candidate.worker).answered_at <
+               options_.refusal_kept;
+  });
+  Call call;
+  call.named = ChooseWorkersToName(
+      demand, permitted_share_.Estimate(step.named, step.permitted));
+  if (call.named.empty()) {
+    return false;
+  }
+  step.requested_at = now;
+  call.step = std::move(demand.step);
+  call.sent = now;
+  call.stated = StatedDecisionTime(demand.policy, call.named.size());
+  Send(std::move(call));
+  return true;
+}
+
+void TicketBook::Send(Call call) {
+  if (!calls_.empty()) {
+    ++overdue_;
+    log_.Write("warn", "tickets",
+               "the adviser has not answered in time; asking again",
+               {{"step", call.step},
+                {"open_calls", calls_.size()},
+                {"overdue", overdue_},
+                {"slowdown", slowdown_}});
   }
-  entry.request_pending = true;
-  ++pending_requests_;
+  next_request_ = call.sent + PatienceFor(call.stated);
+  const Millis limit =
+      std::max(Doubled(options_.abandon_after, abandoned_, kLongestTimeLimit),
+               Multiply(call.stated, slowdown_) * kAbandonFactor);
+  call.time_limit = limit;
+  const uint64_t id = ++requests_;
+  const Call& open = calls_.emplace(id, std::move(call)).first->second;
   adviser_->RequestTickets(
-      step, requested,
-      [this, step, requested, now, generation = generation_](
-          std::error_code error, const TicketGrant& grant) {
-        if (generation == generation_) {
-          --pending_requests_;
-          OnTicketResponse(step, requested, now, error, grant);
-        }
+      open.step, open.named, limit,
+      [this, id](std::error_code error, const TicketGrant& grant) {
+        OnAnswer(id, error, grant);
       });
 }
 
-void TicketBook::OnTicketResponse(const std::string& step,
-                                  const std::vector<std::string>& requested,
-                                  Instant sent,
-                                  std::error_code error,
-                                  const TicketGrant& grant) {
-  Step& entry = steps_[step];
-  entry.request_pending = false;
+void TicketBook::OnAnswer(uint64_t id,
+                          std::error_code error,
+                          const TicketGrant& grant) {
+  const auto found = calls_.extract(id);
+  if (found.empty()) {
+    return;
+  }
+  const Call call = std::move(found.mapped());
   if (error) {
-    entry.retry_at = executor_.Now() + options_.retry_pause;
-    log_.Write("warn", "tickets",
-               "request for tickets failed; pausing requests for the step",
-               {{"step", step}, {"error", error.message()}});
+    OnFailure(call, error);
     return;
   }
-  // A ticket is valid from the adviser's answer on. Its time is counted from
-  // the request here, so a ticket may go unused while it is still valid, but is
-  // never taken for valid after it has expired. That a worker got no ticket is
-  // cached for as long, since the workers that may run a step do not change.
-  const Instant expires_at = sent + grant.valid_for;
-  for (const std::string& worker : requested) {
-    if (!WasForgottenSince(worker, sent)) {
-      entry.answers[worker] = {"", expires_at};
+  const Instant now = executor_.Now();
+  // The adviser began with this call once it had answered the one before.
+  const auto took = std::chrono::duration_cast<Millis>(
+      now - std::max(call.sent, last_answer_));
+  if (call.stated >= kShortestMeasured) {
+    const double observed = static_cast<double>(took.count()) /
+                            static_cast<double>(call.stated.count());
+    slowdown_ =
+        std::clamp(slowdown_ + kObservationWeight * (observed - slowdown_), 1.0,
+                   kMaxSlowdown);
+  }
+  last_answer_ = now;
+  failures_ = 0;
+  abandoned_ = 0;
+  overdue_ = 0;
+  // The adviser handles the next open call now.
+  next_request_ = calls_.empty()
+                      ? Instant{}
+                      : now + PatienceFor(calls_.begin()->second.stated);
+  log_.Write(
+      "info", "tickets", "adviser answered a request for tickets",
+      {{"step", call.step},
+       {"asked", call.named.size()},
+       {"permitted", grant.tickets.size()},
+       {"valid_ms", grant.valid_for.count()},
+       {"took_ms", std::chrono::duration_cast<Millis>(now - call.sent).count()},
+       {"stated_ms", call.stated.count()},
+       {"open_calls", calls_.size()},
+       {"used", !call.dropped}});
+  if (!call.dropped) {
+    ApplyGrant(call, grant);
+  }
+  if (!call.cleared) {
+    on_change_();
+  }
+}
+
+void TicketBook::OnFailure(const Call& call, std::error_code error) {
+  const Millis pause =
+      Doubled(options_.retry_pause, failures_++, options_.longest_pause);
+  const Instant now = executor_.Now();
+  abandoned_ += now - call.sent >= call.time_limit ? 1 : 0;
+  // Open calls keep the adviser busy, so the next one is due no sooner.
+  next_request_ =
+      calls_.empty() ? now + pause : std::max(next_request_, now + pause);
+  log_.Write(
+      "warn", "tickets", "request for tickets failed; pausing requests",
+      {{"step", call.step},
+       {"error", error.message()},
+       {"took_ms", std::chrono::duration_cast<Millis>(now - call.sent).count()},
+       {"stated_ms", call.stated.count()},
+       {"open_calls", calls_.size()},
+       {"pause_ms", pause.count()}});
+}
+
+void TicketBook::ApplyGrant(const Call& call, const TicketGrant& grant) {
+  Step& step = steps_[call.step];
+  const Instant now = executor_.Now();
+  // Counted from the arrival of the answer: while the call waits at the
+  // adviser, its tickets do not exist yet. A worker refuses a ticket that has
+  // expired on the way.
+  const Millis valid_for = std::min(grant.valid_for, kLongestValidity);
+  const Instant expires_at =
+      now + valid_for - std::min(options_.expiry_margin, valid_for / 4);
+  size_t unknown = 0;
+  std::set<std::string> unknown_workers;
+  for (const std::string& worker : call.named) {
+    if (!call.forgotten.contains(worker)) {
+      const auto [answer, is_new] = step.answers.insert_or_assign(
+          worker, Answer{false, "", Instant{}, now});
+      unknown += is_new ? 1 : 0;
+      if (is_new) {
+        unknown_workers.insert(worker);
+      }
     }
   }
+  size_t permitted = 0;
   for (const Ticket& ticket : grant.tickets) {
-    if (!WasForgottenSince(ticket.worker, sent)) {
-      entry.answers[ticket.worker] = {ticket.token, expires_at};
+    if (!call.forgotten.contains(ticket.worker)) {
+      step.answers[ticket.worker] = {true, ticket.token, expires_at, now};
+      permitted += unknown_workers.contains(ticket.worker) ? 1 : 0;
     }
   }
-  log_.Write("info", "tickets", "adviser answered a request for tickets",
-             {{"step", step},
-              {"asked", requested.size()},
-              {"permitted", grant.tickets.size()},
-              {"valid_ms", grant.valid_for.count()}});
-  on_change_();
+  step.named += unknown;
+  step.permitted += permitted;
+  permitted_share_.Observe(unknown, permitted);
 }
 
-bool TicketBook::WasForgottenSince(const std::string& worker,
-                                   Instant sent) const {
-  const auto found = forgotten_.find(worker);
-  return found != forgotten_.end() && found->second >= sent;
+// --- What is no longer valid ---
+
+void TicketBook::Drop(std::string_view step, std::string_view worker) {
+  const auto found = steps_.find(step);
+  if (found == steps_.end()) {
+    return;
+  }
+  const auto answer = found->second.answers.find(worker);
+  if (answer != found->second.answers.end()) {
+    answer->second.token.clear();
+  }
 }
 
 void TicketBook::Forget(const std::string& worker) {
-  forgotten_[worker] = executor_.Now();
+  for (auto& [id, call] : calls_) {
+    call.forgotten.insert(worker);
+  }
   for (auto& [name, step] : steps_) {
     step.answers.erase(worker);
   }
 }
 
+void TicketBook::ForgetStep(std::string_view step) {
+  const auto found = steps_.find(step);
+  if (found == steps_.end()) {
+    return;
+  }
+  steps_.erase(found);
+  for (auto& [id, call] : calls_) {
+    call.dropped = call.dropped || call.step == step;
+  }
+}
+
+void TicketBook::ForgetSteps(std::string_view prefix) {
+  auto step = steps_.lower_bound(prefix);
+  while (step != steps_.end() && step->first.starts_with(prefix)) {
+    step = steps_.erase(step);
+  }
+  for (auto& [id, call] : calls_) {
+    call.dropped = call.dropped || call.step.starts_with(prefix);
+  }
+}
+
 void TicketBook::Clear() {
-  ++generation_;
-  pending_requests_ = 0;
   steps_.clear();
-  forgotten_.clear();
+  for (auto& [id, call] : calls_) {
+    call.dropped = true;
+    call.cleared = true;
+  }
 }
 
 }  // namespace doorwood
--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -166,10 +166,10 @@
 }
 
 std::string_view ToString(PlaceProblem problem) {
-  constexpr std::array<std::string_view, 11> kNames = {
+  constexpr std::array<std::string_view, 12> kNames = {
       "none",       "closed",    "other_service", "step_bound",      "no_label",
       "other_rack", "no_memory", "no_cpu",        "no_accelerators", "disturbs",
-      "unchanged"};
+      "unchanged",  "no_ticket"};
   return kNames[static_cast<size_t>(problem)];
 }
 
@@ -194,7 +194,11 @@
   if (step.same_rack && !need.rack.empty() && worker.rack != need.rack) {
     return PlaceProblem::kOtherRack;
   }
-  return FindCapacityProblem(step, need, worker, model, options);
+  const PlaceProblem problem =
+      FindCapacityProblem(step, need, worker, model, options);
+  return problem == PlaceProblem::kNone && !worker.has_ticket
+             ? PlaceProblem::kNoTicket
+             : problem;
 }
 
 double PlaceScore(const StepPlan& step,
