fix(cell): the rack of a step is a preference, not a condition

Callers saw: a lasting task with sameRack whose worker is lost for good is never started again while another of its step runs, with two empty racks.

Cause: FindPlaceProblem refused each worker outside the rack of the step, and that rack was the one of whichever run came first by the workers' ids. The first task chose a rack without a look at the room for the others.

Now the rack is a preference: the one with most runs of the step, else one with room for all its tasks, else that with most room (RankRacks). Long-running tasks never wait for it; others wait no longer than the lower speed would cost, half of their run time and at most 2 s, and only while other racks have room and theirs could take them (MaySpreadOverRacks); gangs are placed in one rack or on few; copies and trials prefer the rack. So nothing waits for a rack without end, and a step shares one wherever that is worth its wait.

FindPlaceProblem's test of kOtherRack sets rack_required now, and a row checks that without it the same worker is suitable.

--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -39,6 +39,7 @@
 #include "doorwood/pacing.h"
 #include "doorwood/place_search.h"
 #include "doorwood/queue_table.h"
+#include "doorwood/rack_choice.h"
 #include "doorwood/record_store.h"
 #include "doorwood/rejected_entry_log.h"
 #include "doorwood/run_worker.h"
@@ -615,6 +616,7 @@
   static int CrashCost(const WorkerSession& session);
   int CountListedWorkersOfService(std::string_view service) const;
   int ChooseTrialWorker(const Task& task,
+                        const TaskRequirements& need,
                         const StepCandidates& places,
                         const std::vector<CandidateWorker*>& candidates) const;
   /// Whether a task restored at the takeover is a suspect that is not done and
@@ -834,6 +836,20 @@
                              const std::vector<CandidateWorker*>& candidates,
                              uint64_t pass,
                              StepCandidates* places) const;
+  // cell_racks.cpp: racks of steps whose tasks are slow on several racks.
+  /// The step as placed on the candidates, for the decisions in step_room.h and
+  /// rack_choice.h.
+  StepPlacement PlacementOf(const ReadyStep& ready,
+                            const std::vector<CandidateWorker*>& candidates);
+  /// `tasks`: number of tasks to be placed.
+  RackSearch SearchRacks(const ReadyStep& ready,
+                         const std::vector<CandidateWorker*>& candidates,
+                         int tasks);
+  /// Notes whether tasks for which no place was found wait for room in the
+  /// step's rack only.
+  void NoteRackWait(const ReadyStep& ready, const RackSearch& racks, int tasks);
+  static void NoteRackWaitEnded(const ReadyStep& ready);
+  void LogSpreadStep(const Task& task, const RackSearch& racks) const;
   /// Counts a step that found no placement, and updates when its next log line
   /// is due. Returns whether to log it now.
   bool NoteWaitingStep(const ReadyStep& ready);
@@ -894,8 +910,6 @@
                       std::string_view cause);
   /// Whether the step's `max_unavailable` allows the task to be stopped now.
   bool MayStopForUpkeep(const Task& task) const;
-  /// Rack of a worker that has runs of the step; empty: there is none.
-  std::string RackOfStep(const Job& job, int repetition, int step) const;
 
   Executor& executor_;
   RecordStore& store_;
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -66,6 +66,13 @@
   Millis max_over_target_time{1600};
   /// Largest increase of a pace in one step, in percent of full speed.
   int max_pace_increase = 25;
+  /// How many times as long the tasks of a step with `same_rack` are assumed to
+  /// run once they are on more than one rack.
+  double spread_run_time_factor = 1.5;
+  /// A task that other racks have room for waits at most this long for room in
+  /// the rack of its step. The platform counts a job as lost that runs nowhere
+  /// for 3 s.
+  Millis longest_rack_wait{2000};
   /// Share of the processors reserved by serving tasks that they are assumed to
   /// use. The mean over one simulated day was 0.48.
   double serving_cpu_use_ratio = 0.45;
@@ -167,8 +174,10 @@
   std::string_view service;
   /// Image of the step.
   ImageId image = 0;
-  /// Rack of the step's other tasks; empty: any.
+  /// Rack that the tasks of a step with `same_rack` are to share; empty: any.
   std::string_view rack;
+  /// Workers in other racks are unsuitable, not only less suitable.
+  bool rack_required = false;
 };
 
 /// Why a worker cannot take a task now.
--- a/src/include/doorwood/job_plan.h
+++ b/src/include/doorwood/job_plan.h
@@ -39,8 +39,7 @@
   bool checkpoints = false;
   /// All tasks of the step must run at the same time.
   bool gang = false;
-  /// All tasks of the step must run in one rack, because they are slow
-  /// otherwise.
+  /// The tasks of the step are slow unless all of them run in one rack.
   bool same_rack = false;
   /// Long-running: tasks run until the job is cancelled.
   bool long_running = false;
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -198,6 +198,9 @@
   /// such line, when the step was first noted as waiting (see
   /// CellLeader::NoteWaitingStep).
   Instant waiting_logged_at{};
+  /// Since when tasks wait for room in the step's rack that other racks have
+  /// room for; zero: none does.
+  Instant waits_for_rack_since{};
   std::vector<Task> tasks;
 };
 
--- a/src/libdoorwood/cell/cell_backup_runs.cpp
+++ b/src/libdoorwood/cell/cell_backup_runs.cpp
@@ -4,6 +4,7 @@
 // for policy/backup_runs, starts the copies, and handles tasks with two runs.
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "doorwood/cell_leader.h"
@@ -35,6 +36,15 @@
   return ProgressReport{run.progress, Elapsed(run.ordered, run.progress_at)};
 }
 
+// Whether a copy that takes longer in another rack still ends before the slow
+// run.
+bool IsWorthOtherRack(const BackupDecision& decision,
+                      const PolicyOptions& options) {
+  return static_cast<double>(decision.remaining.count()) >
+         options.spread_run_time_factor *
+             static_cast<double>(decision.copy_time.count());
+}
+
 // Steps that do not need `step` to be done.
 std::vector<int> IndependentSteps(const JobPlan& plan, int step) {
   std::vector<bool> needs_step(plan.steps.size(), false);
@@ -221,24 +231,29 @@
 }
 
 // Another worker than that of any slow run: those may be slow now. Another rack
-// is preferred, since what makes a worker slow may affect its rack.
+// is preferred, since what makes a worker slow may affect its rack; but where
+// the step's tasks are to share a rack, that one is, and a copy in another must
+// be worth the lower speed.
 CandidateWorker* CellLeader::ChoosePlaceOfCopy(
     const SlowRun& slow,
     const std::vector<SlowRun>& all_slow,
     const std::vector<CandidateWorker*>& candidates) {
   const Task& task = *slow.task;
   const StepPlan& plan = task.plan();
-  const std::string rack =
-      plan.same_rack ? RackOfStep(*task.job, task.repetition, task.step) : "";
-  const TaskRequirements need{QueueOf(*task.job)->service,
-                              interference_.Intern(plan.image), rack};
+  const ReadyStep step_of_task{{}, task.job, task.repetition, task.step};
+  const RackSearch racks = SearchRacks(step_of_task, candidates, /*tasks=*/1);
+  TaskRequirements need{QueueOf(*task.job)->service,
+                        interference_.Intern(plan.image)};
+  racks.Apply(&need);
+  need.rack_required = plan.same_rack && !IsSpreadOverRacks(racks.racks()) &&
+                       !IsWorthOtherRack(slow.decision, options_.policy);
   const std::string name = task.name();
   const std::string step = StepName(*task.job, task.repetition, task.step);
   const auto& labels = slow.session->incarnation().labels;
   const std::string_view slow_rack =
       labels.empty() ? std::string_view() : std::string_view(labels.back());
   CandidateWorker* best = nullptr;
-  std::pair<bool, double> best_score;
+  std::tuple<bool, bool, double> best_score;
   for (CandidateWorker* candidate : candidates) {
     const auto& session = cell_workers_.at(std::string(candidate->id)).session;
     const bool is_slow =
@@ -252,8 +267,9 @@
                          options_.policy) != PlaceProblem::kNone) {
       continue;
     }
-    const std::pair score(candidate->rack != slow_rack,
-                          PlaceScore(plan, need, *candidate, interference_));
+    const bool in_rack = !plan.same_rack || candidate->rack == need.rack;
+    const std::tuple score(in_rack, candidate->rack != slow_rack,
+                           PlaceScore(plan, need, *candidate, interference_));
     if (best == nullptr || score > best_score) {
       best = candidate;
       best_score = score;
--- a/src/libdoorwood/cell/cell_backup_runs_test.cpp
+++ b/src/libdoorwood/cell/cell_backup_runs_test.cpp
@@ -132,6 +132,28 @@
   }
 }
 
+// Guards against a slow task that gets no copy since the other workers of its
+// step's rack have no room, though another rack has.
+BOOST_FIXTURE_TEST_CASE(Copy_RackOfStepIsFull_IsStartedInAnotherRack,
+                        BackupFixture) {
+  world.workers().at("w1")->incarnation.labels = {"a", "r2"};
+  world.workers().at("w1")->model.SetSlowdown(1);
+  world.workers().at("w2")->model.SetSlowdown(kSlowdown);
+  world.Run(Millis(1000));
+  JobPlan plan = fakes::MakePlan(kFixtureJob, 1, kTasks, "ms=400");
+  plan.steps[0].duplicates = true;
+  plan.steps[0].max_per_worker = 3;
+  plan.steps[0].same_rack = true;  // Takes w2 and w3 whole.
+  plan.steps[0].size.cpu_millis = 2600;
+  BOOST_REQUIRE(world.Submit(plan));
+  for (int index = 0; index < kTasks; ++index) {
+    BOOST_TEST(!world.workers().at("w1")->model.IsRunning(TaskOf(index)));
+  }
+  world.Run(Millis(6000));
+  BOOST_TEST(counters().copies_started >= 1U);
+  BOOST_TEST(State() == "completed");
+}
+
 BOOST_AUTO_TEST_CASE(Copies_SwitchedOff_NoneIsStarted) {
   BackupFixture fixture(/*free_share=*/0);
   BOOST_REQUIRE(fixture.Submit());
--- a/src/libdoorwood/cell/cell_places.cpp
+++ b/src/libdoorwood/cell/cell_places.cpp
@@ -94,18 +94,6 @@
   return candidates;
 }
 
-std::string CellLeader::RackOfStep(const Job& job,
-                                   int repetition,
-                                   int step) const {
-  const std::string name = StepName(job, repetition, step);
-  for (const auto& [id, cell_worker] : cell_workers_) {
-    if (cell_worker.session->CountRunsOfStep(name) > 0) {
-      return std::string(RackOf(cell_worker.session->incarnation()));
-    }
-  }
-  return "";
-}
-
 void CellLeader::EvaluatePlace(const ReadyStep& ready,
                                const TaskRequirements& need,
                                const CandidateWorker& candidate,
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -213,10 +213,12 @@
       PointersTo(&permitted);
   const std::vector<CandidateWorker*>& usable_candidates =
       advised ? permitted_pointers : candidates;
-  std::string rack = plan.same_rack
-                         ? RackOfStep(*ready.job, ready.repetition, ready.step)
-                         : "";
-  TaskRequirements need{queue->service, interference_.Intern(plan.image), rack};
+  const auto waiting = static_cast<int>(
+      std::count_if(tasks.begin(), tasks.end(),
+                    [this](const Task& task) { return IsReady(task); }));
+  RackSearch racks = SearchRacks(ready, usable_candidates, waiting);
+  TaskRequirements need{queue->service, interference_.Intern(plan.image)};
+  racks.Apply(&need);
   StepCandidates places(plan, usable_candidates, interference_,
                         options_.policy);
   // Where the rack matters, the best workers may be anywhere.
@@ -248,7 +250,16 @@
                      usable_candidates.size(), &visited, &places);
       place = places.Best(task.avoided_worker);
     }
+    while (place != kNoWorker && !trial_place &&
+           racks.MoveOnFrom(candidates[place]->rack)) {
+      LogSpreadStep(task, racks);
+      racks.Apply(&need);
+      EvaluateChangedPlaces(ready, need, usable_candidates, /*pass=*/0,
+                            &places);
+      place = places.Best(task.avoided_worker);
+    }
     if (place == kNoWorker) {
+      NoteRackWait(ready, racks, waiting);
       if (!advised) {
         failed_placements_.Add(plan, pool, pass_);
       }
@@ -276,14 +287,18 @@
     if (advised) {
       permitted[place] = *candidate;
     }
-    if (plan.same_rack && rack.empty()) {
-      rack = candidate->rack;
-      need.rack = rack;
-      EvaluateChangedPlaces(ready, need, usable_candidates, /*pass=*/0,
-                            &places);
-    }
     EvaluatePlace(ready, need, *candidate, place, /*planned=*/0, &places);
   }
+  // Suspects that found no worker for a trial are left.
+  const bool waits =
+      std::any_of(tasks.begin(), tasks.end(), [this](const Task& task) {
+        return IsReady(task) && trials_.Find(task.name()) == nullptr;
+      });
+  if (waits && places.Best("") == kNoWorker) {
+    NoteRackWait(ready, racks, waiting);
+  } else {
+    NoteRackWaitEnded(ready);
+  }
 }
 
 void CellLeader::PlaceGang(const ReadyStep& ready,
@@ -306,34 +321,41 @@
       advised ? MarkTickets(step, candidates) : CopyCandidates(candidates);
   const std::vector<CandidateWorker*> planned_pointers =
       PointersTo(&planned_candidates);
-  const std::string rack =
-      plan.same_rack ? RackOfStep(*ready.job, ready.repetition, ready.step)
-                     : "";
-  const TaskRequirements need{queue->service, interference_.Intern(plan.image),
-                              rack};
+  RackSearch racks = SearchRacks(ready, planned_pointers, plan.count);
+  TaskRequirements need{queue->service, interference_.Intern(plan.image)};
+  racks.Apply(&need);
   StepCandidates places(plan, planned_pointers, interference_, options_.policy);
   std::vector<int> planned_counts(planned_candidates.size(), 0);
   const auto evaluate = [&](size_t place) {
     EvaluatePlace(ready, need, planned_candidates[place], place,
                   planned_counts[place], &places);
   };
-  for (size_t place = 0; place < planned_candidates.size(); ++place) {
-    evaluate(place);
-  }
+  const auto evaluate_all = [&] {
+    for (size_t place = 0; place < planned_candidates.size(); ++place) {
+      evaluate(place);
+    }
+  };
+  evaluate_all();
   const bool suspect = std::any_of(tasks.begin(), tasks.end(), IsSuspect);
   if (suspect && !PrepareGangTrial(&tasks, &planned_candidates)) {
     return;
   }
-  for (size_t place = 0; suspect && place < planned_candidates.size();
-       ++place) {
-    evaluate(place);
+  if (suspect) {
+    evaluate_all();
   }
   std::vector<int> chosen;
   uint32_t run = 0;
   std::string checkpoint;
   for (Task& task : tasks) {
-    const int place = places.Best(task.avoided_worker);
+    int place = places.Best(task.avoided_worker);
+    while (place != kNoWorker &&
+           racks.MoveOnFrom(planned_candidates[place].rack)) {
+      racks.Apply(&need);
+      evaluate_all();
+      place = places.Best(task.avoided_worker);
+    }
     if (place == kNoWorker) {
+      NoteRackWait(ready, racks, plan.count);
       if (NoteWaitingStep(ready)) {
         LogWaitingStep(task, ready.rank, places.CountProblems());
       }
@@ -349,6 +371,10 @@
       checkpoint = task.checkpoint;
     }
   }
+  NoteRackWaitEnded(ready);
+  if (racks.has_moved_on()) {
+    LogSpreadStep(tasks.front(), racks);
+  }
   for (size_t i = 0; i < tasks.size(); ++i) {
     tasks[i].checkpoint = checkpoint;
     CandidateWorker* candidate = candidates[chosen[i]];
--- a/src/libdoorwood/cell/cell_suspects.cpp
+++ b/src/libdoorwood/cell/cell_suspects.cpp
@@ -60,9 +60,11 @@
 // if none is suitable. The cost is CrashCost. It is higher by kNewRunsCost if
 // the worker has new runs. It is higher by kCrashedThereCost, which is far more
 // than a usual CrashCost, if a crash note of the task names the worker's
-// machine.
+// machine, and by kOtherRackCost, which is more than a usual CrashCost, if the
+// worker is outside of the rack that the step's tasks are to share.
 int CellLeader::ChooseTrialWorker(
     const Task& task,
+    const TaskRequirements& need,
     const StepCandidates& places,
     const std::vector<CandidateWorker*>& candidates) const {
   int best = kNoWorker;
@@ -76,13 +78,17 @@
     const WorkerSession& session = *cell_worker->second.session;
     constexpr int kCrashedThereCost = 100'000;
     constexpr int kNewRunsCost = 1000;
+    constexpr int kOtherRackCost = 500;
     const std::string machine = MachineOf(session.incarnation());
     const bool crashed_there = std::any_of(
         task.crashes.begin(), task.crashes.end(),
         [&](const CrashNote& crash) { return crash.machine == machine; });
+    const bool leaves_rack = task.plan().same_rack && !need.rack.empty() &&
+                             candidates[place]->rack != need.rack;
     const int cost = CrashCost(session) +
                      (crashed_there ? kCrashedThereCost : 0) +
-                     (HasNewRuns(session) ? kNewRunsCost : 0);
+                     (HasNewRuns(session) ? kNewRunsCost : 0) +
+                     (leaves_rack ? kOtherRackCost : 0);
     if (cost < lowest_cost) {
       best = static_cast<int>(place);
       lowest_cost = cost;
@@ -131,7 +137,7 @@
                              likely)) {
       return std::nullopt;
     }
-    const int chosen = ChooseTrialWorker(*task, *places, candidates);
+    const int chosen = ChooseTrialWorker(*task, need, *places, candidates);
     if (chosen == kNoWorker) {
       return std::nullopt;
     }
@@ -159,8 +165,11 @@
   const StepPlan& plan = task->plan();
   const int tasks_on_worker = cell_worker->second.session->CountRunsOfStep(
       StepName(*ready.job, ready.repetition, ready.step));
+  // The rack was decided with the reservation.
+  TaskRequirements need_there = need;
+  need_there.rack_required = false;
   const bool fits =
-      FindPlaceProblem(plan, need, reserved_candidate,
+      FindPlaceProblem(plan, need_there, reserved_candidate,
                        plan.max_per_worker > 0 ? tasks_on_worker : 0,
                        interference_, options_.policy) == PlaceProblem::kNone;
   if (!fits || HasNewRuns(*cell_worker->second.session) ||
--- a/src/libdoorwood/cell/cell_tickets.cpp
+++ b/src/libdoorwood/cell/cell_tickets.cpp
@@ -93,9 +93,6 @@
     return {};
   }
   const std::string step = StepName(*ready.job, ready.repetition, ready.step);
-  const std::string rack =
-      plan.same_rack ? RackOfStep(*ready.job, ready.repetition, ready.step)
-                     : "";
   // A worker that is reserved for the trial of a task is closed to all others.
   std::vector<TicketCandidate> reserved;
   for (const Task& task : tasks) {
@@ -105,21 +102,12 @@
       reserved.push_back({trial->worker});
     }
   }
-  const auto runs_on = [&](std::string_view worker) {
-    return cell_workers_.at(std::string(worker)).session->CountRunsOfStep(step);
-  };
-  const auto has_ticket = [&](std::string_view worker) {
-    return !tickets_.Find(step, worker).empty();
-  };
-  TicketDemand demand =
-      FindTicketDemand({plan,
-                        {queue.service, interference_.Intern(plan.image), rack},
-                        candidates,
-                        runs_on,
-                        has_ticket,
-                        interference_,
-                        options_.policy},
-                       waiting);
+  StepPlacement placement = PlacementOf(ready, candidates);
+  const RackSearch racks = SearchRacks(ready, candidates, waiting);
+  racks.Apply(&placement.need);
+  // Tickets for other racks are of use once the step may leave its rack.
+  placement.need.rack_required = false;
+  TicketDemand demand = FindTicketDemand(placement, waiting);
   demand.step = step;
   demand.policy = *queue.advice;
   demand.tasks = std::max(demand.tasks, static_cast<int>(reserved.size()));
--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -12,6 +12,9 @@
 // a term with a larger weight usually outweighs those with smaller weights.
 constexpr double kDecisiveWeight = 100.0;
 constexpr double kStrongWeight = 10.0;
+// A step on two racks is slow as a whole, which costs more than one task that
+// is far from its data.
+constexpr double kRackWeight = 200.0;
 // Exceeds the sum of all other terms.
 constexpr double kForbiddingWeight = 1000.0;
 
@@ -28,6 +31,13 @@
          worker.labels.end();
 }
 
+// Also true if the step's tasks need not share a rack, or have none yet.
+bool IsInRackOfStep(const StepPlan& step,
+                    const TaskRequirements& need,
+                    const CandidateWorker& worker) {
+  return !step.same_rack || need.rack.empty() || worker.rack == need.rack;
+}
+
 // Share of the worker's serving tasks whose image is `image`; 0.5 if the worker
 // has no serving task.
 double ShareOfImage(const CandidateWorker& worker, ImageId image) {
@@ -191,7 +201,7 @@
   if (!step.required_label.empty() && !HasLabel(worker, step.required_label)) {
     return PlaceProblem::kNoLabel;
   }
-  if (step.same_rack && !need.rack.empty() && worker.rack != need.rack) {
+  if (need.rack_required && !IsInRackOfStep(step, need, worker)) {
     return PlaceProblem::kOtherRack;
   }
   const PlaceProblem problem =
@@ -209,6 +219,9 @@
   if (!step.data_rack.empty() && HasLabel(worker, step.data_rack)) {
     score += kDecisiveWeight;
   }
+  if (step.same_rack && IsInRackOfStep(step, need, worker)) {
+    score += kRackWeight;
+  }
   const double reserved =
       ShareUsed(worker.reserved.cpu_millis, worker.capacity.cpu_millis);
   const double best_effort_share =
--- a/src/libdoorwood/policy/cell_policy_test.cpp
+++ b/src/libdoorwood/policy/cell_policy_test.cpp
@@ -58,7 +58,15 @@
        [](PolicyFixture* f) {
          f->step.same_rack = true;
          f->need.rack = "r2";
+         f->need.rack_required = true;
        }},
+      {PlaceProblem::kNone,
+       [](PolicyFixture* f) {
+         f->step.same_rack = true;
+         f->need.rack = "r2";
+       }},
+      {PlaceProblem::kNoTicket,
+       [](PolicyFixture* f) { f->worker.has_ticket = false; }},
       {PlaceProblem::kNoMemory,
        [](PolicyFixture* f) { f->worker.reserved.memory_mib = 950; }},
       {PlaceProblem::kNoCpu,
