fix(cell): a job counts as begun only by what shows that it has

Callers saw: jobs of which no task has begun are missing from the count of pending ones.

The same cause was left on related paths, where `Job::started` was set by what proves nothing: a record of an earlier version has `begun` for jobs whose starts were only ordered, and a successor believed it; a gang counted as begun with its first task, although its tasks begin only when all are there; so did ends that a worker may list of a run that never began (stopped, alone, broken).

Now records have `ran`, with the strict meaning, beside `begun` for earlier versions; without it a job has begun only if a task is done, has failed or has saved. A gang has begun once all tasks of one run have; of listed ends only done, failed and, without a gang, lapsed show it. So the count can be too large for a moment after a takeover, never too small.

--- a/src/include/doorwood/cell_summary.h
+++ b/src/include/doorwood/cell_summary.h
@@ -21,7 +21,8 @@
 struct CellSummary {
   std::string cell;
   int64_t epoch = 0;
-  /// Number of open jobs of which no task has been ordered to start, by queue.
+  /// Number of open jobs of which no task is known to have begun (see
+  /// Job::started), by queue.
   std::map<std::string, int> pending;
   /// Estimated work, in core-seconds, of the tasks of open jobs that are
   /// neither done nor long-running, in the repetitions that are held in memory.
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -201,6 +201,10 @@
   /// Since when tasks wait for room in the step's rack that other racks have
   /// room for; zero: none does.
   Instant waits_for_rack_since{};
+  /// Indices of a gang's tasks that have begun in its run `gang_run`. Empty
+  /// once the job has started.
+  std::set<int> begun_members;
+  uint32_t gang_run = 0;
   std::vector<Task> tasks;
 };
 
@@ -236,8 +240,10 @@
   std::string reason;
   /// Milliseconds since 1970; 0: not finished.
   int64_t finished_at = 0;
-  /// A run of one of the job's tasks is known to have begun, here or according
-  /// to an earlier leader's record. A start that was refused does not count.
+  /// A task of the job is known to have begun: a worker has accepted its start,
+  /// has listed a run of it, or an earlier leader has recorded so. Starts that
+  /// were refused, lost or not sent do not count, nor do runs of a gang whose
+  /// tasks have not all begun.
   bool started = false;
   int repetitions_done = 0;
   /// A change that must be recorded was made since the state was last encoded
@@ -323,6 +329,13 @@
   const std::vector<Job*>& OpenJobs();
 
   static void SetPlaced(Task* task, bool placed);
+  /// A worker has accepted the start of the run, or lists it as active. Updates
+  /// `Job::started`.
+  static void NoteRunBegan(Task* task, uint32_t run);
+  /// A worker lists the end of a run. Updates `Job::started` if such an end
+  /// shows that the task had begun: a run may be stopped before it begins, and
+  /// one of a gang may end while it waits for the others.
+  static void NoteListedEnd(Task* task, RunEnd end);
   /// Notes that two runs of a placed task are active.
   static void BeginTwoRuns(Task* task, uint32_t run, uint32_t other_run);
   /// `run` has ended or did not begin. Returns the number of the run that
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -88,8 +88,8 @@
 }
 
 void CellLeader::OnRunBegan(WorkerSession&, const Run& run) {
-  if (const Task* task = jobs_.FindTask(run.task)) {
-    task->job->started = true;
+  if (Task* task = jobs_.FindTask(run.task)) {
+    JobTable::NoteRunBegan(task, run.number);
   }
 }
 
@@ -102,8 +102,9 @@
     return;
   }
   // The end may be listed before the start is answered.
-  task->job->started =
-      task->job->started || (reported_by_worker && !run.start_deferred);
+  if (reported_by_worker && !run.start_deferred) {
+    JobTable::NoteListedEnd(task, end);
+  }
   const uint32_t remaining = JobTable::EndPlacedRun(task, run.number);
   JobTable::RemoveTrialNote(task);
   starts_awaiting_record_.erase(run.task);
@@ -190,7 +191,7 @@
   if (task == nullptr) {
     return;
   }
-  task->job->started = true;
+  JobTable::NoteListedEnd(task, end.end);
   // Successive leaders that read the same records assign the same run numbers,
   // so this may be the end of a different run than the one that is placed now.
   // It is therefore counted under a lower number than that of the placed run.
@@ -282,10 +283,9 @@
   JobTable::RemoveUnconfirmedCrash(task, active_run.run);
   task->last_run = std::max(task->last_run, active_run.run);
   task->counted_run = std::min(task->counted_run, active_run.run - 1);
-  if (!task->job->started) {
-    task->job->started = true;
-    task->job->dirty = true;
-  }
+  const bool was_started = task->job->started;
+  JobTable::NoteRunBegan(task, active_run.run);
+  task->job->dirty = task->job->dirty || task->job->started != was_started;
   if (IsSuspect(*task)) {
     BeginTrial(*task, cell_workers_.at(session.incarnation().id).session);
   }
--- a/src/libdoorwood/job/job_state_codec.cpp
+++ b/src/libdoorwood/job/job_state_codec.cpp
@@ -68,6 +68,10 @@
 constexpr const char* kDroppedField = "done_times";
 // Field of `Job::dropped_policy`.
 constexpr const char* kPolicyField = "policy";
+// Fields of `Job::started`. Earlier versions wrote and read the first only, and
+// set it once a start was ordered.
+constexpr const char* kOrderedField = "begun";
+constexpr const char* kBegunField = "ran";
 // Field of the names to which the last column of the rows refers by index.
 constexpr const char* kWorkersField = "workers";
 
@@ -133,6 +137,23 @@
       .tasks.at(row.at(2).get<size_t>());
 }
 
+// Whether what was read of the job's tasks shows that one of them has begun.
+bool ShowsBegin(const Job& job) {
+  const auto has_begun = [](const Task& task) {
+    return task.done || !task.failed_runs.empty() || !task.checkpoint.empty();
+  };
+  const auto has_begun_task = [&](const StepState& step) {
+    return std::any_of(step.tasks.begin(), step.tasks.end(), has_begun);
+  };
+  return job.dropped_repetitions.size() > 0 ||
+         std::any_of(job.repetitions.begin(), job.repetitions.end(),
+                     [&](const auto& entry) {
+                       return std::any_of(entry.second.steps.begin(),
+                                          entry.second.steps.end(),
+                                          has_begun_task);
+                     });
+}
+
 std::string Encode(const Job& job, Detail detail) {
   Json tasks = Json::array();
   WorkerNames workers;
@@ -157,7 +178,8 @@
   }
   Json state{{"outcome", std::string(1, letter)},
              {"finished_at", job.finished_at},
-             {"begun", job.started},
+             {kOrderedField, job.started},
+             {kBegunField, job.started},
              {"tasks", std::move(tasks)}};
   if (!job.reason.empty()) {
     state["reason"] = job.reason;
@@ -200,7 +222,8 @@
   try {
     const std::string letter = json->at("outcome").get<std::string>();
     job->finished_at = json->at("finished_at").get<int64_t>();
-    job->started = json->at("begun").get<bool>();
+    const bool ordered = json->at(kOrderedField).get<bool>();
+    job->started = json->value(kBegunField, false);
     if (json->contains("reason")) {
       job->reason = json->at("reason").get<std::string>();
     }
@@ -233,6 +256,9 @@
             DecodeAssignedWorker(row.at(kAssignedWorkerColumn), *json);
       }
     }
+    if (ordered && !json->contains(kBegunField)) {
+      job->started = ShowsBegin(*job);
+    }
     for (const auto& [outcome, known] : kOutcomeLetters) {
       if (letter.size() == 1 && letter[0] == known) {
         job->outcome = outcome;
--- a/src/libdoorwood/job/job_table.cpp
+++ b/src/libdoorwood/job/job_table.cpp
@@ -187,6 +187,32 @@
   return open_;
 }
 
+void JobTable::NoteRunBegan(Task* task, uint32_t run) {
+  Job* job = task->job;
+  if (job->started) {
+    return;
+  }
+  StepState& step = job->repetitions.at(task->repetition).steps[task->step];
+  if (task->plan().gang) {
+    if (step.gang_run != run) {
+      step.gang_run = run;
+      step.begun_members.clear();
+    }
+    step.begun_members.insert(task->index);
+    if (static_cast<int>(step.begun_members.size()) < task->plan().count) {
+      return;
+    }
+    step.begun_members.clear();
+  }
+  job->started = true;
+}
+
+void JobTable::NoteListedEnd(Task* task, RunEnd end) {
+  const bool shows_begin = end == RunEnd::kDone || end == RunEnd::kFailed ||
+                           (end == RunEnd::kLeaseExpired && !task->plan().gang);
+  task->job->started = task->job->started || shows_begin;
+}
+
 void JobTable::SetPlaced(Task* task, bool placed) {
   if (task->placed == placed) {
     return;
--- a/src/libdoorwood/job/job_table_test.cpp
+++ b/src/libdoorwood/job/job_table_test.cpp
@@ -276,6 +276,62 @@
   BOOST_TEST(read->started);
 }
 
+// Guards against jobs that are missing from the pending ones after a takeover:
+// an earlier version recorded them as begun when their starts were ordered,
+// which were refused or lost.
+BOOST_AUTO_TEST_CASE(DecodeJobState_StartsWereOnlyOrdered_HasNotStarted) {
+  const std::string head = R"({"outcome":"o","finished_at":0,"begun":true,)";
+  const std::pair<std::string, bool> rows[] = {
+      {R"("tasks":[]})", false},
+      {R"("tasks":[[0,0,0,4,3,[],"",0]]})", false},
+      {R"("tasks":[[0,0,0,4,3,[],"",0,[],"w1"]]})", false},
+      {R"("tasks":[[0,0,0,4,3,[],"",1]]})", true},
+      {R"("tasks":[[0,0,0,4,3,[2],"",0]]})", true},
+      {R"("tasks":[[0,0,0,4,3,[],"saved",0]]})", true},
+      {R"("ran":true,"tasks":[]})", true},
+      {R"("ran":false,"tasks":[[0,0,0,4,3,[],"saved",0]]})", false},
+  };
+  for (const auto& [text, started] : rows) {
+    JobTable table;
+    Job* job = table.Add(fakes::MakePlan(kId, 1, 1, ""));
+    BOOST_TEST(DecodeJobState(head + text, job), text);
+    BOOST_TEST(job->started == started, text);
+  }
+}
+
+// Guards against gangs that count as begun while some of their tasks cannot be
+// started.
+BOOST_AUTO_TEST_CASE(NoteRunBegan_Gang_HasStartedOnceAllTasksOfOneRunHave) {
+  JobTable table;
+  JobPlan plan = fakes::MakePlan(kId, 1, 3, "");
+  plan.steps[0].gang = true;
+  Job* job = table.Add(plan);
+  auto& tasks = job->repetitions.at(0).steps[0].tasks;
+  JobTable::NoteRunBegan(&tasks[0], 1);
+  JobTable::NoteRunBegan(&tasks[0], 1);
+  JobTable::NoteRunBegan(&tasks[1], 1);
+  JobTable::NoteListedEnd(&tasks[0], RunEnd::kGangIncomplete);
+  JobTable::NoteListedEnd(&tasks[1], RunEnd::kGangMemberEnded);
+  JobTable::NoteRunBegan(&tasks[2], 2);
+  JobTable::NoteRunBegan(&tasks[0], 2);
+  BOOST_TEST(!job->started);
+  JobTable::NoteRunBegan(&tasks[1], 2);
+  BOOST_TEST(job->started);
+}
+
+BOOST_AUTO_TEST_CASE(NoteListedEnd_OnlySomeEnds_ShowThatTaskHadBegun) {
+  const std::pair<RunEnd, bool> rows[] = {{RunEnd::kDone, true},
+                                          {RunEnd::kFailed, true},
+                                          {RunEnd::kLeaseExpired, true},
+                                          {RunEnd::kStopped, false}};
+  for (const auto& [end, started] : rows) {
+    JobTable table;
+    Job* job = table.Add(fakes::MakePlan(kId, 1, 1, ""));
+    JobTable::NoteListedEnd(&job->repetitions.at(0).steps[0].tasks[0], end);
+    BOOST_TEST(job->started == started, ToString(end));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DecodeJobState_MalformedText_IsRejected) {
   JobTable table;
   Job* job = table.Add(fakes::MakePlan(kId, 1, 1, ""));
