fix(cell): calls to the adviser that were lost delay no later ones

Callers would have seen: after an adviser was silent for a while, one call in 1.3 s instead of one after the other, for up to 30 s.

Cause: a call that was lost on the network stayed among the open ones until its time limit, and after each answer the next call waited as if the adviser still had the lost one before it. The adviser handles the calls of one caller in turn, so an answer shows that all calls sent before were lost.

Evidence: Request_CallsAreLost_NextIsAnsweredSoonAfterRecovery now asks for 20 more steps after each recovery, one each 50 ms; by the code before, each of these would wait for the patience of 1 s.

Now an answer ends the wait for all earlier calls.

--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -350,11 +350,16 @@
 HttpResponse EntryDaemon::EncodeMetrics() const {
   const CellCounters& counters = cell_.counters();
   const ReturnCounters& returns = ingress_.return_counters();
+  const TicketCounters& tickets = cell_.tickets().counters();
   const std::pair<const char*, uint64_t> rows[] = {
       {"doorwood_jobs_accepted_total", counters.accepted},
       {"doorwood_starts_total", counters.starts},
       {"doorwood_starts_refused_total", counters.starts_refused},
       {"doorwood_starts_not_sent_total", counters.starts_not_sent},
+      {"doorwood_adviser_calls_total", tickets.sent},
+      {"doorwood_adviser_calls_beside_overdue_total",
+       tickets.sent_beside_overdue},
+      {"doorwood_adviser_calls_failed_total", tickets.failed},
       {"doorwood_worker_calls_waiting", paced_workers_.waiting()},
       {"doorwood_order_delay_ms",
        static_cast<uint64_t>(paced_workers_.OrderDelay().count())},
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -164,6 +164,7 @@
   const WorkerReliability& reliability() const { return reliability_; }
   const CellJournal& journal() const { return journal_; }
   const LeadProof& proof() const { return proof_; }
+  const TicketBook& tickets() const { return tickets_; }
 
   // WorkerSessionListener
   void OnRunBegan(WorkerSession& session, const Run& run) override;
@@ -782,8 +783,7 @@
   bool ShouldLogAsOverdue(const Run& run, Millis* expected) const;
 
   // cell_scheduling.cpp: starting tasks; cell_places.cpp: free capacity of
-  // workers and evaluation of placements; cell_pacing.cpp: throttling and
-  // moving of best-effort runs.
+  // workers and evaluation of placements.
   void RequestSchedulingPass();
   void RunSchedulingPass();
   /// Whether an order that is given now would wait too long for the network
@@ -836,20 +836,6 @@
                              const std::vector<CandidateWorker*>& candidates,
                              uint64_t pass,
                              StepCandidates* places) const;
-  // cell_racks.cpp: racks of steps whose tasks are slow on several racks.
-  /// The step as placed on the candidates, for the decisions in step_room.h and
-  /// rack_choice.h.
-  StepPlacement PlacementOf(const ReadyStep& ready,
-                            const std::vector<CandidateWorker*>& candidates);
-  /// `tasks`: number of tasks to be placed.
-  RackSearch SearchRacks(const ReadyStep& ready,
-                         const std::vector<CandidateWorker*>& candidates,
-                         int tasks);
-  /// Notes whether tasks for which no place was found wait for room in the
-  /// step's rack only.
-  void NoteRackWait(const ReadyStep& ready, const RackSearch& racks, int tasks);
-  static void NoteRackWaitEnded(const ReadyStep& ready);
-  void LogSpreadStep(const Task& task, const RackSearch& racks) const;
   /// Counts a step that found no placement, and updates when its next log line
   /// is due. Returns whether to log it now.
   bool NoteWaitingStep(const ReadyStep& ready);
@@ -873,11 +859,18 @@
   /// waiting.
   bool AwaitsTickets(const ReadyStep& ready,
                      const std::vector<CandidateWorker*>& candidates);
-  /// Returns a copy of `candidates` with `CandidateWorker::has_ticket` set for
-  /// the step.
-  std::vector<CandidateWorker> MarkTickets(
-      const std::string& step,
-      const std::vector<CandidateWorker*>& candidates) const;
+  // cell_racks.cpp: racks of steps whose tasks are slow on several racks.
+  static StepState& StateOf(const ReadyStep& ready);
+  /// The step as placed on the candidates, for the decisions in step_room.h and
+  /// rack_choice.h.
+  StepPlacement PlacementOf(const ReadyStep& ready,
+                            const std::vector<CandidateWorker*>& candidates);
+  /// `tasks`: number of tasks to be placed.
+  RackSearch SearchRacks(const ReadyStep& ready,
+                         const std::vector<CandidateWorker*>& candidates,
+                         int tasks);
+  void LogSpreadStep(const Task& task, const RackSearch& racks) const;
+  // cell_pacing.cpp: throttling and moving of best-effort runs.
   /// After a report of the worker: updates the interference model, sets the
   /// paces of best-effort runs, and calls `MoveStuckBestEffortRuns`.
   void UpdatePaces(WorkerSession& session);
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -20,6 +20,7 @@
 
 #include "doorwood/index_set.h"
 #include "doorwood/job_plan.h"
+#include "doorwood/rack_wait.h"
 #include "doorwood/run_worker.h"
 
 namespace doorwood {
@@ -198,9 +199,7 @@
   /// such line, when the step was first noted as waiting (see
   /// CellLeader::NoteWaitingStep).
   Instant waiting_logged_at{};
-  /// Since when tasks wait for room in the step's rack that other racks have
-  /// room for; zero: none does.
-  Instant waits_for_rack_since{};
+  RackWait rack_wait;
   /// Indices of a gang's tasks that have begun in its run `gang_run`. Empty
   /// once the job has started.
   std::set<int> begun_members;
--- a/src/include/doorwood/rack_choice.h
+++ b/src/include/doorwood/rack_choice.h
@@ -71,11 +71,11 @@
   /// Sets the rack in `need`, which refers to this object.
   void Apply(TaskRequirements* need) const;
   /// Whether a worker in `rack` was found although another rack was looked for,
-  /// which therefore has no room left; moves on to the next rack then, if there
-  /// is one.
+  /// which therefore has no room left; moves on to the next rack with room
+  /// then, if there is one.
   bool MoveOnFrom(std::string_view rack);
-  /// Whether racks other than the first have room for some of the tasks or, for
-  /// a gang, all racks together for all `tasks`.
+  /// Whether racks other than the first have room for some of the tasks of a
+  /// step with `same_rack` or, for a gang, all racks together for all `tasks`.
   bool HasRoomElsewhere(const StepPlan& plan, int tasks) const;
   /// Whether `MoveOnFrom` has left the first rack.
   bool has_moved_on() const { return current_ > 0; }
--- a/src/include/doorwood/step_room.h
+++ b/src/include/doorwood/step_room.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 #include "doorwood/cell_policy.h"
 #include "doorwood/ticket_naming.h"
@@ -56,6 +57,9 @@
                           int runs_on_worker,
                           int most);
 
+/// A copy of the step's candidates with `CandidateWorker::has_ticket` set.
+std::vector<CandidateWorker> MarkTickets(const StepPlacement& step);
+
 /// What `tasks` tasks of the step need of the adviser: tickets for workers that
 /// can take some of them now and have none. No tickets are needed (`tasks` is
 /// 0) if workers with tickets can take all tasks. A gang needs none either
--- a/src/include/doorwood/ticket_book.h
+++ b/src/include/doorwood/ticket_book.h
@@ -77,6 +77,14 @@
   Millis refusal_kept{30'000};
 };
 
+struct TicketCounters {
+  /// Calls sent, and of these the ones sent beside overdue calls.
+  uint64_t sent = 0;
+  uint64_t sent_beside_overdue = 0;
+  /// Calls that were refused or got no answer.
+  uint64_t failed = 0;
+};
+
 class TicketBook {
  public:
   /// `adviser` may be null: then nothing is ever permitted. `on_change` runs
@@ -96,10 +104,7 @@
   /// Whether a call may be sent now: there is an adviser, no call is open that
   /// is not overdue, and no pause is under way.
   bool IsIdle() const;
-  /// When tickets for the step were last requested; zero: never.
-  Instant last_request(std::string_view step) const;
-  /// Calls sent so far.
-  uint64_t requests() const { return requests_; }
+  const TicketCounters& counters() const { return counters_; }
   /// Requests tickets for some of the demand's candidates, see
   /// ChooseWorkersToName. Returns false, and does nothing, if `IsIdle` is false
   /// or all candidates were refused within `TicketOptions::refusal_kept`.
@@ -127,7 +132,6 @@
   };
   struct Step {
     std::map<std::string, Answer, std::less<>> answers;
-    Instant requested_at{};
     /// Workers that answers have named, and permitted, for the first time.
     size_t named = 0;
     size_t permitted = 0;
@@ -147,7 +151,10 @@
     std::set<std::string> forgotten;
   };
 
-  Permission PermissionOf(const Step& step, const std::string& worker) const;
+  /// Sets `TicketCandidate::permission`, and removes the candidates that were
+  /// refused within `TicketOptions::refusal_kept`.
+  void SetPermissions(const Step& step, TicketDemand* demand) const;
+  /// Time after which a call is overdue.
   Millis PatienceFor(Millis stated) const;
   void Send(Call call);
   void OnAnswer(uint64_t id, std::error_code error, const TicketGrant& grant);
@@ -162,8 +169,8 @@
   const std::function<void()> on_change_;
   std::map<std::string, Step, std::less<>> steps_;
   PermittedShare permitted_share_;
-  uint64_t requests_ = 0;
-  /// Open calls, by number.
+  TicketCounters counters_;
+  /// Open calls that may still be answered, by number.
   std::map<uint64_t, Call> calls_;
   /// No call is sent before. While calls are open: when the newest is overdue.
   Instant next_request_{};
--- a/src/libdoorwood/cell/cell_advice_test.cpp
+++ b/src/libdoorwood/cell/cell_advice_test.cpp
@@ -55,7 +55,7 @@
   }
 };
 
-const Burst kBursts[] = {
+constexpr Burst kBursts[] = {
     {{Millis(100), Millis(22), Millis(3000)}, 27, 24, Millis(14'000)},
     {{Millis(700), Millis(50), Millis(3000)}, 27, 10, Millis(25'000)},
     {{Millis(40), Millis(9), Millis(900)}, 87, 24, Millis(14'000)},
--- a/src/libdoorwood/cell/cell_racks.cpp
+++ b/src/libdoorwood/cell/cell_racks.cpp
@@ -10,6 +10,10 @@
 
 namespace doorwood {
 
+StepState& CellLeader::StateOf(const ReadyStep& ready) {
+  return ready.job->repetitions.at(ready.repetition).steps[ready.step];
+}
+
 StepPlacement CellLeader::PlacementOf(
     const ReadyStep& ready,
     const std::vector<CandidateWorker*>& candidates) {
@@ -37,13 +41,7 @@
   if (!plan.same_rack) {
     return {};
   }
-  const Instant since = ready.job->repetitions.at(ready.repetition)
-                            .steps[ready.step]
-                            .waits_for_rack_since;
-  const Millis waited =
-      since == Instant{}
-          ? Millis(0)
-          : std::chrono::duration_cast<Millis>(executor_.Now() - since);
+  const Millis waited = StateOf(ready).rack_wait.Waited(executor_.Now());
   const Millis run_time =
       ExpectedRunTimes(*ready.job, ready.repetition)[ready.step];
   std::vector<RackRoom> racks =
@@ -53,26 +51,6 @@
   return {std::move(racks), may_spread};
 }
 
-void CellLeader::NoteRackWait(const ReadyStep& ready,
-                              const RackSearch& racks,
-                              int tasks) {
-  const StepPlan& plan = ready.job->plan.steps[ready.step];
-  Instant& since = ready.job->repetitions.at(ready.repetition)
-                       .steps[ready.step]
-                       .waits_for_rack_since;
-  if (!plan.same_rack || !racks.HasRoomElsewhere(plan, tasks)) {
-    since = Instant{};
-  } else if (since == Instant{}) {
-    since = executor_.Now();
-  }
-}
-
-void CellLeader::NoteRackWaitEnded(const ReadyStep& ready) {
-  ready.job->repetitions.at(ready.repetition)
-      .steps[ready.step]
-      .waits_for_rack_since = Instant{};
-}
-
 void CellLeader::LogSpreadStep(const Task& task,
                                const RackSearch& racks) const {
   Json rooms = Json::array();
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -207,7 +207,7 @@
       advised ? 0 : failed_placements_.LastFailedPass(plan, pool);
   std::vector<CandidateWorker> permitted;
   if (advised) {
-    permitted = MarkTickets(step, candidates);
+    permitted = MarkTickets(PlacementOf(ready, candidates));
   }
   const std::vector<CandidateWorker*> permitted_pointers =
       PointersTo(&permitted);
@@ -259,7 +259,8 @@
       place = places.Best(task.avoided_worker);
     }
     if (place == kNoWorker) {
-      NoteRackWait(ready, racks, waiting);
+      StateOf(ready).rack_wait.Update(racks.HasRoomElsewhere(plan, waiting),
+                                      executor_.Now());
       if (!advised) {
         failed_placements_.Add(plan, pool, pass_);
       }
@@ -294,11 +295,9 @@
       std::any_of(tasks.begin(), tasks.end(), [this](const Task& task) {
         return IsReady(task) && trials_.Find(task.name()) == nullptr;
       });
-  if (waits && places.Best("") == kNoWorker) {
-    NoteRackWait(ready, racks, waiting);
-  } else {
-    NoteRackWaitEnded(ready);
-  }
+  StateOf(ready).rack_wait.Update(waits && places.Best("") == kNoWorker &&
+                                      racks.HasRoomElsewhere(plan, waiting),
+                                  executor_.Now());
 }
 
 void CellLeader::PlaceGang(const ReadyStep& ready,
@@ -318,7 +317,8 @@
   const bool advised = queue->advice.has_value();
   const std::string step = StepName(*ready.job, ready.repetition, ready.step);
   std::vector<CandidateWorker> planned_candidates =
-      advised ? MarkTickets(step, candidates) : CopyCandidates(candidates);
+      advised ? MarkTickets(PlacementOf(ready, candidates))
+              : CopyCandidates(candidates);
   const std::vector<CandidateWorker*> planned_pointers =
       PointersTo(&planned_candidates);
   RackSearch racks = SearchRacks(ready, planned_pointers, plan.count);
@@ -355,7 +355,8 @@
       place = places.Best(task.avoided_worker);
     }
     if (place == kNoWorker) {
-      NoteRackWait(ready, racks, plan.count);
+      StateOf(ready).rack_wait.Update(racks.HasRoomElsewhere(plan, plan.count),
+                                      executor_.Now());
       if (NoteWaitingStep(ready)) {
         LogWaitingStep(task, ready.rank, places.CountProblems());
       }
@@ -371,7 +372,7 @@
       checkpoint = task.checkpoint;
     }
   }
-  NoteRackWaitEnded(ready);
+  StateOf(ready).rack_wait.Update(/*waits=*/false, executor_.Now());
   if (racks.has_moved_on()) {
     LogSpreadStep(tasks.front(), racks);
   }
--- a/src/libdoorwood/cell/cell_tickets.cpp
+++ b/src/libdoorwood/cell/cell_tickets.cpp
@@ -11,18 +11,6 @@
 
 namespace doorwood {
 
-std::vector<CandidateWorker> CellLeader::MarkTickets(
-    const std::string& step,
-    const std::vector<CandidateWorker*>& candidates) const {
-  std::vector<CandidateWorker> marked;
-  marked.reserve(candidates.size());
-  for (const CandidateWorker* candidate : candidates) {
-    marked.push_back(*candidate);
-    marked.back().has_ticket = !tickets_.Find(step, candidate->id).empty();
-  }
-  return marked;
-}
-
 bool CellLeader::AwaitsTickets(
     const ReadyStep& ready,
     const std::vector<CandidateWorker*>& candidates) {
@@ -67,7 +55,7 @@
     }
   }
   for (const auto& [index, in_turn] :
-       ticket_turns_.Order(names, tickets_.requests())) {
+       ticket_turns_.Order(names, tickets_.counters().sent)) {
     const ReadyStep& step = *advised[index];
     if (in_turn) {
       ticket_turns_.OnConsidered(names[index]);
@@ -110,6 +98,7 @@
   TicketDemand demand = FindTicketDemand(placement, waiting);
   demand.step = step;
   demand.policy = *queue.advice;
+  // FindTicketDemand does not know of the reserved workers.
   demand.tasks = std::max(demand.tasks, static_cast<int>(reserved.size()));
   demand.candidates.insert(demand.candidates.begin(), reserved.begin(),
                            reserved.end());
--- a/src/libdoorwood/cell/ticket_book.cpp
+++ b/src/libdoorwood/cell/ticket_book.cpp
@@ -69,19 +69,19 @@
   return adviser_ != nullptr && executor_.Now() >= next_request_;
 }
 
-Instant TicketBook::last_request(std::string_view step) const {
-  const auto found = steps_.find(step);
-  return found == steps_.end() ? Instant{} : found->second.requested_at;
-}
-
-Permission TicketBook::PermissionOf(const Step& step,
-                                    const std::string& worker) const {
-  const auto answer = step.answers.find(worker);
-  if (answer == step.answers.end()) {
-    return Permission::kUnknown;
-  }
-  return answer->second.permitted ? Permission::kPermitted
-                                  : Permission::kRefused;
+void TicketBook::SetPermissions(const Step& step, TicketDemand* demand) const {
+  const Instant now = executor_.Now();
+  std::erase_if(demand->candidates, [&](TicketCandidate& candidate) {
+    const auto answer = step.answers.find(candidate.worker);
+    if (answer == step.answers.end()) {
+      candidate.permission = Permission::kUnknown;
+      return false;
+    }
+    candidate.permission = answer->second.permitted ? Permission::kPermitted
+                                                    : Permission::kRefused;
+    return candidate.permission == Permission::kRefused &&
+           now - answer->second.answered_at < options_.refusal_kept;
+  });
 }
 
 // --- Calls ---
@@ -96,23 +96,19 @@
   if (!IsIdle()) {
     return false;
   }
-  Step& step = steps_[demand.step];
-  const Instant now = executor_.Now();
-  std::erase_if(demand.candidates, [&](TicketCandidate& candidate) {
-    candidate.permission = PermissionOf(step, candidate.worker);
-    return candidate.permission == Permission::kRefused &&
-           now - step.answers.at(candidate.worker).answered_at <
-               options_.refusal_kept;
-  });
+  static const Step no_answers;
+  const auto found = steps_.find(demand.step);
+  const Step& step = found == steps_.end() ? no_answers : found->second;
+  SetPermissions(step, &demand);
   Call call;
   call.named = ChooseWorkersToName(
       demand, permitted_share_.Estimate(step.named, step.permitted));
   if (call.named.empty()) {
     return false;
   }
-  step.requested_at = now;
+  steps_.try_emplace(demand.step);
   call.step = std::move(demand.step);
-  call.sent = now;
+  call.sent = executor_.Now();
   call.stated = StatedDecisionTime(demand.policy, call.named.size());
   Send(std::move(call));
   return true;
@@ -121,6 +117,7 @@
 void TicketBook::Send(Call call) {
   if (!calls_.empty()) {
     ++overdue_;
+    ++counters_.sent_beside_overdue;
     log_.Write("warn", "tickets",
                "the adviser has not answered in time; asking again",
                {{"step", call.step},
@@ -133,7 +130,7 @@
       std::max(Doubled(options_.abandon_after, abandoned_, kLongestTimeLimit),
                Multiply(call.stated, slowdown_) * kAbandonFactor);
   call.time_limit = limit;
-  const uint64_t id = ++requests_;
+  const uint64_t id = ++counters_.sent;
   const Call& open = calls_.emplace(id, std::move(call)).first->second;
   adviser_->RequestTickets(
       open.step, open.named, limit,
@@ -151,6 +148,7 @@
   }
   const Call call = std::move(found.mapped());
   if (error) {
+    ++counters_.failed;
     OnFailure(call, error);
     return;
   }
@@ -169,7 +167,9 @@
   failures_ = 0;
   abandoned_ = 0;
   overdue_ = 0;
-  // The adviser handles the next open call now.
+  // The adviser handles calls in turn, so those sent before were lost, and the
+  // next open one is handled now.
+  calls_.erase(calls_.begin(), calls_.lower_bound(id));
   next_request_ = calls_.empty()
                       ? Instant{}
                       : now + PatienceFor(calls_.begin()->second.stated);
--- a/src/libdoorwood/cell/ticket_book_test.cpp
+++ b/src/libdoorwood/cell/ticket_book_test.cpp
@@ -137,6 +137,12 @@
       time.Run(Millis(100));
     }
     BOOST_TEST(waited <= 8200, step << " waited " << waited);
+    // The lost calls do not delay the following ones.
+    for (int i = 0; i < 20; ++i) {
+      Request(step + "." + std::to_string(i), {"w1"});
+      time.Run(Millis(50));
+      BOOST_TEST(book.HasTicket(step + "." + std::to_string(i)));
+    }
   }
 }
 
--- a/src/libdoorwood/policy/rack_choice.cpp
+++ b/src/libdoorwood/policy/rack_choice.cpp
@@ -104,20 +104,30 @@
 }
 
 bool RackSearch::MoveOnFrom(std::string_view rack) {
-  if (current_ + 1 >= racks_.size() || rack == racks_[current_].rack) {
+  if (racks_.empty() || rack == racks_[current_].rack) {
     return false;
   }
-  ++current_;
+  const auto next =
+      std::find_if(racks_.begin() + static_cast<std::ptrdiff_t>(current_) + 1,
+                   racks_.end(), [rack](const RackRoom& room) {
+                     return room.fitting > 0 || room.rack == rack;
+                   });
+  if (next == racks_.end()) {
+    return false;
+  }
+  current_ = static_cast<size_t>(next - racks_.begin());
   return true;
 }
 
 bool RackSearch::HasRoomElsewhere(const StepPlan& plan, int tasks) const {
+  if (!plan.same_rack || racks_.empty()) {
+    return false;
+  }
   int all = 0;
   for (const RackRoom& room : racks_) {
     all += room.fitting;
   }
-  return plan.gang ? all >= tasks
-                   : !racks_.empty() && all > racks_.front().fitting;
+  return plan.gang ? all >= tasks : all > racks_.front().fitting;
 }
 
 }  // namespace doorwood
--- a/src/libdoorwood/policy/step_room.cpp
+++ b/src/libdoorwood/policy/step_room.cpp
@@ -76,6 +76,16 @@
                      BoundByStep(plan, runs_on_worker, most));
 }
 
+std::vector<CandidateWorker> MarkTickets(const StepPlacement& step) {
+  std::vector<CandidateWorker> marked;
+  marked.reserve(step.candidates.size());
+  for (const CandidateWorker* candidate : step.candidates) {
+    marked.push_back(*candidate);
+    marked.back().has_ticket = step.has_ticket(candidate->id);
+  }
+  return marked;
+}
+
 TicketDemand FindTicketDemand(const StepPlacement& step, int tasks) {
   struct Scored {
     double score = 0;
