fix(testsuite): tests reserve ports that a server can listen on

Cause: free_port took a port for free if a connection to it was refused. A port with connections in TIME_WAIT is not free for a server with another reuse option than the one that had it: httplib's servers (stand-ins) set SO_REUSEPORT, the others SO_REUSEADDR. Nor is a port free that another test run has chosen and not used yet.

Now reserve_port asks /proc/net/tcp for sockets in any state and locks the port against other tests until the test and its processes have ended. A failed test prints the last lines of its processes.

--- a/src/build-scripts/bench.sh
+++ b/src/build-scripts/bench.sh
@@ -19,7 +19,7 @@
 within 30 workers_held plaka-1 1 || fail "workers not held"
 within 30 shards_owned plaka-1 8 || fail "shards not owned"
 apply_config plaka-1 || fail "configuration"
-PORT[hop]=$(free_port)
+reserve_port hop
 "$BIN/doorwood-bench" hop --listen "127.0.0.1:${PORT[hop]}" --target "127.0.0.1:${PORT[b1]}" >/dev/null 2>&1 &
 PID[hop]=$!
 STARTED+=(hop)
--- a/src/build-scripts/run-tests.sh
+++ b/src/build-scripts/run-tests.sh
@@ -51,8 +51,8 @@
   # A folder with cases runs alone, see below.
   [ -f "$folder/cases.txt" ] || integration_tests+=("$(basename "$folder")")
 done
-# The ranges of up to 13 tests lie below 32768, where the ephemeral ports begin.
-port_base=19000
+# The ranges of up to 14 tests lie below 32768, where the ephemeral ports begin.
+port_base=18000
 for name in "${integration_tests[@]}"; do
   run_integration_test "$name" "$port_base" &
   port_base=$((port_base + 1000))
--- a/testsuite/crowd/run.sh
+++ b/testsuite/crowd/run.sh
@@ -140,7 +140,7 @@
       curl -s -m 20 -H 'Host: queue.example' \
         "http://127.0.0.1:${PORT[a1-front]}/jobs/$id" | grep -q completed
     }
-    PORT[hostile]=$(free_port)
+    reserve_port hostile
     start_crowd --listen "127.0.1.1:${PORT[hostile]}" --part "$part"
     until_true grep -q '^started' "$WORK/crowd.out"
     puts=()
--- a/testsuite/cut/run.sh
+++ b/testsuite/cut/run.sh
@@ -9,7 +9,7 @@
 
 # start_link NAME TARGET: starts a relay to TARGET that can be cut.
 start_link() {
-  PORT[$1]=$(free_port)
+  reserve_port "$1"
   start_standin "$1.way" link --control "127.0.0.1:${PORT[$1]}" --target "127.0.0.1:$2"
   PID[$1]=${PID[$1.way]}
 }
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -7,6 +7,7 @@
 BIN="${BIN:?set BIN to the folder with the programs}"
 WORK="$(mktemp -d)"
 declare -gA PID PORT
+PORT_LOCKS=${TMPDIR:-/tmp}/doorwood-ports-$UID
 INSTANCE_LINES=()
 STARTED=()
 OPERATOR_TOKEN=operator-token-of-this-session
@@ -45,23 +46,35 @@
   return 1
 }
 
+# Ends the test, with the last lines that its processes wrote.
 fail() {
+  local file
   echo "FAILED: $*" >&2
+  for file in "$WORK"/*.log "$WORK"/*.out; do
+    [ -s "$file" ] && tail -n 3 "$file" | cut -c 1-300 | sed "s|^|$(basename "$file"): |" >&2
+  done
   exit 1
 }
 
-# Prints a port that nothing listens on, below the ephemeral port range.
-# Tests that run concurrently have separate ranges (PORT_BASE).
-free_port() {
-  local port
+# port_in_use PORT: succeeds if a socket has this local port, be it a connection
+# that is closed and in TIME_WAIT: a server can't always bind such a port.
+port_in_use() {
+  grep -qs "^ *[0-9]*: [0-9A-F]*:$(printf '%04X' "$1") " /proc/net/tcp /proc/net/tcp6
+}
+
+# reserve_port NAME: sets PORT[NAME] to a port below the ephemeral range that no
+# socket uses. The shell and the processes that it starts from here on keep it
+# locked against other tests, which may run concurrently in any checkout.
+reserve_port() {
+  local port lock
+  mkdir -p "$PORT_LOCKS"
   while :; do
     port=$((${PORT_BASE:-20000} + RANDOM % ${PORT_COUNT:-12000}))
-    [[ " ${PORT[*]} " == *" $port "* ]] && continue
-    if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
-      echo "$port"
-      return
-    fi
+    exec {lock}>"$PORT_LOCKS/$port"
+    flock -n "$lock" && ! port_in_use "$port" && break
+    exec {lock}>&-
   done
+  PORT[$1]=$port
 }
 
 # start_standin NAME ROLE [ARG ...]: starts a stand-in on a free port and waits
@@ -70,7 +83,7 @@
   local name=$1 role=$2 tries
   shift 2
   if [ -z "${PORT[$name]:-}" ]; then
-    PORT[$name]=$(free_port)
+    reserve_port "$name"
   fi
   "$BIN/doorwood-standin" "$role" --listen "127.0.0.1:${PORT[$name]}" "$@" \
     >"$WORK/$name.out" 2>&1 &
@@ -102,8 +115,8 @@
 # add_entry NAME DATA_CENTRE: reserves ports and writes the settings.
 add_entry() {
   local name=$1 dc=$2
-  PORT[$name]=$(free_port)
-  PORT[$name.peer]=$(free_port)
+  reserve_port "$name"
+  reserve_port "$name.peer"
   INSTANCE_LINES+=("{\"id\":\"$name\",\"role\":\"entry\",\"data_centre\":\"$dc\",\"address\":\"127.0.0.1:${PORT[$name]}\",\"peer_address\":\"127.0.0.1:${PORT[$name.peer]}\"}")
   cat >"$WORK/$name.yaml" <<EOF
 instance: $name
@@ -121,7 +134,7 @@
 # start_kv: starts the key-value store and reserves the port of the instance list.
 start_kv() {
   start_standin kv kv --record "$WORK/kv.record"
-  PORT[instances]=$(free_port)
+  reserve_port instances
 }
 
 # start_list: starts the instance list with everything added so far.
--- a/testsuite/platform-lib.sh
+++ b/testsuite/platform-lib.sh
@@ -6,9 +6,9 @@
 # start_platform WORKERS CONFIG: starts the store and WORKERS workers.
 start_platform() {
   local args=() n
-  PORT[store]=$(free_port)
+  reserve_port store
   for ((n = 1; n <= $1; n++)); do
-    PORT[worker-$n]=$(free_port)
+    reserve_port "worker-$n"
     args+=(--worker "127.0.0.1:${PORT[worker-$n]}")
   done
   "$BIN/doorwood-platform-standin" --store "127.0.0.1:${PORT[store]}" "${args[@]}" \
@@ -47,7 +47,7 @@
 start_entry() {
   local name=$1 part
   for part in front ready peer metrics; do
-    PORT[$name-$part]=$(free_port)
+    reserve_port "$name-$part"
   done
   cat >"$WORK/$name.yaml" <<YAML
 instance: $name
--- a/testsuite/stop-while-starting/run.sh
+++ b/testsuite/stop-while-starting/run.sh
@@ -13,7 +13,8 @@
 
 # Settings that are read from a named pipe delay the start-up as long as needed.
 for part in front ready peer metrics; do
-  sed -i "s#^$part:.*#$part: 127.0.0.1:$(free_port)#" "$WORK/a1.yaml"
+  reserve_port "a2-$part"
+  sed -i "s#^$part:.*#$part: 127.0.0.1:${PORT[a2-$part]}#" "$WORK/a1.yaml"
 done
 sed "s/^instance:.*/instance: a2/" "$WORK/a1.yaml" >"$WORK/a2-whole.yaml"
 
