fix(http): a second doorwoodd on an address says that it cannot listen

Callers saw: two doorwoodd of one user on the same address both ran, and each got a part of the requests. doorwoodd could not start for a minute on a port that a server of another kind had had.

Cause: httplib sets SO_REUSEPORT on the sockets it listens on. It permits both servers, and it does not go together with the SO_REUSEADDR of the peers' server on a port with connections in TIME_WAIT.

Now all servers set SO_REUSEADDR only (AllowRestartOnly).

--- a/src/bench/hop.cpp
+++ b/src/bench/hop.cpp
@@ -12,6 +12,7 @@
 
 #include "bench/bench.h"
 #include "http.adapter/http_call.h"
+#include "http.adapter/listening_socket.h"
 
 namespace doorwood::bench {
 
@@ -19,6 +20,7 @@
   httplib::Server server;
   server.new_task_queue = []() { return new httplib::ThreadPool(96); };
   server.set_tcp_nodelay(true);
+  AllowRestartOnly(server);
   server.set_keep_alive_max_count(10'000'000);
   server.Post(".*", [&options](const httplib::Request& request,
                                httplib::Response& response) {
--- a/src/http.adapter/http_frontend.cpp
+++ b/src/http.adapter/http_frontend.cpp
@@ -12,6 +12,7 @@
 #include "doorwood/secret.h"
 #include "http.adapter/bounded_queue.h"
 #include "http.adapter/http_sender.h"
+#include "http.adapter/listening_socket.h"
 
 namespace doorwood {
 namespace {
@@ -90,6 +91,7 @@
   server_.set_limits(limits);
   AddRoutes();
   AddOperatorRoutes();
+  AllowRestartOnly(server_);
   const size_t colon = options_.listen.rfind(':');
   const std::string host = options_.listen.substr(0, colon);
   const auto port =
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "http.adapter/http_call.h"
+#include "http.adapter/listening_socket.h"
 
 namespace doorwood::standin {
 
@@ -36,6 +37,7 @@
     return new httplib::ThreadPool(threads);
   };
   http_.set_tcp_nodelay(true);
+  AllowRestartOnly(http_);
   // An idle connection occupies a thread, and stopping waits for that thread;
   // the keep-alive timeout (in seconds) is therefore short.
   http_.set_keep_alive_timeout(1);
