fix(cell): best-effort work begins slowly where all workers serve

Callers saw: jobs that fill waited without end, with most of the workers' room free, once workers had been lost.

Cause: best-effort work was placed only where the model expects it to disturb no serving task, and within a budget of processors. Where serving tasks stand on every worker that is nowhere, however much memory is free. Suspects of mass crashes needed such a place for their trials, and wrote no log line.

Now a step that has had nothing running for 2 s starts one task at pace 0 where it disturbs least: so do all lasting tasks, gangs, trials after mass crashes, and steps with an adviser. Such a run takes no processors from newer work, is slowed down first, sped up last and only while no more urgent work waits, so that it costs others little and the job has a run that goes on as soon as there is room.

--- a/src/libdoorwood/cell/cell_racks.cpp
+++ b/src/libdoorwood/cell/cell_racks.cpp
@@ -20,7 +20,9 @@
   const StepPlan& plan = ready.job->plan.steps[ready.step];
   std::string step = StepName(*ready.job, ready.repetition, ready.step);
   return {plan,
-          {QueueOf(*ready.job)->service, interference_.Intern(plan.image)},
+          {.service = QueueOf(*ready.job)->service,
+           .image = interference_.Intern(plan.image),
+           .may_start_paced = MayStartPaced(ready)},
           candidates,
           [this, step](std::string_view worker) {
             return cell_workers_.at(std::string(worker))
