--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -890,15 +890,15 @@
   /// Whether the step's best-effort tasks have waited for long enough for a
   /// start at pace 0; see paced_start.h.
   bool MayStartPaced(const ReadyStep& ready) const;
-  /// The same, but false for a while after a true result: a try looks at all
-  /// workers.
-  bool TriesPacedStart(const ReadyStep& ready);
   /// Whether a run that was started at pace 0 may use headroom: no more urgent
   /// work waits for it.
   bool MaySpeedUp(const WorkerSession& session, const Run& run);
   /// A trial at pace 0 tells little, so it is only for tasks whose workers were
   /// lost together with many others.
   static bool MayRunPaced(const Task& task);
+  /// The same, but false for a while after a true result: a try looks at all
+  /// workers.
+  bool TriesPacedStart(const ReadyStep& ready);
   // cell_evacuation.cpp: moving work off workers that leave or are evacuated.
   void EvacuateDrainingWorkers();
   void EvacuateUnlistedWorkers();
--- a/src/include/doorwood/paced_start.h
+++ b/src/include/doorwood/paced_start.h
@@ -8,7 +8,7 @@
 /// most of their memory free. So once a step has waited for long enough and
 /// none of its tasks runs, one task is started at pace 0 on the worker where it
 /// disturbs least; `DecidePaces` speeds it up as soon as there is headroom that
-/// no other work takes. Once at full speed, it is work like any other.
+/// no other work takes.
 
 #ifndef DOORWOOD_PACED_START_H_
 #define DOORWOOD_PACED_START_H_
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -243,9 +243,6 @@
   constexpr int kFullPace = 100;
   if (percent >= kFullPace) {
     run->throttled_since = Instant{};
-    AdjustReservations(*run, -1);
-    run->paced_from_start = false;  // From now on it is ordinary work.
-    AdjustReservations(*run, 1);
   } else {
     run->atypical_duration = true;
     if (run->throttled_since == Instant{}) {
