--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -384,7 +384,6 @@
       {"doorwood_copies_over_budget_total", counters.copies_over_budget},
       {"doorwood_stops_total", counters.stops},
       {"doorwood_paces_total", counters.paces},
-      {"doorwood_paced_starts_total", counters.paced_starts},
       {"doorwood_directory_reads_failed_total",
        counters.directory_reads_failed},
       {"doorwood_jobs_archived_total", counters.jobs_archived},
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -790,12 +790,9 @@
   /// link of this machine.
   bool IsLinkFull() const;
   std::vector<ReadyStep> CollectReadySteps();
-  /// Zero if the queue is not known.
-  StepRank RankNow(const Job& job, int repetition, int step) const;
-  /// Sets the rank of each step, and sorts the steps.
+  /// Sets the rank of each step whose queue is known, and sorts the steps.
   void SortReadySteps(std::vector<ReadyStep>* ready) const;
-  /// Sets `Task::ready_since` for those tasks of the steps that have none yet,
-  /// and `StepState::last_run_at`.
+  /// Sets `Task::ready_since` for those tasks of the steps that have none yet.
   void RecordReadySince(const std::vector<ReadyStep>& ready);
   /// Updates the candidates of all workers (free capacity, and whether the
   /// worker accepts new work) and returns them.
@@ -882,23 +879,11 @@
   /// continue on other workers. Stops only runs with checkpoints, and no
   /// long-running ones.
   void MoveStuckBestEffortRuns(WorkerSession& session);
-  /// Sets `CandidateWorker::serving_utilizations` and `has_new_paced_run`.
-  /// Includes the interference expected from best-effort work that the newest
-  /// report does not cover (see `PendingCores`).
-  void EstimateInterference(const WorkerSession& session,
-                            CandidateWorker* candidate) const;
-  /// Whether the step's best-effort tasks have waited for long enough for a
-  /// start at pace 0; see paced_start.h.
-  bool MayStartPaced(const ReadyStep& ready) const;
-  /// Whether a run that was started at pace 0 may use headroom: no more urgent
-  /// work waits for it.
-  bool MaySpeedUp(const WorkerSession& session, const Run& run);
-  /// A trial at pace 0 tells little, so it is only for tasks whose workers were
-  /// lost together with many others.
-  static bool MayRunPaced(const Task& task);
-  /// The same, but false for a while after a true result: a try looks at all
-  /// workers.
-  bool TriesPacedStart(const ReadyStep& ready);
+  /// Utilization of each serving task on the worker. Includes the interference
+  /// expected from best-effort work that the newest report does not cover (see
+  /// `PendingCores`).
+  std::vector<ServingUtilization> CollectUtilizations(
+      const WorkerSession& session) const;
   // cell_evacuation.cpp: moving work off workers that leave or are evacuated.
   void EvacuateDrainingWorkers();
   void EvacuateUnlistedWorkers();
@@ -1058,9 +1043,6 @@
   /// Services in which a step found no placement in the newest pass, apart from
   /// best-effort steps, whose room copies do not use.
   std::set<std::string> services_with_waiting_steps_;
-  /// By service, the rank of the most urgent best-effort step that found no
-  /// placement in the newest pass.
-  std::map<std::string, StepRank> waiting_best_effort_;
   /// When slow runs were last searched for.
   Instant copies_searched_{};
   /// When a step that found no placement was last logged.
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -152,8 +152,6 @@
   uint64_t copies_over_budget = 0;
   uint64_t stops = 0;
   uint64_t paces = 0;
-  /// Best-effort runs that began at pace 0, since all workers were busy.
-  uint64_t paced_starts = 0;
   /// Reads of the list of workers that failed.
   uint64_t directory_reads_failed = 0;
   uint64_t jobs_archived = 0;
--- a/src/include/doorwood/cell_policy.h
+++ b/src/include/doorwood/cell_policy.h
@@ -73,9 +73,6 @@
   /// the rack of its step. The platform counts a job as lost that runs nowhere
   /// for 3 s.
   Millis longest_rack_wait{2000};
-  /// A step of best-effort work that would disturb serving tasks everywhere
-  /// waits at most this long; see paced_start.h.
-  Millis longest_best_effort_wait{2000};
   /// Share of the processors reserved by serving tasks that they are assumed to
   /// use. The mean over one simulated day was 0.48.
   double serving_cpu_use_ratio = 0.45;
@@ -162,8 +159,6 @@
   /// Processors that serving tasks reserve, in thousandths.
   int64_t serving_cpu = 0;
   std::vector<ServingUtilization> serving_utilizations;
-  /// A run was started at pace 0 a moment ago; see paced_start.h.
-  bool has_new_paced_run = false;
   /// Whether the worker accepts new work.
   bool accepts_work = true;
   /// Whether there is a ticket for the step on the worker, or none is needed.
@@ -183,9 +178,6 @@
   std::string_view rack;
   /// Workers in other racks are unsuitable, not only less suitable.
   bool rack_required = false;
-  /// Best-effort work may be started at pace 0 where it would disturb others at
-  /// full speed; see paced_start.h.
-  bool may_start_paced = false;
 };
 
 /// Why a worker cannot take a task now.
@@ -226,14 +218,6 @@
                               const InterferenceModel& model,
                               const PolicyOptions& options);
 
-/// Whether the best-effort task would take processors that others use there, or
-/// disturb serving tasks. The measurements of `worker` need not show it yet.
-bool DisturbsOthers(const StepPlan& step,
-                    ImageId image,
-                    const CandidateWorker& worker,
-                    const InterferenceModel& model,
-                    const PolicyOptions& options);
-
 /// Preference for a worker; higher is better. Meaningful only for workers that
 /// may run the task.
 double PlaceScore(const StepPlan& step,
--- a/src/include/doorwood/crash_policy.h
+++ b/src/include/doorwood/crash_policy.h
@@ -114,10 +114,6 @@
 /// time. Other suspects may merely have been present at a crash.
 bool IsLikelyCulprit(std::span<const CrashNote> crashes);
 
-/// Whether all crashes belong to mass crashes; see
-/// `CrashOptions::mass_crash_size`.
-bool OnlyMassCrashes(std::span<const CrashNote> crashes);
-
 /// How long the task must be observed running in its trial before the worker
 /// accepts other new work.
 Millis TrialDuration(std::span<const CrashNote> crashes,
--- a/src/include/doorwood/job_table.h
+++ b/src/include/doorwood/job_table.h
@@ -200,11 +200,6 @@
   /// CellLeader::NoteWaitingStep).
   Instant waiting_logged_at{};
   RackWait rack_wait;
-  /// When a scheduling pass last found tasks of the step both waiting and
-  /// placed; zero: not yet, or the step is long-running.
-  Instant last_run_at{};
-  /// When a start at pace 0 was last tried; see paced_start.h.
-  Instant paced_start_tried_at{};
   /// Indices of a gang's tasks that have begun in its run `gang_run`. Empty
   /// once the job has started.
   std::set<int> begun_members;
--- a/src/include/doorwood/pacing.h
+++ b/src/include/doorwood/pacing.h
@@ -35,11 +35,6 @@
   double cores = 0;
   /// Pace that was wanted so far, in percent of full speed.
   int pace = 100;
-  /// The task was started at pace 0; see paced_start.h. It is slowed down
-  /// before others and sped up after them.
-  bool paced_from_start = false;
-  /// Otherwise headroom is left to other work.
-  bool may_speed_up = true;
 };
 
 struct PaceDecision {
--- a/src/include/doorwood/worker_session.h
+++ b/src/include/doorwood/worker_session.h
@@ -113,9 +113,6 @@
   int wanted_pace = 100;
   int pace = 100;
   bool pace_in_flight = false;
-  /// `wanted_pace` was 0 when the run was ordered; see paced_start.h. The run's
-  /// processors do not count as requested.
-  bool paced_from_start = false;
   /// Time since which `wanted_pace` has been below 100; zero: it is 100.
   Instant throttled_since{};
   /// Last time that the run was logged as far beyond its expected duration.
--- a/src/libdoorwood/cell/cell_pacing.cpp
+++ b/src/libdoorwood/cell/cell_pacing.cpp
@@ -21,12 +21,6 @@
 // any pace, for longer than kStuckDuration.
 constexpr int kStuckPace = 20;
 constexpr Millis kStuckDuration{900};
-// The same for a run that was started slowly because all workers were busy.
-constexpr Millis kStuckDurationAfterPacedStart{5000};
-constexpr Millis kPauseBetweenPacedStartTries{300};
-// Pause between starts at pace 0 on a worker: each disturbs others for a
-// moment, until the pace is in force.
-constexpr Millis kPauseBetweenPacedStarts{500};
 constexpr double kMillisPerCore = 1000.0;
 // Weight of the newest measurement in a serving task's moving average.
 constexpr double kNewestMeasurementWeight = 0.5;
@@ -54,12 +48,9 @@
 
 }  // namespace
 
-void CellLeader::EstimateInterference(const WorkerSession& session,
-                                      CandidateWorker* candidate) const {
-  std::vector<ServingUtilization>& utilizations =
-      candidate->serving_utilizations;
-  utilizations.clear();
-  candidate->has_new_paced_run = false;
+std::vector<ServingUtilization> CellLeader::CollectUtilizations(
+    const WorkerSession& session) const {
+  std::vector<ServingUtilization> utilizations;
   const Instant now = executor_.Now();
   for (const auto& [task, run] : session.runs()) {
     if (run.latency_target <= Millis(0)) {
@@ -85,12 +76,6 @@
     if (!run.best_effort) {
       continue;
     }
-    if (run.paced_from_start) {
-      candidate->has_new_paced_run =
-          candidate->has_new_paced_run ||
-          now - run.ordered < kPauseBetweenPacedStarts;
-      continue;  // It takes no processors from newer work.
-    }
     const double full_cores =
         static_cast<double>(run.size.cpu_millis) / kMillisPerCore;
     const bool is_new = now - run.ordered < kMeasurementDelay;
@@ -101,49 +86,7 @@
           cores;
     }
   }
-}
-
-bool CellLeader::MayStartPaced(const ReadyStep& ready) const {
-  const StepPlan& plan = ready.job->plan.steps[ready.step];
-  const StepState& state =
-      ready.job->repetitions.at(ready.repetition).steps[ready.step];
-  const bool runs = state.idle + state.done < plan.count;
-  if (!plan.best_effort || (runs && !plan.long_running)) {
-    return false;
-  }
-  const Instant longest_ago =
-      executor_.Now() - options_.policy.longest_best_effort_wait;
-  return state.last_run_at <= longest_ago &&
-         std::any_of(state.tasks.begin(), state.tasks.end(),
-                     [&](const Task& task) {
-                       return IsReady(task) && MayRunPaced(task) &&
-                              task.ready_since <= longest_ago;
-                     });
-}
-
-bool CellLeader::MayRunPaced(const Task& task) {
-  return !IsSuspect(task) || OnlyMassCrashes(task.crashes);
-}
-
-bool CellLeader::TriesPacedStart(const ReadyStep& ready) {
-  const Instant now = executor_.Now();
-  StepState& state = StateOf(ready);
-  if (!MayStartPaced(ready) ||
-      now - state.paced_start_tried_at < kPauseBetweenPacedStartTries) {
-    return false;
-  }
-  state.paced_start_tried_at = now;
-  return true;
-}
-
-bool CellLeader::MaySpeedUp(const WorkerSession& session, const Run& run) {
-  const auto waiting = waiting_best_effort_.find(session.incarnation().service);
-  if (!run.paced_from_start || waiting == waiting_best_effort_.end()) {
-    return true;
-  }
-  const Task* task = jobs_.FindTask(run.task);
-  return task != nullptr &&
-         RankNow(*task->job, task->repetition, task->step) <= waiting->second;
+  return utilizations;
 }
 
 void CellLeader::UpdatePaces(WorkerSession& session) {
@@ -162,9 +105,8 @@
           run.measurement >= 0
               ? static_cast<double>(run.measurement) / kMillisPerCore
               : full_cores;
-      best_effort_runs.push_back({task, run.image_id, full_cores, used_cores,
-                                  run.wanted_pace, run.paced_from_start,
-                                  MaySpeedUp(session, run)});
+      best_effort_runs.push_back(
+          {task, run.image_id, full_cores, used_cores, run.wanted_pace});
       best_effort_loads.push_back({run.image_id, used_cores});
     }
   }
@@ -193,13 +135,11 @@
   const Instant now = executor_.Now();
   std::vector<std::string> stuck;
   for (const auto& [task, run] : session.runs()) {
-    const Millis patience =
-        run.paced_from_start ? kStuckDurationAfterPacedStart : kStuckDuration;
     const bool is_stuck = run.best_effort && !run.long_running &&
                           run.phase == RunPhase::kRunning &&
                           run.wanted_pace <= kStuckPace &&
                           run.throttled_since != Instant{} &&
-                          now - run.throttled_since > patience;
+                          now - run.throttled_since > kStuckDuration;
     const Task* known_task = is_stuck ? jobs_.FindTask(task) : nullptr;
     if (known_task != nullptr && known_task->plan().checkpoints) {
       stuck.push_back(task);
--- a/src/libdoorwood/cell/cell_places.cpp
+++ b/src/libdoorwood/cell/cell_places.cpp
@@ -48,7 +48,7 @@
   candidate.best_effort_cpu = session.best_effort_cpu();
   candidate.serving = session.serving_runs();
   candidate.serving_cpu = session.serving_cpu();
-  EstimateInterference(session, &candidate);
+  candidate.serving_utilizations = CollectUtilizations(session);
   candidate.last_changed_pass = pass_;
   cell_worker->candidate_version = session.version();
   cell_worker->candidate_at = now;
@@ -144,11 +144,8 @@
 
 bool CellLeader::NoteWaitingStep(const ReadyStep& ready) {
   ++waiting_steps_;
-  const std::string& service = QueueOf(*ready.job)->service;
-  if (ready.job->plan.steps[ready.step].best_effort) {
-    waiting_best_effort_.emplace(service, ready.rank);  // In order of rank.
-  } else {
-    services_with_waiting_steps_.insert(service);
+  if (!ready.job->plan.steps[ready.step].best_effort) {
+    services_with_waiting_steps_.insert(QueueOf(*ready.job)->service);
   }
   const Instant now = executor_.Now();
   StepState& step =
@@ -176,7 +173,6 @@
   log_.Write("info", "cell", "step is waiting for a suitable worker",
              {{"task", task.name()},
               {"rank", rank.urgency_class},
-              {"suspect", IsSuspect(task)},
               {"steps_ahead", waiting_steps_ - 1},
               {"waited_ms", std::chrono::duration_cast<Millis>(executor_.Now() -
                                                                task.ready_since)
--- a/src/libdoorwood/cell/cell_racks.cpp
+++ b/src/libdoorwood/cell/cell_racks.cpp
@@ -20,9 +20,7 @@
   const StepPlan& plan = ready.job->plan.steps[ready.step];
   std::string step = StepName(*ready.job, ready.repetition, ready.step);
   return {plan,
-          {.service = QueueOf(*ready.job)->service,
-           .image = interference_.Intern(plan.image),
-           .may_start_paced = MayStartPaced(ready)},
+          {QueueOf(*ready.job)->service, interference_.Intern(plan.image)},
           candidates,
           [this, step](std::string_view worker) {
             return cell_workers_.at(std::string(worker))
--- a/src/libdoorwood/cell/cell_scheduling.cpp
+++ b/src/libdoorwood/cell/cell_scheduling.cpp
@@ -50,15 +50,6 @@
   return pointers;
 }
 
-// Counts one more task of the step on the worker.
-void ReserveForStep(const StepPlan& plan, CandidateWorker* worker) {
-  Resources size = plan.size;
-  if (plan.best_effort) {
-    worker->best_effort_cpu += std::exchange(size.cpu_millis, 0);
-  }
-  worker->reserved = worker->reserved + size;
-}
-
 }  // namespace
 
 void CellLeader::RequestSchedulingPass() {
@@ -132,20 +123,17 @@
   return ready;
 }
 
-StepRank CellLeader::RankNow(const Job& job, int repetition, int step) const {
-  const Queue* queue = QueueOf(job);
-  if (queue == nullptr) {
-    return {};
-  }
-  const auto run_times = ExpectedRunTimes(job, repetition);
-  return RankStep(job.plan, *queue, step, DueAt(job, repetition), run_times,
-                  WorkLeft(job, repetition, run_times), unix_millis_(),
-                  options_.policy);
-}
-
 void CellLeader::SortReadySteps(std::vector<ReadyStep>* ready) const {
+  const int64_t now = unix_millis_();
   for (ReadyStep& step : *ready) {
-    step.rank = RankNow(*step.job, step.repetition, step.step);
+    const Queue* queue = QueueOf(*step.job);
+    if (queue != nullptr) {
+      const auto run_times = ExpectedRunTimes(*step.job, step.repetition);
+      step.rank = RankStep(step.job->plan, *queue, step.step,
+                           DueAt(*step.job, step.repetition), run_times,
+                           WorkLeft(*step.job, step.repetition, run_times), now,
+                           options_.policy);
+    }
   }
   std::sort(ready->begin(), ready->end(),
             [](const ReadyStep& a, const ReadyStep& b) {
@@ -159,12 +147,8 @@
 void CellLeader::RecordReadySince(const std::vector<ReadyStep>& ready) {
   const Instant now = executor_.Now();
   for (const ReadyStep& step : ready) {
-    const StepPlan& plan = step.job->plan.steps[step.step];
-    StepState& state = StateOf(step);
-    if (!plan.long_running && state.idle + state.done < plan.count) {
-      state.last_run_at = now;
-    }
-    for (Task& task : state.tasks) {
+    for (Task& task :
+         step.job->repetitions.at(step.repetition).steps[step.step].tasks) {
       if (task.ready_since == Instant{}) {
         task.ready_since = now;
       }
@@ -174,7 +158,6 @@
 
 void CellLeader::RunSchedulingPass() {
   services_with_waiting_steps_.clear();
-  waiting_best_effort_.clear();
   std::vector<ReadyStep> ready = CollectReadySteps();
   if (ready.empty()) {
     return;
@@ -220,11 +203,8 @@
   const std::string pool = group == 0
                                ? queue->service
                                : queue->service + "#" + std::to_string(group);
-  const bool tries_paced_start = TriesPacedStart(ready);
   const uint64_t last_failed_pass =
-      advised || tries_paced_start
-          ? 0
-          : failed_placements_.LastFailedPass(plan, pool);
+      advised ? 0 : failed_placements_.LastFailedPass(plan, pool);
   std::vector<CandidateWorker> permitted;
   if (advised) {
     permitted = MarkTickets(PlacementOf(ready, candidates));
@@ -238,7 +218,6 @@
                     [this](const Task& task) { return IsReady(task); }));
   RackSearch racks = SearchRacks(ready, usable_candidates, waiting);
   TaskRequirements need{queue->service, interference_.Intern(plan.image)};
-  need.may_start_paced = tries_paced_start;
   racks.Apply(&need);
   StepCandidates places(plan, usable_candidates, interference_,
                         options_.policy);
@@ -250,7 +229,6 @@
   size_t visited = 0;
   EvaluatePlaces(ready, need, usable_candidates, last_failed_pass, enough,
                  &visited, &places);
-  const Task* first_waiting_suspect = nullptr;
   for (Task& task : tasks) {
     if (!IsReady(task)) {
       continue;
@@ -259,14 +237,11 @@
       return;
     }
     const bool suspect = IsSuspect(task);
-    const bool may_try = !need.may_start_paced || MayRunPaced(task);
     const auto trial_place =
-        suspect && may_try
+        suspect
             ? ReserveTrialPlace(ready, &task, need, usable_candidates, &places)
             : std::nullopt;
     if (suspect && !trial_place) {
-      first_waiting_suspect =
-          first_waiting_suspect == nullptr ? &task : first_waiting_suspect;
       continue;
     }
     int place = trial_place ? *trial_place : places.Best(task.avoided_worker);
@@ -313,16 +288,8 @@
     if (advised) {
       permitted[place] = *candidate;
     }
-    if (need.may_start_paced && !plan.long_running) {
-      need.may_start_paced = false;  // The step makes progress now.
-      EvaluateChangedPlaces(ready, need, usable_candidates, /*pass=*/0,
-                            &places);
-    }
     EvaluatePlace(ready, need, *candidate, place, /*planned=*/0, &places);
   }
-  if (first_waiting_suspect != nullptr && NoteWaitingStep(ready)) {
-    LogWaitingStep(*first_waiting_suspect, ready.rank, places.CountProblems());
-  }
   // Suspects that found no worker for a trial are left.
   const bool waits =
       std::any_of(tasks.begin(), tasks.end(), [this](const Task& task) {
@@ -356,7 +323,6 @@
       PointersTo(&planned_candidates);
   RackSearch racks = SearchRacks(ready, planned_pointers, plan.count);
   TaskRequirements need{queue->service, interference_.Intern(plan.image)};
-  need.may_start_paced = MayStartPaced(ready);
   racks.Apply(&need);
   StepCandidates places(plan, planned_pointers, interference_, options_.policy);
   std::vector<int> planned_counts(planned_candidates.size(), 0);
@@ -398,7 +364,8 @@
     }
     chosen.push_back(place);
     ++planned_counts[place];
-    ReserveForStep(plan, &planned_candidates[place]);
+    planned_candidates[place].reserved =
+        planned_candidates[place].reserved + plan.size;
     evaluate(place);
     run = std::max(run, task.last_run);
     if (!task.checkpoint.empty()) {
@@ -456,15 +423,6 @@
   run.checkpoint = task->checkpoint;
   run.atypical_duration = !task->checkpoint.empty();
   run.is_copy = number == task->copy_run;
-  run.paced_from_start =
-      run.best_effort && DisturbsOthers(task->plan(), run.image_id, *candidate,
-                                        interference_, options_.policy);
-  if (run.paced_from_start) {
-    run.wanted_pace = 0;
-    run.throttled_since = executor_.Now();
-    run.atypical_duration = true;
-    ++counters_.paced_starts;
-  }
   run.start_deferred =
       run.long_running && !RequestPlacementRecord(task, cell_worker->first);
   task->last_run = number;
@@ -486,7 +444,6 @@
               {"serving", candidate->serving},
               {"held", run.start_deferred},
               {"copy", run.is_copy},
-              {"pace", run.wanted_pace},
               {"waited_ms", waited.count()}};
   session->Start(std::move(run), task->job->plan.payload, ticket);
   // The lease end counts on the clock of the life that began at `started_ms`.
@@ -499,7 +456,7 @@
   candidate->best_effort_cpu = session->best_effort_cpu();
   candidate->serving = session->serving_runs();
   candidate->serving_cpu = session->serving_cpu();
-  EstimateInterference(*session, candidate);
+  candidate->serving_utilizations = CollectUtilizations(*session);
 }
 
 }  // namespace doorwood
--- a/src/libdoorwood/cell/worker_orders.cpp
+++ b/src/libdoorwood/cell/worker_orders.cpp
@@ -16,7 +16,7 @@
   reserved_.memory_mib += sign * run.size.memory_mib;
   reserved_.accelerators += sign * run.size.accelerators;
   if (run.best_effort) {
-    best_effort_cpu_ += run.paced_from_start ? 0 : sign * run.size.cpu_millis;
+    best_effort_cpu_ += sign * run.size.cpu_millis;
     best_effort_runs_ += sign;
   } else {
     reserved_.cpu_millis += sign * run.size.cpu_millis;
@@ -139,7 +139,6 @@
     run->confirmed = executor_.Now();
     if (run->phase == RunPhase::kStarting) {
       run->phase = RunPhase::kRunning;
-      SendPace(run);
       listener_.OnRunBegan(*this, *run);
     }
     return;
--- a/src/libdoorwood/cell/worker_session.cpp
+++ b/src/libdoorwood/cell/worker_session.cpp
@@ -571,7 +571,6 @@
       // later may have been answered before the run began, and its report must
       // not be taken as proof that the run has ended.
       run->confirmed = executor_.Now();
-      SendPace(run);
       listener_.OnRunBegan(*this, *run);
     }
     run->progress = row.progress;
--- a/src/libdoorwood/policy/cell_policy.cpp
+++ b/src/libdoorwood/policy/cell_policy.cpp
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <array>
 
-#include "doorwood/paced_start.h"
-
 namespace doorwood {
 namespace {
 
@@ -67,24 +65,6 @@
          options.best_effort_cpu_share;
 }
 
-// Why the best-effort task may not run at full speed on the worker.
-PlaceProblem FindDisturbance(const StepPlan& step,
-                             ImageId image,
-                             const CandidateWorker& worker,
-                             const InterferenceModel& model,
-                             const PolicyOptions& options) {
-  const auto asked = static_cast<double>(worker.best_effort_cpu) +
-                     static_cast<double>(step.size.cpu_millis);
-  if (asked > BestEffortCpuBudget(worker, options)) {
-    return PlaceProblem::kNoCpu;
-  }
-  const double cores =
-      static_cast<double>(step.size.cpu_millis) / kMillisPerCore;
-  return ExcessUtilization(worker, image, cores, model) > 0
-             ? PlaceProblem::kDisturbs
-             : PlaceProblem::kNone;
-}
-
 PlaceProblem FindCapacityProblem(const StepPlan& step,
                                  const TaskRequirements& need,
                                  const CandidateWorker& worker,
@@ -101,11 +81,16 @@
     return after.cpu_millis > worker.capacity.cpu_millis ? PlaceProblem::kNoCpu
                                                          : PlaceProblem::kNone;
   }
-  const PlaceProblem problem =
-      FindDisturbance(step, need.image, worker, model, options);
-  return need.may_start_paced && AllowsPacedStart(step, worker)
-             ? PlaceProblem::kNone
-             : problem;
+  const auto asked = static_cast<double>(worker.best_effort_cpu) +
+                     static_cast<double>(step.size.cpu_millis);
+  if (asked > BestEffortCpuBudget(worker, options)) {
+    return PlaceProblem::kNoCpu;
+  }
+  const double cores =
+      static_cast<double>(step.size.cpu_millis) / kMillisPerCore;
+  return ExcessUtilization(worker, need.image, cores, model) > 0
+             ? PlaceProblem::kDisturbs
+             : PlaceProblem::kNone;
 }
 
 }  // namespace
@@ -226,15 +211,6 @@
              : problem;
 }
 
-bool DisturbsOthers(const StepPlan& step,
-                    ImageId image,
-                    const CandidateWorker& worker,
-                    const InterferenceModel& model,
-                    const PolicyOptions& options) {
-  return FindDisturbance(step, image, worker, model, options) !=
-         PlaceProblem::kNone;
-}
-
 double PlaceScore(const StepPlan& step,
                   const TaskRequirements& need,
                   const CandidateWorker& worker,
--- a/src/libdoorwood/policy/crash_policy.cpp
+++ b/src/libdoorwood/policy/crash_policy.cpp
@@ -98,11 +98,6 @@
                      });
 }
 
-bool OnlyMassCrashes(std::span<const CrashNote> crashes) {
-  return std::all_of(crashes.begin(), crashes.end(),
-                     [](const CrashNote& crash) { return crash.mass_crash; });
-}
-
 Millis TrialDuration(std::span<const CrashNote> crashes,
                      const CrashOptions& options) {
   Millis longest{0};
--- a/src/libdoorwood/policy/pacing.cpp
+++ b/src/libdoorwood/policy/pacing.cpp
@@ -50,9 +50,6 @@
                                    const PolicyOptions& options) {
   std::sort(best_effort.begin(), best_effort.end(),
             [&](const PacedBestEffortTask& a, const PacedBestEffortTask& b) {
-              if (a.paced_from_start != b.paced_from_start) {
-                return a.paced_from_start;
-              }
               return model.InterferencePerCore(serving_task.image, a.image) *
                          a.cores >
                      model.InterferencePerCore(serving_task.image, b.image) *
@@ -97,16 +94,13 @@
                                   const PolicyOptions& options) {
   std::sort(best_effort.begin(), best_effort.end(),
             [&](const PacedBestEffortTask& a, const PacedBestEffortTask& b) {
-              if (a.paced_from_start != b.paced_from_start) {
-                return b.paced_from_start;
-              }
               return WorstInterference(serving, a, model) <
                      WorstInterference(serving, b, model);
             });
   double headroom = Headroom(serving, model, options);
   std::vector<PaceDecision> decisions;
   for (const PacedBestEffortTask& best_effort_task : best_effort) {
-    if (best_effort_task.pace >= kFullPace || !best_effort_task.may_speed_up) {
+    if (best_effort_task.pace >= kFullPace) {
       continue;
     }
     const int pace =
