--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -119,6 +119,23 @@
   /// stays.
   std::map<std::string, Run> Restart(std::chrono::milliseconds down,
                                      std::chrono::milliseconds entry_kept);
+  /// The worker is lost for good, without a word, as it receives the next call
+  /// that waits for an end; its entry goes three liveness reports later. Then
+  /// calls `on_lost`.
+  void LoseAtNextWait(std::function<void()> on_lost);
+  /// While set, calls reach the worker no more and get no answer.
+  void set_cut(bool cut);
+  /// Crashes, and comes up again under its id `down` later.
+  void RestartUnderItsId(std::chrono::milliseconds down);
+  /// The next start of a task that begins with `prefix` gets no answer, and is
+  /// carried out `late` later by the life that is up then. Calls `on_order`
+  /// when the order arrives.
+  void DelayNextStart(std::string prefix,
+                      std::chrono::milliseconds late,
+                      std::function<void()> on_order);
+  /// As on deployments whose workers may come up again under their ids: they
+  /// state when they were born, and their clock begins anew. Before Listen.
+  void set_states_born(std::string zone, std::string label, int64_t max_hold);
   /// Called with the task of a run that a stop has just ended.
   void set_on_stop(std::function<void(const std::string& task)> on_stop);
   void Tick();
@@ -126,6 +143,8 @@
   bool up();
   const std::string& machine() const { return machine_; }
   std::map<std::string, Run> runs();
+  /// Number of start orders that have reached the worker.
+  int starts();
   /// Whether `task` is at work: a lasting task 300 ms after its start.
   bool IsAtWork(const std::string& task);
 
@@ -145,6 +164,10 @@
   int64_t Clock() const;
   void EndRun(const std::string& task, const std::string& how);
   void TakeLease(const Json& order);
+  void BeginLife();
+  Response Start(const Json& order);
+  /// An answer of this life with `fields`.
+  Response Tell(int status, Json fields) const;
   void Announce();
 
   Record& record_;
@@ -156,12 +179,24 @@
   std::string id_;
   int life_ = 0;
   bool up_ = true;
+  bool cut_ = false;
+  std::string zone_ = "plaka";
+  std::string label_ = "a";
+  int64_t max_hold_ = 10'000;
+  bool states_born_ = false;
+  int64_t born_ = 0;        // Unix milliseconds of the life's start
+  int64_t clock_base_ = 0;  // on the machine's steady clock
+  std::string late_prefix_;
+  std::chrono::milliseconds late_{0};
+  std::function<void()> on_late_order_;
   uint64_t fence_ = 0;
   int64_t lease_ = 0;
   std::map<std::string, Run> runs_;
   std::map<std::string, uint32_t> highest_ended_;
   std::vector<End> ended_;
   uint64_t next_end_ = 1;
+  int starts_ = 0;
+  std::function<void()> on_lost_;
   std::function<void(const std::string& task)> on_stop_;
 };
 
