--- a/review/standin-3/run-case.sh
+++ b/review/standin-3/run-case.sh
@@ -1,6 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
 # shellcheck shell=bash
-# run_case NAME FOLDER WORKERS [MAX_HOLD_MS]: three entry instances, the stand-ins of NAME and its
+# run_case NAME FOLDER WORKERS TROUBLE [MAX_HOLD_MS]: three entry instances, the stand-ins of NAME and its
 # requesters. Writes FOLDER/record.txt; returns the scenario's exit code, and 2
 # if the case could not run. Run from anywhere, after the build of the deploy
 # file and review/build-3.sh.
@@ -53,7 +53,7 @@
     rm -rf "$work"
     return 2
   fi
-  "$scenario" --case "$name" --trouble "${TROUBLE:-1}" --record "$folder/record.txt" \
+  "$scenario" --case "$name" --trouble "$4" --record "$folder/record.txt" \
     --store "${port[0]}" --cloud "${port[1]}" \
     --workers "$(IFS=,; echo "${port[*]:14}")" \
     --fronts "${port[2]},${port[6]},${port[10]}" \
@@ -80,7 +80,7 @@
 cpu_share: 0.25
 link_mbps: 1000.0
 grace_ms: 6000
-longest_run_lease_ms: ${4:-10000}
+longest_run_lease_ms: ${5:-10000}
 keep_finished_ms: 120000
 backup_share: 0.1
 machine_holder_lease_ms: 3000
