--- a/src/libdoorwood/cell/cell_calls.cpp
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -196,6 +196,10 @@
     return;
   }
   if (job == nullptr) {
+    log_.Write("info", "cell", "cancellation of a job that is not loaded",
+               {{"job", id},
+                {"being_recorded", journal_.IsRecording(id)},
+                {"epoch", epoch_}});
     ended_jobs_.Fetch(
         id, [done = std::move(done)](std::error_code error,
                                      std::optional<JobOutcome> outcome) {
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -105,6 +105,10 @@
   store_.Get(JobIdKey(job), [this, job, done = std::move(done)](
                                 std::error_code error, const StoreItem& item) {
     if (error == make_error_code(KvErrc::kNotFound)) {
+      log_.Write("info", "ingress", "the store has no such job",
+                 {{"job", job},
+                  {"submitted_here", MayBeAccepted(job)},
+                  {"leads", live_.leads().size()}});
       done(CoreErrc::kNotFound, "");
       return;
     }
