--- a/src/celld/entry_daemon.cpp
+++ b/src/celld/entry_daemon.cpp
@@ -387,6 +387,7 @@
       {"doorwood_directory_reads_failed_total",
        counters.directory_reads_failed},
       {"doorwood_jobs_archived_total", counters.jobs_archived},
+      {"doorwood_jobs_withdrawn_total", counters.jobs_withdrawn},
       {"doorwood_takeover_read_ms", counters.takeover_read_ms},
       {"doorwood_held_tasks{reason=\"recorded_placement\"}",
        counters.held_tasks.recorded_placement},
--- a/src/include/doorwood/cell_journal.h
+++ b/src/include/doorwood/cell_journal.h
@@ -54,8 +54,13 @@
 std::string WorkersKey(std::string_view cell);
 std::string PlanKey(std::string_view cell, std::string_view job);
 std::string StateKey(std::string_view cell, std::string_view job);
-/// Key that stores which cell has a job.
+/// Key that stores which cell has a job, or that the job is withdrawn.
 std::string JobIdKey(std::string_view job);
+/// The value of a `JobIdKey` that says that the job is withdrawn and that the
+/// cell has the record of it.
+std::string WithdrawnValue(std::string_view cell);
+/// Whether a `JobIdKey` with this value says that the job is withdrawn.
+bool IsWithdrawnValue(std::string_view value);
 
 /// A worker that a cell's leader may have sent orders to.
 struct KnownWorker {
@@ -216,6 +221,11 @@
   /// The job's record replaces its plan and state in the store. A state that
   /// was marked dirty since then is not written any more.
   virtual void OnArchived(const std::string& job) = 0;
+  /// The store says that the job is withdrawn; see `CellJournal::Withdraw`.
+  virtual void OnWithdrawn(const std::string& job) = 0;
+  /// The job is not withdrawn, since it was accepted before, by this cell or by
+  /// another one. Called after `OnAccepted` if this journal recorded the job.
+  virtual void OnWithdrawalRefused(const std::string& job) = 0;
   virtual void OnEndsRecorded(const EndNumbers& ends) = 0;
   virtual void OnWorkersRecorded(const std::vector<KnownWorker>& workers) = 0;
   /// The attempt sent at `sent` committed a batch, so the lead key was then at
@@ -262,6 +272,18 @@
   /// - the store is expected to record the job too late
   ///   (`CommitFlowOptions::max_record_wait`).
   void Accept(JobPlan plan, AcceptCallback done);
+  /// Withdraws a job that the cell does not have: records `record` and a value
+  /// of the job's `JobIdKey`, on the condition that the job has none. Attempts
+  /// to accept the job that are in flight, late or of other leaders depend on
+  /// the same condition, so that they fail from then on. A submission of the
+  /// job is accepted again if it was received after that, as its
+  /// `JobPlan::known_revision` shows. `JournalOwner::OnWithdrawn` or
+  /// `OnWithdrawalRefused` gives the result, unless the journal is closed
+  /// before. Queued calls of `Accept` for the job are refused.
+  ///
+  /// Errors: CoreErrc::kNoOwner if the journal is closed or sealed,
+  /// kStoreUnavailable if too many jobs wait to be withdrawn.
+  std::error_code Withdraw(const std::string& job, std::string record);
   void MarkDirty(const std::string& job, bool urgent);
   /// Replaces the workers stored under the workers' key.
   void SetWorkers(std::vector<KnownWorker> workers);
@@ -313,7 +335,18 @@
     AcceptCallback done;
     Instant deadline{};
     bool answered = false;
+    /// Revision of the job's `JobIdKey`, which says that the job is withdrawn;
+    /// 0: there is no such key.
+    int64_t withdrawn_at = 0;
   };
+  struct Withdrawal {
+    std::string record;
+    /// Revision of the job's `JobIdKey` if the job is withdrawn already, and is
+    /// withdrawn again since a batch in flight depends on that revision.
+    int64_t withdrawn_at = 0;
+  };
+  /// By job.
+  using Withdrawals = std::map<std::string, Withdrawal>;
   struct Batch {
     /// Number of the call of `Build`, counted over all lanes.
     uint64_t number = 0;
@@ -324,6 +357,7 @@
     /// Jobs with their records.
     std::map<std::string, std::string> archived;
     std::vector<std::string> removals;
+    Withdrawals withdrawals;
     StoreTransaction transaction;
     Instant sent{};
     /// At least one attempt was not answered.
@@ -362,6 +396,7 @@
   void CaptureEnds();
   void AddWorkers(Batch* batch);
   void AddUrgentStates(Batch* batch);
+  void AddWithdrawals(Batch* batch);
   void AddAccepts(Batch* batch);
   void AddStates(Batch* batch);
   void AddState(const std::string& job, Batch* batch);
@@ -385,6 +420,15 @@
   /// calls from the front, up to the first whose deadline has not passed; or
   /// all of them if the store is unresponsive or does not accept batches.
   void AnswerExpiredAccepts();
+  /// Handles the conditions of the batch's withdrawals that did not hold, and
+  /// puts the other withdrawals back into the queue.
+  void ResolveWithdrawals(const StoreCommit& commit, Batch* batch);
+  /// Handles a submission whose job has a `JobIdKey`. Returns true if the
+  /// submission is to be sent again on another condition.
+  bool ResolveAccept(const StoreItem& job_key, PendingAccept* accept);
+  void OnAcceptCommitted(PendingAccept* accept);
+  /// The job is to be withdrawn, and the result is not known.
+  bool IsWithdrawing(const std::string& job) const;
   void RejectQueuedAccepts();
   void RejectAccept(PendingAccept* accept);
   /// A batch in flight carries the new job, so the job may still be accepted.
@@ -436,6 +480,10 @@
   std::set<std::string> in_flight_jobs_;
   std::map<std::string, std::string> to_archive_;
   std::set<std::string> to_remove_;
+  Withdrawals to_withdraw_;
+  /// Jobs that were to be withdrawn, but have been recorded by a batch in
+  /// flight that has got no answer.
+  std::set<std::string> recorded_unanswered_;
   std::optional<EndsToRecord> ends_;
   /// Set if the store refuses a batch. Also set if the store does not answer a
   /// batch, and has accepted no other batch since that batch was sent. Cleared
--- a/src/include/doorwood/cell_leader.h
+++ b/src/include/doorwood/cell_leader.h
@@ -19,6 +19,7 @@
 #include <string_view>
 #include <vector>
 
+#include "doorwood/cancel_waiters.h"
 #include "doorwood/cell_journal.h"
 #include "doorwood/cell_options.h"
 #include "doorwood/cell_policy.h"
@@ -33,6 +34,7 @@
 #include "doorwood/known_queues.h"
 #include "doorwood/lead_proof.h"
 #include "doorwood/lead_vacancy.h"
+#include "doorwood/line_limiter.h"
 #include "doorwood/live_directory.h"
 #include "doorwood/machine_platform.h"
 #include "doorwood/order_limits.h"
@@ -76,11 +78,13 @@
                    public WorkerEvacuator {
  public:
   using SubmitCallback = CellJournal::AcceptCallback;
-  /// Errors: CoreErrc::kNotFound if the cell has no such job, kNoOwner if this
+  /// Errors: CoreErrc::kNotFound if no cell has such a job and the store says
+  /// that it is withdrawn (see `CellJournal::Withdraw`), kNoOwner if this
   /// instance does not lead or is about to release the lead, kStoreUnavailable
-  /// if it is not known whether the cell has the job, kOutcomeUnknown if the
-  /// cancellation was not recorded in time or this instance stepped down.
-  using CancelCallback = std::function<void(std::error_code)>;
+  /// if it is not known whether the cell has the job or another cell has it,
+  /// kOutcomeUnknown if the cancellation was not recorded in time or this
+  /// instance stepped down.
+  using CancelCallback = CancelWaiters::Callback;
   using PhaseCallback = std::function<void(std::error_code, JobPhase)>;
   static constexpr Millis kUnlimitedGrace = std::chrono::hours(24);
 
@@ -147,13 +151,14 @@
   /// lacks capacity for the plan's long-running tasks.
   void Submit(JobPlan plan, SubmitCallback done);
   /// Cancels a job and stops its runs. `done` runs without an error once the
-  /// job's outcome is recorded, also if the job had ended before.
+  /// job's outcome is recorded, also if the job had ended before. A job that
+  /// the cell does not have is withdrawn.
   void Cancel(const std::string& job, CancelCallback done);
   /// The state of a job that this leader has in memory.
   std::optional<JobPhase> FindJobPhase(const std::string& job) const;
   /// Also finds ended jobs whose records this leader has not read yet. Errors:
-  /// CoreErrc::kNotFound if the cell has no such job, kNoOwner or
-  /// kStoreUnavailable if that is not known.
+  /// CoreErrc::kNotFound if the cell has no such job and is not recording it,
+  /// kNoOwner or kStoreUnavailable if that is not known.
   void FetchJobPhase(const std::string& job, PhaseCallback done);
   /// Whether a task of the job that is not placed is held back, because a run
   /// that an earlier leader ordered may be active.
@@ -195,6 +200,8 @@
   void OnEncodedStateStored(const std::string& job) override;
   void OnNewestStateStored(const std::string& job) override;
   void OnArchived(const std::string& job) override;
+  void OnWithdrawn(const std::string& job) override;
+  void OnWithdrawalRefused(const std::string& job) override;
   void OnEndsRecorded(const EndNumbers& ends) override;
   void OnWorkersRecorded(const std::vector<KnownWorker>& workers) override;
   void OnLeadConfirmed(Instant sent) override;
@@ -219,12 +226,6 @@
   enum class Stage { kStandby, kCampaigning, kReading, kLeading, kShutDown };
   /// Name of a task, and a note of a worker crash to be added to the task.
   using TaskCrashNote = std::pair<std::string, CrashNote>;
-  /// A caller that waits for a cancellation to be recorded.
-  struct PendingCancel {
-    CancelCallback done;
-    /// When `done` gets kOutcomeUnknown if the cancellation is not recorded.
-    Instant deadline{};
-  };
   /// A step with tasks that are ready to start. `SortReadySteps` sets `rank`
   /// and sorts by it, most urgent first.
   struct ReadyStep {
@@ -444,9 +445,11 @@
   /// Removes archived jobs that ended more than
   /// `CellOptions::finished_job_retention` ago.
   void RemoveOldJobs();
-  /// Answers callers whose cancellation was not recorded in time with
-  /// kOutcomeUnknown.
-  void ExpireCancels();
+  /// Cancels a job that is loaded. `CancelWaiters` answers the callers.
+  void CancelLoadedJob(Job* job);
+  /// Withdraws a job that is neither loaded nor archived, so that no submission
+  /// of it that is still under way is accepted.
+  void WithdrawUnknownJob(const std::string& job, CancelCallback done);
   /// Whether `LongRunningAdmission` allows the plan's long-running steps; true
   /// if there are none, or the queue or the workers are not known. Logs a
   /// refusal.
@@ -1065,8 +1068,8 @@
   uint64_t session_count_ = 0;
   FormerWorkers former_workers_;
   RejectedEntryLog rejected_entries_{log_, "cell"};
-  /// Pending cancellations, by job.
-  std::multimap<std::string, PendingCancel> cancels_;
+  CancelWaiters cancel_waiters_;
+  LineLimiter withdrawal_lines_;
   /// `RequestProofIfWaitServed` has requested a proof.
   bool takeover_awaits_proof_ = false;
   /// As of the last `ReleaseTasks` in this takeover; empty before the first.
--- a/src/include/doorwood/cell_options.h
+++ b/src/include/doorwood/cell_options.h
@@ -155,6 +155,9 @@
   /// Reads of the list of workers that failed.
   uint64_t directory_reads_failed = 0;
   uint64_t jobs_archived = 0;
+  /// Jobs that were not known when they were cancelled; see
+  /// `CellJournal::Withdraw`.
+  uint64_t jobs_withdrawn = 0;
   /// Time that the newest takeover took to read the records, in ms.
   uint64_t takeover_read_ms = 0;
   /// Tasks that are held back after a takeover, as of the newest line about
--- a/src/include/doorwood/cell_summary.h
+++ b/src/include/doorwood/cell_summary.h
@@ -31,6 +31,8 @@
   double cores = 0;
   /// Version of the queue table that the leader has in force; 0: none.
   int64_t config_version = 0;
+  /// A store revision that the leader knows, as new as its newest batch.
+  int64_t revision = 0;
 };
 
 }  // namespace doorwood
--- a/src/include/doorwood/ended_jobs.h
+++ b/src/include/doorwood/ended_jobs.h
@@ -32,6 +32,9 @@
   std::string reason;
   /// Milliseconds since 1970; 0: not known.
   int64_t finished_at = 0;
+  /// No job, but the record that a job which was not known was cancelled; see
+  /// `CellJournal::Withdraw`. Earlier versions take it for a cancelled job.
+  bool withdrawn = false;
 };
 
 /// "doorwood/ended/CELL/"
@@ -55,8 +58,8 @@
 /// looked up in the store.
 class EndedJobs {
  public:
-  /// Empty outcome: the job is not archived. Errors: CoreErrc::kNoOwner (the
-  /// term has ended) or kStoreUnavailable.
+  /// Empty outcome: the job is not archived, or withdrawn. Errors:
+  /// CoreErrc::kNoOwner (the term has ended) or kStoreUnavailable.
   using FindCallback =
       std::function<void(std::error_code, std::optional<JobOutcome>)>;
 
@@ -71,8 +74,13 @@
   void Close();
   /// The job's record is stored.
   void Add(const std::string& job, const EndedJob& ended);
-  /// Empty: the job is not archived, or not read yet (see `complete`).
+  /// The job's record is replaced by an accepted job.
+  void Forget(const std::string& job) { jobs_.erase(job); }
+  /// Empty: the job is not archived, withdrawn, or not read yet (see
+  /// `complete`).
   std::optional<JobOutcome> Find(const std::string& job) const;
+  /// False also if the record is not read yet.
+  bool IsWithdrawn(const std::string& job) const;
   /// Looks the job up in the store if the archive is not read yet. Otherwise
   /// `done` runs before this call returns.
   void Fetch(const std::string& job, FindCallback done);
@@ -89,6 +97,7 @@
   struct Entry {
     int64_t finished_at = 0;
     JobOutcome outcome = JobOutcome::kCompleted;
+    bool withdrawn = false;
   };
 
   void ScheduleRead(Millis delay);
--- a/src/include/doorwood/ingress.h
+++ b/src/include/doorwood/ingress.h
@@ -143,9 +143,12 @@
   /// accepted; the queue was removed while the submission waited), or
   /// kOutcomeUnknown (the caller may submit the same job again).
   void Submit(JobPlan plan, const Caller& caller, SubmitCallback done);
-  /// Cancel and FetchJobState fail with kNotFound only if the store has no such
-  /// job.
+  /// Fails with kNotFound only if the store says that the job is withdrawn (see
+  /// `CellJournal::Withdraw`): no submission that was received before is then
+  /// accepted, whatever becomes of the leader or of calls under way.
   void Cancel(const std::string& job, CancelCallback done);
+  /// Fails with kNotFound only if the store has no such job and no leader is
+  /// recording it.
   void FetchJobState(const std::string& job, StateCallback done);
   /// Number of jobs of a queue that have no started task, over all cells, as
   /// of their latest summaries. Empty if it is not known: no cell is known, or
@@ -172,6 +175,10 @@
  private:
   struct KnownCell {
     CellSummary summary;
+    /// Highest `CellSummary::revision`, and what it was before the latest poll
+    /// of summaries.
+    int64_t revision = 0;
+    int64_t settled_revision = 0;
     /// Work that this instance submitted since the summary, in core-seconds.
     double work_sent_since = 0;
     /// Epoch of the leader that was polled last.
@@ -275,8 +282,33 @@
   /// cached. It most likely has the job, and it answers even if the store is
   /// slow or unavailable. Null: there is none; look the cell up.
   const CellLead* LeadToAskBeforeStore(const std::string& job) const;
-  void CancelInRecordedCell(const std::string& job, CancelCallback done);
-  void FetchStateFromRecordedCell(const std::string& job, StateCallback done);
+  /// `withdrawn`: a leader does not have the job, and has withdrawn it.
+  void CancelInRecordedCell(const std::string& job,
+                            bool withdrawn,
+                            CancelCallback done);
+  /// `denied`: the only leader does not have the job.
+  void FetchStateFromRecordedCell(const std::string& job,
+                                  bool denied,
+                                  StateCallback done);
+  /// Have the cell's leader answer, here or on another instance. Errors: those
+  /// of the leader, PeerErrc, or kNoOwner if there is no reachable leader.
+  void CancelInCell(const std::string& cell,
+                    const std::string& job,
+                    CancelCallback done);
+  void FetchStateFromCell(const std::string& cell,
+                          const std::string& job,
+                          StateCallback done);
+  /// Has a leader withdraw a job that the store does not have.
+  void Withdraw(const std::string& job, CancelCallback done);
+  /// Asks the leaders of `cells` in turn about a job that the store does not
+  /// have, until one does not deny it.
+  void FetchStateOfUnrecordedJob(const std::string& job,
+                                 std::vector<std::string> cells,
+                                 StateCallback done);
+  /// A store revision that leaders have told this instance at least one poll of
+  /// summaries ago. So long after a pause of this process, requests that had
+  /// arrived before the pause may still be read.
+  int64_t SettledRevision() const;
   /// Translates a leader's answer to a cancellation into the error for the
   /// caller. kNotFound becomes kNoOwner, so call this with kNotFound only if
   /// the job is known to be in the leader's cell.
--- a/src/include/doorwood/job_plan.h
+++ b/src/include/doorwood/job_plan.h
@@ -87,6 +87,11 @@
   /// that any worker may run them (`Job::spread`); 0: any worker.
   WorkerGroup worker_group = 0;
 
+  /// A store revision that the instance which received the submission knew some
+  /// time before, so that every change up to it preceded the submission; 0: not
+  /// known. Not recorded.
+  int64_t known_revision = 0;
+
   /// How many times the steps run in total.
   int repetitions() const { return repeat_count > 0 ? repeat_count : 1; }
 };
--- a/src/libdoorwood/cell/cell_calls.cpp
+++ b/src/libdoorwood/cell/cell_calls.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Submission and cancellation of a cell's jobs, admission of long-running jobs,
-// job states, and the cell's summary.
+// Submission of jobs to a cell, admission of long-running jobs, and the cell's
+// summary.
 
 #include <algorithm>
 #include <utility>
@@ -175,6 +175,7 @@
     return;
   }
   ++counters_.accepted;
+  ended_jobs_.Forget(plan.id);
   if (plan.policy) {
     known_queues_.AddRecorded(*plan.policy);
   }
@@ -188,57 +189,13 @@
   RequestSchedulingPass();
 }
 
-void CellLeader::Cancel(const std::string& id, CancelCallback done) {
-  const bool takes_calls = leading() && orders_ended_ == Instant{};
-  Job* job = takes_calls ? jobs_.Find(id) : nullptr;
-  if (!takes_calls) {
-    done(CoreErrc::kNoOwner);
-    return;
-  }
-  if (job == nullptr) {
-    log_.Write("info", "cell", "cancellation of a job that is not loaded",
-               {{"job", id},
-                {"being_recorded", journal_.IsRecording(id)},
-                {"epoch", epoch_}});
-    ended_jobs_.Fetch(
-        id, [done = std::move(done)](std::error_code error,
-                                     std::optional<JobOutcome> outcome) {
-          done(error || outcome ? error : CoreErrc::kNotFound);
-        });
-    return;
-  }
-  if (job->outcome_recorded) {
-    done({});
-    return;
-  }
-  if (jobs_.Finish(job, JobOutcome::kCancelled)) {
-    log_.Write("info", "cell", "job cancelled", {{"job", id}});
-    OnJobEnded(job);
-  }
-  cancels_.emplace(
-      id, PendingCancel{std::move(done),
-                        executor_.Now() + options_.journal.caller_timeout});
-}
-
-void CellLeader::ExpireCancels() {
-  const Instant now = executor_.Now();
-  for (auto it = cancels_.begin(); it != cancels_.end();) {
-    if (it->second.deadline <= now) {
-      const auto done = std::move(it->second.done);
-      it = cancels_.erase(it);
-      done(CoreErrc::kOutcomeUnknown);
-    } else {
-      ++it;
-    }
-  }
-}
-
 CellSummary CellLeader::Summarize() {
   CellSummary summary;
   waiting_start_bytes_.clear();
   summary.cell = options_.cell;
   summary.epoch = epoch_;
   summary.config_version = table_ ? table_->version() : 0;
+  summary.revision = std::max(epoch_, journal_.newest_revision());
   for (const auto& [id, job] : jobs_.jobs()) {
     if (job->outcome != JobOutcome::kOpen) {
       continue;
--- a/src/libdoorwood/cell/cell_ended_jobs.cpp
+++ b/src/libdoorwood/cell/cell_ended_jobs.cpp
@@ -83,6 +83,10 @@
          phase.value_or(JobPhase::kQueued));
     return;
   }
+  if (journal_.IsRecording(id)) {
+    done(CoreErrc::kStoreUnavailable, {});
+    return;
+  }
   ended_jobs_.Fetch(
       id, [done = std::move(done)](std::error_code error,
                                    std::optional<JobOutcome> outcome) {
--- a/src/libdoorwood/cell/cell_journal.cpp
+++ b/src/libdoorwood/cell/cell_journal.cpp
@@ -15,6 +15,10 @@
 
 constexpr std::string_view kCellKeyPrefix = "doorwood/cell/";
 constexpr std::string_view kJobKeyPrefix = "doorwood/job/";
+// Not the begin of a cell's name, which has no colon.
+constexpr std::string_view kWithdrawnPrefix = "withdrawn:";
+// Limits the memory for withdrawals while the store does not answer.
+constexpr size_t kMaxWithdrawals = 10'000;
 constexpr std::string_view kChainKeySuffix = "chain";
 constexpr const char* kKeepsToTaskListsField = "keeps_to_names";
 constexpr const char* kKeepsToGroupsField = "keeps_to_groups";
@@ -192,6 +196,14 @@
   return std::string(kJobKeyPrefix) + std::string(job);
 }
 
+std::string WithdrawnValue(std::string_view cell) {
+  return std::string(kWithdrawnPrefix) + std::string(cell);
+}
+
+bool IsWithdrawnValue(std::string_view value) {
+  return value.starts_with(kWithdrawnPrefix);
+}
+
 std::string EncodeChainValue(const ChainValue& value) {
   Json json{{"sequence", value.sequence},
             {kKeepsToTaskListsField, true},
@@ -364,6 +376,8 @@
   in_flight_jobs_.clear();
   to_archive_.clear();
   to_remove_.clear();
+  to_withdraw_.clear();
+  recorded_unanswered_.clear();
   ends_.reset();
   workers_changed_ = false;
   workers_in_flight_ = false;
@@ -401,7 +415,7 @@
 
 bool CellJournal::idle() const {
   return flow_.in_flight() == 0 && accepts_.empty() && dirty_.empty() &&
-         !workers_changed_;
+         to_withdraw_.empty() && !workers_changed_;
 }
 
 void CellJournal::Seal() {
@@ -432,7 +446,8 @@
 }
 
 bool CellJournal::is_drained() const {
-  return flow_.in_flight() == 0 && accepts_.empty() && !HasSealedUrgentJobs();
+  return flow_.in_flight() == 0 && accepts_.empty() && to_withdraw_.empty() &&
+         !HasSealedUrgentJobs();
 }
 
 void CellJournal::CompleteAccept(PendingAccept* accept,
@@ -452,6 +467,11 @@
   // A job that is already being recorded is not refused, since the earlier call
   // may still record it.
   const Instant now = executor_.Now();
+  if (IsWithdrawing(plan.id)) {
+    PendingAccept refused{std::move(plan), std::move(done), now};
+    RejectAccept(&refused);
+    return;
+  }
   const bool too_late = store_unavailable_ || flow_.IsUnresponsive(now) ||
                         !flow_.IsWithinMaxRecordWait(accepts_.size());
   if (too_late && !IsRecording(plan.id)) {
@@ -463,6 +483,40 @@
   ScheduleSend(Millis(0));
 }
 
+std::error_code CellJournal::Withdraw(const std::string& job,
+                                      std::string record) {
+  if (!open_ || sealed_urgent_) {
+    return CoreErrc::kNoOwner;
+  }
+  if (IsWithdrawing(job)) {
+    return {};
+  }
+  if (to_withdraw_.size() >= kMaxWithdrawals) {
+    return CoreErrc::kStoreUnavailable;
+  }
+  to_withdraw_.emplace(job, Withdrawal{std::move(record)});
+  std::vector<PendingAccept> taken_back;
+  std::erase_if(accepts_, [&](PendingAccept& accept) {
+    const bool same = accept.plan.id == job;
+    if (same) {
+      taken_back.push_back(std::move(accept));
+    }
+    return same;
+  });
+  for (PendingAccept& accept : taken_back) {
+    RejectAccept(&accept);
+  }
+  ScheduleSend(Millis(0));
+  return {};
+}
+
+bool CellJournal::IsWithdrawing(const std::string& job) const {
+  return to_withdraw_.contains(job) || recorded_unanswered_.contains(job) ||
+         std::any_of(lanes_.begin(), lanes_.end(), [&job](const Lane& lane) {
+           return lane.batch && lane.batch->withdrawals.contains(job);
+         });
+}
+
 void CellJournal::MarkDirty(const std::string& job, bool urgent) {
   if (!open_) {
     return;
@@ -558,13 +612,13 @@
 
 bool CellJournal::HasPendingWork() const {
   if (sealed_urgent_) {
-    return !accepts_.empty() || HasSealedUrgentJobs();
+    return !accepts_.empty() || !to_withdraw_.empty() || HasSealedUrgentJobs();
   }
   // Ended jobs alone open no further lane.
   const bool archives = MayArchive() && flow_.in_flight() == 0;
-  return !accepts_.empty() || !dirty_.empty() || !to_remove_.empty() ||
-         archives || (workers_changed_ && !workers_in_flight_) ||
-         force_commit_ ||
+  return !accepts_.empty() || !to_withdraw_.empty() || !dirty_.empty() ||
+         !to_remove_.empty() || archives ||
+         (workers_changed_ && !workers_in_flight_) || force_commit_ ||
          std::any_of(lanes_.begin(), lanes_.end(), [](const Lane& lane) {
            return lane.force_commit && !lane.batch;
          });
--- a/src/libdoorwood/cell/cell_journal_answers.cpp
+++ b/src/libdoorwood/cell/cell_journal_answers.cpp
@@ -114,8 +114,11 @@
   for (const std::string& job : batch.removals) {
     to_remove_.insert(job);
   }
+  to_withdraw_.merge(batch.withdrawals);
   for (PendingAccept& accept : batch.accepts) {
-    if (!accept.answered) {
+    if (IsWithdrawing(accept.plan.id)) {
+      RejectAccept(&accept);
+    } else if (!accept.answered) {
       accepts_.push_front(std::move(accept));
     }
   }
@@ -141,13 +144,15 @@
     owner_.OnLeadLost("another process changed or removed a chain key");
     return;
   }
-  // Some of the new jobs have been accepted before, here or in another cell.
+  // Some of the new jobs have been accepted or withdrawn before, here or in
+  // another cell; or some of the jobs to withdraw have been.
   Batch batch = DetachBatch(lane);
+  ResolveWithdrawals(commit, &batch);
   std::vector<PendingAccept> new_accepts;
   for (PendingAccept& accept : batch.accepts) {
-    if (RevisionOf(FindItem(commit, JobIdKey(accept.plan.id))) != 0) {
-      CompleteAccept(&accept, {}, AcceptOutcome::kAlreadyKnown);
-    } else {
+    const StoreItem* job_key = FindItem(commit, JobIdKey(accept.plan.id));
+    if (RevisionOf(job_key) == accept.withdrawn_at ||
+        ResolveAccept(job_key == nullptr ? StoreItem{} : *job_key, &accept)) {
       new_accepts.push_back(std::move(accept));
     }
   }
@@ -157,6 +162,66 @@
   ScheduleSend(Millis(0));
 }
 
+void CellJournal::ResolveWithdrawals(const StoreCommit& commit, Batch* batch) {
+  for (auto it = batch->withdrawals.begin(); it != batch->withdrawals.end();) {
+    const std::string job = it->first;
+    const StoreItem* job_key = FindItem(commit, JobIdKey(job));
+    const int64_t revision = RevisionOf(job_key);
+    const bool withdrawn = revision != 0 && IsWithdrawnValue(job_key->value);
+    if (revision == 0 || (withdrawn && IsInFlight(job))) {
+      it->second.withdrawn_at = revision;
+      ++it;
+      continue;
+    }
+    it = batch->withdrawals.erase(it);
+    if (withdrawn) {
+      owner_.OnWithdrawn(job);
+    } else if (IsInFlight(job)) {
+      recorded_unanswered_.insert(job);
+    } else {
+      owner_.OnWithdrawalRefused(job);
+    }
+  }
+}
+
+bool CellJournal::ResolveAccept(const StoreItem& job_key,
+                                PendingAccept* accept) {
+  const int64_t revision = RevisionOf(&job_key);
+  if (revision == 0) {
+    // The record of the withdrawal was removed.
+    accept->withdrawn_at = 0;
+    return true;
+  }
+  if (!IsWithdrawnValue(job_key.value)) {
+    CompleteAccept(accept, {}, AcceptOutcome::kAlreadyKnown);
+    return false;
+  }
+  const bool received_later = accept->plan.known_revision >= revision;
+  log_.Write("info", "journal", "submission of a withdrawn job",
+             {{"job", accept->plan.id},
+              {"known_revision", accept->plan.known_revision},
+              {"withdrawn_at", revision},
+              {"received_later", received_later}});
+  if (!received_later || job_key.value != WithdrawnValue(cell_)) {
+    RejectAccept(accept);
+    return false;
+  }
+  accept->withdrawn_at = revision;
+  return true;
+}
+
+void CellJournal::OnAcceptCommitted(PendingAccept* accept) {
+  const std::string& job = accept->plan.id;
+  to_remove_.erase(job);
+  owner_.OnAccepted(accept->plan);
+  CompleteAccept(accept, {}, AcceptOutcome::kAccepted);
+  if (IsWithdrawing(job)) {
+    to_withdraw_.erase(job);
+    recorded_unanswered_.erase(job);
+    owner_.OnWithdrawalRefused(job);
+  }
+}
+
 void CellJournal::OnCommitted(size_t lane, int64_t revision) {
   last_success_ = executor_.Now();
   if (store_unavailable_) {
@@ -173,8 +238,10 @@
     RequestCommit();  // The newest batch has to have the TermEnd.
   }
   for (PendingAccept& accept : batch.accepts) {
-    owner_.OnAccepted(accept.plan);
-    CompleteAccept(&accept, {}, AcceptOutcome::kAccepted);
+    OnAcceptCommitted(&accept);
+  }
+  for (const auto& [job, withdrawal] : batch.withdrawals) {
+    owner_.OnWithdrawn(job);
   }
   for (const std::string& job : batch.states) {
     owner_.OnEncodedStateStored(job);
@@ -193,8 +260,8 @@
   // New jobs, workers, urgent states, and states that did not fit are sent at
   // once; otherwise changes are gathered again for `JournalOptions::delay`.
   const bool was_full = batch.transaction.entries() >= kMaxTransactionEntries;
-  if (!accepts_.empty() || workers_changed_ || !urgent_.empty() ||
-      (was_full && !dirty_.empty())) {
+  if (!accepts_.empty() || !to_withdraw_.empty() || workers_changed_ ||
+      !urgent_.empty() || (was_full && !dirty_.empty())) {
     ScheduleSend(Millis(0));
   } else if (!dirty_.empty() || !to_remove_.empty()) {
     ScheduleSend(options_.delay);
--- a/src/libdoorwood/cell/cell_journal_build.cpp
+++ b/src/libdoorwood/cell/cell_journal_build.cpp
@@ -14,8 +14,15 @@
 
 // Maximum number of jobs whose keys are removed in one batch.
 constexpr size_t kRemovalsPerBatch = 4;
-// Entries needed to accept one job: one expectation, two puts.
+// Entries needed to accept one job: one expectation, two puts; and one removal
+// if the job was withdrawn.
 constexpr size_t kEntriesPerAccept = 3;
+constexpr size_t kEntriesPerWithdrawnAccept = 4;
+// Entries needed to withdraw one job: one expectation, two puts.
+constexpr size_t kEntriesPerWithdrawal = 3;
+// Maximum number of jobs that one batch withdraws while others wait to be
+// accepted.
+constexpr size_t kWithdrawalsBesideAccepts = 4;
 // Entries needed to archive one job: one put, two removals.
 constexpr size_t kEntriesPerArchivedJob = 3;
 constexpr size_t kEntriesPerRemoval = 2;
@@ -38,6 +45,7 @@
   CaptureEnds();
   AddWorkers(&batch);
   AddUrgentStates(&batch);
+  AddWithdrawals(&batch);
   AddAccepts(&batch);
   AddStates(&batch);
   AddArchived(&batch);
@@ -126,7 +134,8 @@
   for (auto it = to_remove_.begin();
        it != to_remove_.end() && batch->removals.size() < kRemovalsPerBatch &&
        transaction.entries() + kEntriesPerRemoval <= kMaxTransactionEntries;) {
-    if (!in_flight_jobs_.insert(*it).second) {
+    // A withdrawn job may be accepted by a batch in flight; its key then stays.
+    if (IsInFlight(*it) || !in_flight_jobs_.insert(*it).second) {
       ++it;
       continue;
     }
@@ -137,13 +146,35 @@
   }
 }
 
+void CellJournal::AddWithdrawals(Batch* batch) {
+  StoreTransaction& transaction = batch->transaction;
+  const size_t limit =
+      accepts_.empty() ? kMaxTransactionEntries : kWithdrawalsBesideAccepts;
+  while (!to_withdraw_.empty() && batch->withdrawals.size() < limit &&
+         transaction.entries() + kEntriesPerWithdrawal <=
+             kMaxTransactionEntries) {
+    auto withdrawal = to_withdraw_.extract(to_withdraw_.begin());
+    const std::string& job = withdrawal.key();
+    const Withdrawal& details = withdrawal.mapped();
+    transaction.expected.push_back({JobIdKey(job), details.withdrawn_at});
+    transaction.puts.push_back({JobIdKey(job), WithdrawnValue(cell_)});
+    transaction.puts.push_back({EndedJobKey(cell_, job), details.record});
+    batch->withdrawals.insert(std::move(withdrawal));
+  }
+}
+
 void CellJournal::AddAccepts(Batch* batch) {
   StoreTransaction& transaction = batch->transaction;
   const size_t reserved_for_states =
       std::min(kEntriesReservedForStates, dirty_.size());
   const size_t limit = kMaxTransactionEntries - reserved_for_states;
-  while (!accepts_.empty() &&
-         transaction.entries() + kEntriesPerAccept <= limit) {
+  while (!accepts_.empty()) {
+    const size_t entries = accepts_.front().withdrawn_at == 0
+                               ? kEntriesPerAccept
+                               : kEntriesPerWithdrawnAccept;
+    if (transaction.entries() + entries > limit) {
+      break;
+    }
     PendingAccept accept = std::move(accepts_.front());
     accepts_.pop_front();
     const std::string& id = accept.plan.id;
@@ -161,7 +192,14 @@
       duplicate->done = std::move(both);
       continue;
     }
-    transaction.expected.push_back({JobIdKey(id), 0});
+    if (accept.withdrawn_at != 0) {
+      if (to_remove_.contains(id) || in_flight_jobs_.contains(id)) {
+        RejectAccept(&accept);  // The key is about to be removed.
+        continue;
+      }
+      transaction.removes.push_back(EndedJobKey(cell_, id));
+    }
+    transaction.expected.push_back({JobIdKey(id), accept.withdrawn_at});
     transaction.puts.push_back({JobIdKey(id), cell_});
     transaction.puts.push_back({PlanKey(cell_, id), Json(accept.plan).dump()});
     batch->accepts.push_back(std::move(accept));
--- a/src/libdoorwood/cell/cell_journal_load_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_load_test.cpp
@@ -99,6 +99,8 @@
     }
   }
   void OnArchived(const std::string&) override { ++jobs_archived; }
+  void OnWithdrawn(const std::string&) override {}
+  void OnWithdrawalRefused(const std::string&) override {}
   void OnEndsRecorded(const EndNumbers& ends) override {
     recorded_end = ends.at({"w", 1});
   }
--- a/src/libdoorwood/cell/cell_journal_test.cpp
+++ b/src/libdoorwood/cell/cell_journal_test.cpp
@@ -21,7 +21,15 @@
 // fault.
 class ScriptedStore : public fakes::CommitOnlyStore {
  public:
-  enum class Step { kAnswer, kRefuse, kLoseAnswer, kLoseRequest, kDelay };
+  enum class Step {
+    kAnswer,
+    kRefuse,
+    kLoseAnswer,
+    kLoseRequest,
+    kDelay,
+    /// As kDelay, but the caller learns only by its time limit.
+    kSilentDelay,
+  };
 
   using CommitOnlyStore::CommitOnlyStore;
 
@@ -50,6 +58,7 @@
         error = KvErrc::kUnknown;
         break;
       case Step::kDelay:
+      case Step::kSilentDelay:
         executor.Schedule(Millis(1500), [this, transaction] {
           StoreCommit late;
           late_error = model.Commit(transaction, &late);
@@ -57,7 +66,8 @@
         error = KvErrc::kUnknown;
         break;
     }
-    executor.Schedule(Millis(5), [error, commit, done = std::move(done)] {
+    const Millis answer_time(step == Step::kSilentDelay ? 700 : 5);
+    executor.Schedule(answer_time, [error, commit, done = std::move(done)] {
       done(error, commit);
     });
   }
@@ -84,6 +94,12 @@
     recorded.push_back(job);
   }
   void OnArchived(const std::string& job) override { archived.push_back(job); }
+  void OnWithdrawn(const std::string& job) override {
+    withdrawn.push_back(job);
+  }
+  void OnWithdrawalRefused(const std::string& job) override {
+    withdrawals_refused.push_back(job);
+  }
   void OnEndsRecorded(const EndNumbers& ends) override { ends_recorded = ends; }
   void OnWorkersRecorded(const std::vector<KnownWorker>&) override {}
   void OnLeadConfirmed(Instant) override {}
@@ -92,8 +108,10 @@
     journal.Close();
   }
 
-  void Accept(const std::string& id = kJob) {
-    journal.Accept(fakes::MakePlan(id, 1, 1, ""),
+  void Accept(const std::string& id = kJob, int64_t known_revision = 0) {
+    JobPlan plan = fakes::MakePlan(id, 1, 1, "");
+    plan.known_revision = known_revision;
+    journal.Accept(std::move(plan),
                    [this](std::error_code error, AcceptOutcome outcome) {
                      ++answers;
                      answer = error;
@@ -101,11 +119,20 @@
                    });
   }
 
+  void Withdraw() { BOOST_TEST(!journal.Withdraw(kJob, "record")); }
+
   bool IsStored(const std::string& key) const {
     StoreItem item;
     return !store.model.Get(key, &item);
   }
 
+  bool IsStoredAsWithdrawn() const {
+    StoreItem item;
+    return !store.model.Get(JobIdKey(kJob), &item) &&
+           IsWithdrawnValue(item.value) && IsStored(EndedJobKey("all", kJob)) &&
+           !IsStored(PlanKey("all", kJob));
+  }
+
   fakes::VirtualTime time;
   fakes::FakeExecutor executor;
   ScriptedStore store;
@@ -117,6 +144,8 @@
   std::vector<std::string> accepted;
   std::vector<std::string> recorded;
   std::vector<std::string> archived;
+  std::vector<std::string> withdrawn;
+  std::vector<std::string> withdrawals_refused;
   EndNumbers ends_recorded;
   bool lead_lost = false;
   int answers = 0;
@@ -213,6 +242,109 @@
   BOOST_TEST(accepted.size() == 1U);
 }
 
+// Guards against a job that is accepted after it was said to be withdrawn.
+BOOST_AUTO_TEST_CASE(Withdraw_RecordInFlight_OneOfTheTwoTakesEffect) {
+  const std::vector<Step> faults[] = {
+      {},
+      {Step::kDelay},
+      {Step::kLoseRequest},
+      {Step::kLoseAnswer},
+      {Step::kRefuse},
+      {Step::kDelay, Step::kDelay},
+      {Step::kDelay, Step::kLoseAnswer},
+      {Step::kLoseAnswer, Step::kLoseAnswer},
+      {Step::kLoseAnswer, Step::kRefuse, Step::kRefuse},
+      {Step::kDelay, Step::kRefuse, Step::kRefuse, Step::kLoseRequest},
+  };
+  for (size_t row = 0; row < std::size(faults); ++row) {
+    for (const int after : {0, 2, 20, 200, 2500}) {
+      BOOST_TEST_CONTEXT("faults " << row << ", withdrawn after " << after) {
+        JournalFixture fixture;
+        fixture.store.script = faults[row];
+        fixture.Accept();
+        fixture.time.Run(Millis(after));
+        fixture.Withdraw();
+        fixture.Withdraw();
+        fixture.time.Run(Millis(8000));
+        BOOST_TEST(fixture.answers == 1);
+        BOOST_TEST(fixture.withdrawn.size() +
+                       fixture.withdrawals_refused.size() ==
+                   1U);
+        const bool withdrawn = !fixture.withdrawn.empty();
+        BOOST_TEST(fixture.accepted.empty() == withdrawn);
+        BOOST_TEST(fixture.IsStoredAsWithdrawn() == withdrawn);
+        BOOST_TEST((fixture.answer == std::error_code()) == !withdrawn);
+        BOOST_TEST(fixture.journal.idle());
+        BOOST_TEST(!fixture.lead_lost);
+      }
+    }
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(Withdraw_SubmissionQueued_IsTakenBack, JournalFixture) {
+  Accept();
+  Withdraw();
+  BOOST_TEST(answers == 1);
+  BOOST_TEST(answer == make_error_code(CoreErrc::kStoreUnavailable));
+  time.Run(Millis(100));
+  BOOST_TEST(IsStoredAsWithdrawn());
+}
+
+// Guards against a late copy of a withdrawn submission that is accepted, and
+// against a new submission of the job that is not.
+BOOST_FIXTURE_TEST_CASE(Accept_Withdrawn_OnlyIfReceivedLater, JournalFixture) {
+  Withdraw();
+  time.Run(Millis(100));
+  BOOST_REQUIRE(IsStoredAsWithdrawn());
+  const int64_t withdrawn_at = store.model.revision();
+  Accept(kJob, withdrawn_at - 1);
+  time.Run(Millis(100));
+  BOOST_TEST(answer == make_error_code(CoreErrc::kStoreUnavailable));
+  BOOST_TEST(IsStoredAsWithdrawn());
+  Accept(kJob, withdrawn_at);
+  time.Run(Millis(100));
+  BOOST_TEST(!answer);
+  BOOST_TEST((answer_outcome == AcceptOutcome::kAccepted));
+  BOOST_TEST(accepted.size() == 1U);
+  BOOST_TEST(!IsStored(EndedJobKey("all", kJob)));
+  BOOST_TEST(IsStored(PlanKey("all", kJob)));
+}
+
+// Guards against "no such job" about one that replaces a withdrawal while the
+// record of it is in flight.
+BOOST_FIXTURE_TEST_CASE(Withdraw_LaterSubmissionInFlight_IsWithdrawnAgain,
+                        JournalFixture) {
+  Withdraw();
+  time.Run(Millis(100));
+  Accept(kJob, store.model.revision());
+  // The first attempt meets the withdrawal, the second one is late.
+  store.script = {Step::kAnswer, Step::kSilentDelay};
+  time.Run(Millis(20));
+  Withdraw();
+  time.Run(Millis(8000));
+  BOOST_TEST(answers == 1);
+  BOOST_TEST(withdrawn.size() == 2U);
+  BOOST_TEST(accepted.empty());
+  BOOST_TEST(IsStoredAsWithdrawn());
+}
+
+BOOST_FIXTURE_TEST_CASE(Withdraw_IdOfAnotherCell_IsRefused, JournalFixture) {
+  StoreTransaction other;
+  other.puts.push_back({JobIdKey(kJob), "other", 0});
+  StoreCommit ignored;
+  store.model.Commit(other, &ignored);
+  Withdraw();
+  time.Run(Millis(100));
+  BOOST_TEST(withdrawals_refused.size() == 1U);
+  BOOST_TEST(withdrawn.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(Withdraw_Sealed_IsRefused, JournalFixture) {
+  journal.Seal();
+  BOOST_TEST((journal.Withdraw(kJob, "record") ==
+              make_error_code(CoreErrc::kNoOwner)));
+}
+
 BOOST_FIXTURE_TEST_CASE(Accept_IdStoredByAnotherCell_IsNotAccepted,
                         JournalFixture) {
   StoreTransaction other;
--- a/src/libdoorwood/cell/cell_leader.cpp
+++ b/src/libdoorwood/cell/cell_leader.cpp
@@ -169,11 +169,7 @@
   counters_.held_tasks = {};
   tickets_.Clear();
   upkeep_waves_.Close();
-  auto cancels = std::move(cancels_);
-  cancels_.clear();
-  for (auto& [job, wait] : cancels) {
-    wait.done(CoreErrc::kOutcomeUnknown);
-  }
+  cancel_waiters_.Close();
   // Jobs may be on the call stack, too.
   executor_.Post([this, generation = generation_] {
     if (generation == generation_) {
@@ -584,7 +580,7 @@
       takeover_.TimeLeading(executor_.Now()) >= options_.lead_confirmed_for) {
     upkeep_waves_.Tick();
   }
-  ExpireCancels();
+  cancel_waiters_.Expire(now);
   ArchiveEndedJobs();
   if (now - old_jobs_removed_ >= kOldJobRemovalInterval) {
     old_jobs_removed_ = now;
--- a/src/libdoorwood/cell/cell_run_ends.cpp
+++ b/src/libdoorwood/cell/cell_run_ends.cpp
@@ -470,15 +470,7 @@
   }
   job->outcome_recorded = true;
   to_archive_.push_back(id);
-  const auto [begin, end] = cancels_.equal_range(id);
-  std::vector<CancelCallback> callbacks;
-  for (auto it = begin; it != end; ++it) {
-    callbacks.push_back(std::move(it->second.done));
-  }
-  cancels_.erase(begin, end);
-  for (const CancelCallback& callback : callbacks) {
-    callback({});
-  }
+  cancel_waiters_.Complete(id, {});
 }
 
 }  // namespace doorwood
--- a/src/libdoorwood/cell/ended_jobs.cpp
+++ b/src/libdoorwood/cell/ended_jobs.cpp
@@ -45,6 +45,9 @@
   if (!job.reason.empty()) {
     value["reason"] = job.reason;
   }
+  if (job.withdrawn) {
+    value["withdrawn"] = true;
+  }
   return value.dump();
 }
 
@@ -55,9 +58,9 @@
         if (!outcome) {
           return std::nullopt;
         }
-        return EndedJob{
-            *outcome, json.value("reason", ""),
-            ReadIntegerOr(json, "finished_at", 0, kIdentifierRange)};
+        return EndedJob{*outcome, json.value("reason", ""),
+                        ReadIntegerOr(json, "finished_at", 0, kIdentifierRange),
+                        json.value("withdrawn", false)};
       });
   return job.value_or(std::nullopt);
 }
@@ -94,14 +97,20 @@
 
 void EndedJobs::Add(const std::string& job, const EndedJob& ended) {
   if (open_) {
-    jobs_[job] = {ended.finished_at, ended.outcome};
+    jobs_[job] = {ended.finished_at, ended.outcome, ended.withdrawn};
   }
 }
 
 std::optional<JobOutcome> EndedJobs::Find(const std::string& job) const {
   const auto found = jobs_.find(job);
-  return found == jobs_.end() ? std::nullopt
-                              : std::optional(found->second.outcome);
+  return found == jobs_.end() || found->second.withdrawn
+             ? std::nullopt
+             : std::optional(found->second.outcome);
+}
+
+bool EndedJobs::IsWithdrawn(const std::string& job) const {
+  const auto found = jobs_.find(job);
+  return found != jobs_.end() && found->second.withdrawn;
 }
 
 void EndedJobs::Fetch(const std::string& job, FindCallback done) {
@@ -127,7 +136,8 @@
                  done(CoreErrc::kStoreUnavailable, std::nullopt);
                  return;
                }
-               done({}, ended->outcome);
+               done({}, ended->withdrawn ? std::nullopt
+                                         : std::optional(ended->outcome));
              });
 }
 
@@ -179,8 +189,9 @@
       ++malformed_;
       continue;
     }
-    jobs_.try_emplace(item.key.substr(prefix_.size()),
-                      Entry{ended->finished_at, ended->outcome});
+    jobs_.try_emplace(
+        item.key.substr(prefix_.size()),
+        Entry{ended->finished_at, ended->outcome, ended->withdrawn});
   }
   if (page.more) {
     read_up_to_ = page.items.back().key;
--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -104,9 +104,11 @@
   }
   store_.Get(JobIdKey(job), [this, job, done = std::move(done)](
                                 std::error_code error, const StoreItem& item) {
-    if (error == make_error_code(KvErrc::kNotFound)) {
+    const bool absent = error == make_error_code(KvErrc::kNotFound);
+    if (absent || (!error && IsWithdrawnValue(item.value))) {
       log_.Write("info", "ingress", "the store has no such job",
                  {{"job", job},
+                  {"withdrawn_at", absent ? 0 : item.revision},
                   {"submitted_here", MayBeAccepted(job)},
                   {"leads", live_.leads().size()}});
       done(CoreErrc::kNotFound, "");
@@ -139,6 +141,7 @@
   ObserveLeads();
   auto submission = std::make_shared<Submission>();
   submission->plan = std::move(plan);
+  submission->plan.known_revision = SettledRevision();
   submission->arrived_at = executor_.Now();
   if (caller.time_left) {
     submission->deadline = submission->arrived_at + *caller.time_left;
@@ -247,14 +250,14 @@
 void Ingress::Cancel(const std::string& job, CancelCallback done) {
   const CellLead* lead = LeadToAskBeforeStore(job);
   if (lead == nullptr) {
-    CancelInRecordedCell(job, std::move(done));
+    CancelInRecordedCell(job, false, std::move(done));
     return;
   }
   peers_.Cancel(*lead, job,
                 [this, job, cell = lead->cell,
                  done = std::move(done)](std::error_code error) {
                   if (error == make_error_code(CoreErrc::kNotFound)) {
-                    CancelInRecordedCell(job, done);
+                    CancelInRecordedCell(job, true, done);
                     return;
                   }
                   if (!error) {
@@ -278,33 +281,54 @@
 }
 
 void Ingress::CancelInRecordedCell(const std::string& job,
+                                   bool withdrawn,
                                    CancelCallback done) {
-  FindCell(job, [this, job, done = std::move(done)](std::error_code error,
-                                                    const std::string& cell) {
+  FindCell(job, [this, job, withdrawn, done = std::move(done)](
+                    std::error_code error, const std::string& cell) {
+    if (error == make_error_code(CoreErrc::kNotFound) && !withdrawn) {
+      Withdraw(job, done);
+      return;
+    }
     if (error) {
       done(error);
       return;
     }
-    auto finish = [done](std::error_code result) {
+    CancelInCell(cell, job, [done](std::error_code result) {
       done(TranslateCancelError(result));
-    };
-    if (CellLeader* leader = LocalLeader(cell)) {
-      leader->Cancel(job, std::move(finish));
-      return;
-    }
-    const CellLead* lead = ReachableLead(cell);
-    if (lead == nullptr) {
-      done(CoreErrc::kNoOwner);
-      return;
-    }
-    peers_.Cancel(*lead, job, std::move(finish));
+    });
   });
 }
 
+void Ingress::CancelInCell(const std::string& cell,
+                           const std::string& job,
+                           CancelCallback done) {
+  if (CellLeader* leader = LocalLeader(cell)) {
+    leader->Cancel(job, std::move(done));
+  } else if (const CellLead* lead = ReachableLead(cell)) {
+    peers_.Cancel(*lead, job, std::move(done));
+  } else {
+    done(CoreErrc::kNoOwner);
+  }
+}
+
+void Ingress::Withdraw(const std::string& job, CancelCallback done) {
+  for (const std::string& cell : CellsByLoad()) {
+    if (LocalLeader(cell) == nullptr && ReachableLead(cell) == nullptr) {
+      continue;
+    }
+    CancelInCell(cell, job, [done = std::move(done)](std::error_code error) {
+      const bool not_found = error == make_error_code(CoreErrc::kNotFound);
+      done(not_found ? error : TranslateCancelError(error));
+    });
+    return;
+  }
+  done(CoreErrc::kNoOwner);
+}
+
 void Ingress::FetchJobState(const std::string& job, StateCallback done) {
   const CellLead* lead = LeadToAskBeforeStore(job);
   if (lead == nullptr) {
-    FetchStateFromRecordedCell(job, std::move(done));
+    FetchStateFromRecordedCell(job, false, std::move(done));
     return;
   }
   peers_.FetchJobState(
@@ -312,7 +336,7 @@
       [this, job, cell = lead->cell, done = std::move(done)](
           std::error_code error, JobPhase phase) {
         if (error == make_error_code(CoreErrc::kNotFound)) {
-          FetchStateFromRecordedCell(job, done);
+          FetchStateFromRecordedCell(job, true, done);
           return;
         }
         if (!error) {
@@ -323,32 +347,60 @@
 }
 
 void Ingress::FetchStateFromRecordedCell(const std::string& job,
+                                         bool denied,
                                          StateCallback done) {
-  FindCell(job, [this, job, done = std::move(done)](std::error_code error,
-                                                    const std::string& cell) {
-    if (error) {
-      done(error, {});
-      return;
-    }
-    if (CellLeader* leader = LocalLeader(cell)) {
-      leader->FetchJobPhase(
-          job, [done](std::error_code result, JobPhase phase) {
-            done(result ? make_error_code(CoreErrc::kNoOwner) : result, phase);
-          });
+  FindCell(job, [this, job, denied, done = std::move(done)](
+                    std::error_code error, const std::string& cell) {
+    if (error == make_error_code(CoreErrc::kNotFound) && !denied) {
+      FetchStateOfUnrecordedJob(job, CellsByLoad(), done);
       return;
     }
-    const CellLead* lead = ReachableLead(cell);
-    if (lead == nullptr) {
-      done(CoreErrc::kNoOwner, {});
+    if (error) {
+      done(error, {});
       return;
     }
-    peers_.FetchJobState(
-        *lead, job, [done](std::error_code result, JobPhase phase) {
+    FetchStateFromCell(
+        cell, job, [done](std::error_code result, JobPhase phase) {
           done(result ? make_error_code(CoreErrc::kNoOwner) : result, phase);
         });
   });
 }
 
+void Ingress::FetchStateFromCell(const std::string& cell,
+                                 const std::string& job,
+                                 StateCallback done) {
+  if (CellLeader* leader = LocalLeader(cell)) {
+    leader->FetchJobPhase(job, std::move(done));
+  } else if (const CellLead* lead = ReachableLead(cell)) {
+    peers_.FetchJobState(*lead, job, std::move(done));
+  } else {
+    done(CoreErrc::kNoOwner, {});
+  }
+}
+
+void Ingress::FetchStateOfUnrecordedJob(const std::string& job,
+                                        std::vector<std::string> cells,
+                                        StateCallback done) {
+  if (cells.empty()) {
+    done(CoreErrc::kNoOwner, {});
+    return;
+  }
+  const std::string cell = std::move(cells.back());
+  cells.pop_back();
+  FetchStateFromCell(
+      cell, job,
+      [this, job, cells = std::move(cells), done = std::move(done)](
+          std::error_code error, JobPhase phase) mutable {
+        const bool denied = error == make_error_code(CoreErrc::kNotFound);
+        if (denied && !cells.empty()) {
+          FetchStateOfUnrecordedJob(job, std::move(cells), std::move(done));
+          return;
+        }
+        const bool unknown = error && !denied;
+        done(unknown ? make_error_code(CoreErrc::kNoOwner) : error, phase);
+      });
+}
+
 std::optional<int> Ingress::PendingJobCount(const std::string& queue) const {
   int pending = 0;
   if (cells_.empty()) {
@@ -381,6 +433,7 @@
 void Ingress::OnSummary(const std::string& cell, const CellSummary& summary) {
   KnownCell& known = cells_[cell];
   known.summary = summary;
+  known.revision = std::max(known.revision, summary.revision);
   known.work_sent_since = 0;
   known.answered_at = executor_.Now();
 }
@@ -395,8 +448,19 @@
   }
 }
 
+int64_t Ingress::SettledRevision() const {
+  int64_t revision = 0;
+  for (const auto& [cell, known] : cells_) {
+    revision = std::max(revision, known.settled_revision);
+  }
+  return revision;
+}
+
 void Ingress::PollSummaries() {
   ObserveLeads();
+  for (auto& [cell, known] : cells_) {
+    known.settled_revision = known.revision;
+  }
   for (const auto& [cell, lead] : live_.leads()) {
     if (CellLeader* leader = LocalLeader(cell)) {
       OnSummary(cell, leader->summary());
--- a/src/loop.adapter/http_peers.cpp
+++ b/src/loop.adapter/http_peers.cpp
@@ -39,6 +39,8 @@
 constexpr Millis kMaxTableDuration{8000};
 // Version of the queue table by which a job was taken.
 constexpr std::string_view kVersionHeader = "Queue-Table-Version";
+// JobPlan::known_revision.
+constexpr std::string_view kRevisionHeader = "Known-Revision";
 constexpr std::string_view kHandOverPath = "/hand-over/";
 // Query of a call for a summary that waits while the leader reads its records,
 // followed by the longest wait in milliseconds.
@@ -117,9 +119,10 @@
 
 Json EncodeSummary(const CellSummary& summary) {
   return {
-      {"cell", summary.cell},       {"epoch", summary.epoch},
-      {"pending", summary.pending}, {"waiting_work", summary.waiting_work},
-      {"cores", summary.cores},     {"config_version", summary.config_version}};
+      {"cell", summary.cell},        {"epoch", summary.epoch},
+      {"pending", summary.pending},  {"waiting_work", summary.waiting_work},
+      {"cores", summary.cores},      {"config_version", summary.config_version},
+      {"revision", summary.revision}};
 }
 
 std::map<std::string, int> DecodePending(const Json& json) {
@@ -147,6 +150,7 @@
     summary.waiting_work = json.value("waiting_work", 0.0);
     summary.cores = json.value("cores", 0.0);
     summary.config_version = ReadIntegerOr(json, "config_version", 0);
+    summary.revision = ReadIntegerOr(json, "revision", 0);
     return summary;
   });
 }
@@ -168,6 +172,13 @@
 // value.
 constexpr Millis kMaxAge{86'400'000};
 
+std::optional<int64_t> DecodeInteger(std::string_view text) {
+  int64_t value = 0;
+  const auto read =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  return read.ec == std::errc() ? std::optional(value) : std::nullopt;
+}
+
 std::optional<Millis> DecodeAge(std::string_view text) {
   int64_t age = 0;
   const auto read =
@@ -189,6 +200,8 @@
   if (version_) {
     call.headers.emplace_back(kVersionHeader, std::to_string(version_()));
   }
+  call.headers.emplace_back(kRevisionHeader,
+                            std::to_string(plan.known_revision));
   call.first_byte_timeout = kSubmitFirstByteTimeout;
   client_.Send(
       std::move(call),
@@ -388,18 +401,16 @@
 void CellPeerService::Submit(CellLeader& leader,
                              const HttpRequest& request,
                              Answer answer) {
-  const auto plan = ParsePlan(request.body);
+  auto plan = ParsePlan(request.body);
   if (!plan) {
     answer(CoreErrc::kInvalid, "");
     return;
   }
+  plan->known_revision =
+      DecodeInteger(request.header(kRevisionHeader)).value_or(0);
   const auto table = table_ ? table_() : nullptr;
-  const std::string_view text = request.header(kVersionHeader);
-  int64_t version = 0;
-  const auto read =
-      std::from_chars(text.data(), text.data() + text.size(), version);
-  if (table && read.ec == std::errc() &&
-      table->HasDropped(plan->queue, version)) {
+  const auto version = DecodeInteger(request.header(kVersionHeader));
+  if (table && version && table->HasDropped(plan->queue, *version)) {
     answer(CoreErrc::kNotFound, "");
     return;
   }
