fix(owner): no "no such job" about one that the shard's log is recording

What callers saw: a submission to doorwoodd ends with "outcome unknown", job.cancel for it with 404, and the job is accepted once the store answers.

Cause: the owner looked for the job in the applied state of its log only, where a job is known when its batch is confirmed.

Change: the cancellation of a job that is not known is appended to the log, whose records take effect in order; the job is looked for afterwards.

--- a/src/libdoorwood/instance/instance_test.cpp
+++ b/src/libdoorwood/instance/instance_test.cpp
@@ -485,6 +485,44 @@
       4000);
 }
 
+// Guards against "no such job" about one that a batch in flight accepts.
+BOOST_AUTO_TEST_CASE(Cancel_SubmissionBeingRecorded_IsNotDenied) {
+  constexpr int kNotFound = 404;
+  constexpr char kToken[] = "in-doubt";
+  for (const Fault fault : {Fault::kAnswerLost, Fault::kDelayed}) {
+    RunningCluster cluster;
+    const std::string first = cluster.Submit(1, "run-ms=100");
+    const std::string job = first.substr(0, first.rfind('.') + 1) + kToken;
+    cluster.world.SetKvFault(fault);
+    const std::string manifest =
+        "member: museum\ntasks:\n  - name: late\n    payload: run-ms=60000\n"
+        "    size: {cpu_millis: 1000}\n";
+    cluster.world.CallOperatorMethod(
+        "plaka-1", "submit", {{"manifest", manifest}, {"token", kToken}});
+    const auto denied = cluster.world.CallOperatorMethod(
+        "plaka-1", "job.cancel", {{"id", job}});
+    BOOST_TEST(denied.status != kNotFound);
+    cluster.world.SetKvFault(Fault::kNone);
+    BOOST_TEST(cluster.world.RunUntil(kTimeout, [&]() {
+      return cluster.world
+                 .CallOperatorMethod("plaka-1", "job.cancel", {{"id", job}})
+                 .status == 200;
+    }));
+    BOOST_TEST(cluster.world.RunUntil(kTimeout, [&]() {
+      return cluster.world.JobPhase("plaka-1", job) == "cancelled";
+    }));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Cancel_UnknownJob_IsDenied) {
+  RunningCluster cluster;
+  const std::string first = cluster.Submit(1, "run-ms=100");
+  const std::string job = first.substr(0, first.rfind('.') + 1) + "never";
+  const auto reply =
+      cluster.world.CallOperatorMethod("plaka-1", "job.cancel", {{"id", job}});
+  BOOST_TEST(reply.status == 404);
+}
+
 // --- Jobs that can never run ---
 
 BOOST_AUTO_TEST_CASE(Job_LargerThanAnyWorker_IsReportedAndBlocksNoOther) {
--- a/src/libdoorwood/owner/shard_owner.cpp
+++ b/src/libdoorwood/owner/shard_owner.cpp
@@ -149,7 +149,14 @@
 void ShardOwner::Cancel(const std::string& job, Done done) {
   const JobState* state = log_->state().FindJob(job);
   if (state == nullptr) {
-    done(CoreErrc::kNotFound);
+    // A batch of the log that is not confirmed may accept the job. Records take
+    // effect in order, so that the job is known once this one has.
+    log_->Append(CancelRecord{job}, /*refusable=*/true,
+                 [self = shared_from_this(), job, done](std::error_code error) {
+                   const bool known =
+                       self->log_->state().FindJob(job) != nullptr;
+                   done(error || known ? error : CoreErrc::kNotFound);
+                 });
     return;
   }
   if (state->cancelled || state->finished()) {
