fix(cell): the key of an accepted job is not removed with the withdrawal it replaced

What callers would have seen: a job submitted again after "no such job", just after a takeover, loses its id key once the retention time is over; an instance that looks it up in the store denies it.

Cause: the leader forgets a withdrawal when an accepted job replaces it, but a page of the archive that was on its way adds it again, and the old records are removed by that list.

Change: records of a job that is loaded are not removed.

Evidence (x86_64): cell_ended_jobs_test Withdrawn_AcceptedWhileArchiveIsRead_KeepsItsKey fails without the change.

--- a/src/libdoorwood/cell/cell_ended_jobs.cpp
+++ b/src/libdoorwood/cell/cell_ended_jobs.cpp
@@ -56,7 +56,10 @@
   const int64_t finished_before =
       unix_millis_() - options_.finished_job_retention.count();
   for (const std::string& id : ended_jobs_.TakeOld(finished_before)) {
-    journal_.RemoveArchivedJob(id);
+    // A withdrawn job may have been accepted while the archive was read.
+    if (jobs_.Find(id) == nullptr) {
+      journal_.RemoveArchivedJob(id);
+    }
   }
 }
 
--- a/src/libdoorwood/cell/cell_ended_jobs_test.cpp
+++ b/src/libdoorwood/cell/cell_ended_jobs_test.cpp
@@ -188,6 +188,39 @@
   BOOST_TEST(world.starts(std::string(kFixtureJob) + ".0.0.0") == 1);
 }
 
+// Guards against a leader that removes an accepted job's key, because it has
+// read the withdrawal that the job replaced from the archive.
+BOOST_FIXTURE_TEST_CASE(Withdrawn_AcceptedWhileArchiveIsRead_KeepsItsKey,
+                        CellFixture) {
+  constexpr Millis kRetention{5000};
+  // The archive is read 300 ms after the begin of a term.
+  constexpr Millis kBeforeRead{290};
+  constexpr Millis kUntilRead{20};
+  world.options().finished_job_retention = kRetention;
+  world.AddInstance("d1", "plaka", 2.0);
+  StoreTransaction withdrawal;
+  withdrawal.puts.push_back({JobIdKey(kFixtureJob), WithdrawnValue(kCell), 0});
+  withdrawal.puts.push_back({EndedJobKey(kCell, kFixtureJob),
+                             EncodeEndedJob({JobOutcome::kCancelled, "",
+                                             world.time().now_ms(), true}),
+                             0});
+  StoreCommit commit;
+  BOOST_REQUIRE(!world.store().Commit(withdrawal, &commit));
+  world.Run(Millis(1000));
+  WorldInstance* leader = ReplaceLeader(world);
+  BOOST_REQUIRE(leader->name == "d1");
+  world.RunExactly(kBeforeRead);
+  leader->store_faults.answer_delay = Millis(300);
+  world.RunExactly(kUntilRead);
+  leader->store_faults.answer_delay = Millis(0);
+  JobPlan plan = fakes::MakePlan(kFixtureJob, 1, 1, "ms=60000");
+  plan.known_revision = commit.revision;
+  BOOST_TEST(world.Submit(plan));
+  world.Run(kRetention * 3);
+  BOOST_TEST(IsStored(world, JobIdKey(kFixtureJob)));
+  BOOST_TEST(State() == "running");
+}
+
 // Guards against "no such job" from a leader that cannot read the archive.
 BOOST_FIXTURE_TEST_CASE(EndedJob_StoreUnavailableAfterTakeover_IsNotDenied,
                         CellFixture) {
