fix(ingress): a job that is no longer kept is denied where its cell is cached

What callers saw: an instance that had accepted a job answers 503 to DELETE and GET once the job is no longer kept, until its cell falls out of the cache, while the other instances answer 410.

Cause: the cached cell was taken for a record in the store, so a leader's "not found" meant that it had not loaded the job yet.

Change: after such an answer the cache entry is dropped and the store decides.

--- a/src/libdoorwood/ingress/ingress.cpp
+++ b/src/libdoorwood/ingress/ingress.cpp
@@ -283,7 +283,8 @@
 void Ingress::CancelInRecordedCell(const std::string& job,
                                    bool withdrawn,
                                    CancelCallback done) {
-  FindCell(job, [this, job, withdrawn, done = std::move(done)](
+  const bool cached = cell_of_job_.contains(job);
+  FindCell(job, [this, job, withdrawn, cached, done = std::move(done)](
                     std::error_code error, const std::string& cell) {
     if (error == make_error_code(CoreErrc::kNotFound) && !withdrawn) {
       Withdraw(job, done);
@@ -293,7 +294,13 @@
       done(error);
       return;
     }
-    CancelInCell(cell, job, [done](std::error_code result) {
+    CancelInCell(cell, job, [this, job, cached, done](std::error_code result) {
+      const bool not_found = result == make_error_code(CoreErrc::kNotFound);
+      if (not_found && cached) {
+        cell_of_job_.erase(job);
+        CancelInRecordedCell(job, true, done);
+        return;
+      }
       done(TranslateCancelError(result));
     });
   });
@@ -349,7 +356,8 @@
 void Ingress::FetchStateFromRecordedCell(const std::string& job,
                                          bool denied,
                                          StateCallback done) {
-  FindCell(job, [this, job, denied, done = std::move(done)](
+  const bool cached = cell_of_job_.contains(job);
+  FindCell(job, [this, job, denied, cached, done = std::move(done)](
                     std::error_code error, const std::string& cell) {
     if (error == make_error_code(CoreErrc::kNotFound) && !denied) {
       FetchStateOfUnrecordedJob(job, CellsByLoad(), done);
@@ -360,7 +368,14 @@
       return;
     }
     FetchStateFromCell(
-        cell, job, [done](std::error_code result, JobPhase phase) {
+        cell, job,
+        [this, job, cached, done](std::error_code result, JobPhase phase) {
+          const bool not_found = result == make_error_code(CoreErrc::kNotFound);
+          if (not_found && cached) {
+            cell_of_job_.erase(job);
+            FetchStateFromRecordedCell(job, true, done);
+            return;
+          }
           done(result ? make_error_code(CoreErrc::kNoOwner) : result, phase);
         });
   });
--- a/src/libdoorwood/ingress/ingress_test.cpp
+++ b/src/libdoorwood/ingress/ingress_test.cpp
@@ -298,6 +298,26 @@
   }
 }
 
+// Guards against an endless 503 about a job that is no longer kept, at the
+// instance that has cached its cell.
+BOOST_AUTO_TEST_CASE(StateAndCancel_CachedJobNoLongerKept_IsDenied) {
+  for (const bool cancel : {false, true}) {
+    IngressFixture fixture;
+    fixture.Submit();
+    fixture.world.Run(Millis(50));
+    BOOST_REQUIRE(!fixture.answer);
+    fixture.peers->has_job = false;
+    if (cancel) {
+      fixture.Cancel();
+    } else {
+      fixture.QueryState();
+    }
+    fixture.world.Run(Millis(100));
+    BOOST_TEST(fixture.answered);
+    BOOST_TEST(fixture.answer == make_error_code(CoreErrc::kNotFound));
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(State_QueriedAgain_GoesToCachedCell, IngressFixture) {
   QueryState();
   world.Run(Millis(50));
