test(ingress): cancellations beside a leader whose lead is revoked

ingress_cancel_test tried leaders that stay, stop, are killed or paused. No product code is changed.

--- a/src/libdoorwood/ingress/ingress_cancel_test.cpp
+++ b/src/libdoorwood/ingress/ingress_cancel_test.cpp
@@ -124,7 +124,7 @@
   kRefused,
   kAnsweredSlowly,
 };
-enum class LeaderEnd { kStays, kKilled, kStopsAsPlanned, kPaused };
+enum class LeaderEnd { kStays, kKilled, kStopsAsPlanned, kPaused, kRevoked };
 
 // Three instances with an ingress each, and a worker.
 struct CancelFixture {
@@ -282,6 +282,13 @@
         world.time().RunAt(world.time().now() + Millis(5000),
                            [&instance] { instance.executor->Thaw(); });
         break;
+      case LeaderEnd::kRevoked: {
+        StoreTransaction removal;
+        removal.removes.push_back(LeadKey("all"));
+        StoreCommit ignored;
+        BOOST_TEST(!world.store().Commit(removal, &ignored));
+        break;
+      }
     }
   }
 
@@ -310,7 +317,7 @@
       for (const int cancel_after : {2, 40, 500, 2500}) {
         for (const LeaderEnd end :
              {LeaderEnd::kStays, LeaderEnd::kKilled, LeaderEnd::kStopsAsPlanned,
-              LeaderEnd::kPaused}) {
+              LeaderEnd::kPaused, LeaderEnd::kRevoked}) {
           for (const bool at_leader : {false, true}) {
             courses.push_back({fate, Millis(faults_for), Millis(cancel_after),
                                end, at_leader});
